--- /dev/null
+++ b/src/base/ResultCode.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// What became of a request.
+enum class Outcome : uint8_t {
+    Done,
+    NotRun,
+    Unknown,
+};
+
+/// The numbered results that callers, operators and daemons see; docs/RESULT_CODES.md is their table.
+enum class ResultCode : uint16_t {
+    Done = 1000,
+    DoneEarlier = 1001,
+
+    MalformedInput = 2001,
+    UnknownField = 2002,
+    WrongType = 2003,
+    MissingField = 2004,
+    WrongVersion = 2005,
+    TooLarge = 2006,
+    ValueOutOfRange = 2007,
+    InputTooSlow = 2008,
+    UnknownResource = 2009,
+
+    UnknownDatabase = 2101,
+    UnknownClass = 2102,
+    TokenInvalid = 2103,
+    RequestExpired = 2104,
+    RequestIdReused = 2105,
+    RequestSettled = 2106,
+
+    NoPrimary = 2201,
+    TargetBehind = 2202,
+    NoReplica = 2203,
+    TermChanged = 2204,
+    NotHome = 2205,
+    TargetLeaving = 2206,
+    TargetUnreachable = 2207,
+    PeerUnreachable = 2208,
+
+    Overloaded = 2301,
+    DeadlinePassed = 2302,
+    RetryBudgetSpent = 2303,
+
+    TransactionUnknown = 2401,
+    TransactionBusy = 2402,
+    TransactionEnded = 2403,
+
+    StatementFailed = 2501,
+    Draining = 2601,
+    KeyRefused = 2701,
+
+    ConfigurationInvalid = 2801,
+    ConfigurationConflict = 2802,
+    ReasonMissing = 2803,
+    PlatformUnavailable = 2901,
+
+    OutcomeUnknown = 3001,
+    NotConfirmed = 3002,
+    TargetSilent = 3003,
+    ConnectionLost = 3004,
+    PeerSilent = 3005,
+};
+
+/// The stable name and one-line meaning of a result code.
+struct ResultCodeInfo {
+    ResultCode code;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// Every result code, in order of its number.
+const std::vector<ResultCodeInfo>& resultCodes();
+
+/// The stable name of `code`, such as "target_behind".
+std::string_view nameOf(ResultCode);
+
+/// Whether `number` is one of the codes above.
+bool isResultCode(uint64_t number);
+
+/// The outcome that a code stands for, by its thousand.
+Outcome outcomeOf(ResultCode);
+
+/// The word for an outcome in messages: "done", "not_run", "unknown".
+std::string_view nameOf(Outcome);
+
+/// An error status that carries `code`; `message` is for people.
+absl::Status makeError(ResultCode, std::string_view message);
+
+/// The code that `status` carries: Done for an ok status, OutcomeUnknown for a foreign error.
+ResultCode resultCodeOf(const absl::Status&);
+
+}
--- /dev/null
+++ b/src/groups/TargetStatus.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+namespace parsleypaddle {
+
+/// What a target says it is.
+enum class TargetRole : uint8_t {
+    Primary,
+    Replica,
+};
+
+/// A target's own statement about itself.
+struct TargetStatus {
+    TargetRole role { TargetRole::Replica };
+    /// The highest term it was fenced at, promoted to, or took log from.
+    Term term;
+    /// The end of the log it holds.
+    LogPosition position;
+    /// How far it has applied; reads see this.
+    LogPosition applied;
+    /// Time since it was known to be level with its primary; zero at a primary.
+    Milliseconds age;
+    bool isLeaving { false };
+};
+
+}
--- /dev/null
+++ b/src/standins/GroupModel.cpp
@@ -0,0 +1,401 @@
+#include "standins/GroupModel.h"
+
+#include "base/ResultCode.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <cassert>
+
+namespace parsleypaddle {
+
+struct GroupModel::ModelTarget {
+    TargetId id;
+    TargetRole role { TargetRole::Replica };
+    Term term;
+    /// The term last fenced here and not yet promoted by anyone.
+    bool isFenced { false };
+    std::vector<std::shared_ptr<const ModelCommit>> log;
+    size_t applied { 0 };
+    ModelRecords records;
+    std::map<std::pair<std::string, std::string>, ModelLedgerEntry> ledger;
+    Milliseconds delay { 1 };
+    Milliseconds applyLag { 0 };
+    /// Every commit up to then has been applied here.
+    Instant freshAt;
+    bool isIsolated { false };
+    bool isLeaving { false };
+};
+
+namespace {
+
+    constexpr Term firstTerm { 1 };
+
+    std::pair<std::string, std::string> ledgerIndex(const LedgerKey& key)
+    {
+        return { key.shop.value(), key.request.value() };
+    }
+
+}
+
+GroupModel::GroupModel(const EventLoop& loop, DatabaseId database, const std::vector<TargetId>& targets)
+    : m_loop(loop)
+    , m_database(std::move(database))
+{
+    for (const auto& it : targets) {
+        auto target = std::make_shared<ModelTarget>();
+        target->id = it;
+        target->term = firstTerm;
+        target->freshAt = loop.now();
+        m_targets.push_back(std::move(target));
+    }
+    assert(!m_targets.empty());
+    m_targets.front()->role = TargetRole::Primary;
+}
+
+absl::StatusOr<TargetReply> GroupModel::execute(const TargetId& id, const TargetBatch& batch, ModelTransaction& transaction)
+{
+    replicate();
+    ModelTarget& target = find(id);
+    switch (batch.operation) {
+    case TargetOperation::Status:
+        return replyOf(target);
+    case TargetOperation::Fence:
+        return fence(target, batch.term);
+    case TargetOperation::Promote:
+        return promote(target, batch.term);
+    case TargetOperation::Read:
+        return read(target, batch);
+    case TargetOperation::Write:
+        return write(target, batch);
+    case TargetOperation::Settle:
+        return settle(target, batch);
+    case TargetOperation::Begin:
+        return begin(target, batch, transaction);
+    case TargetOperation::Continue:
+        return proceed(target, batch, transaction);
+    case TargetOperation::Commit:
+        return commit(target, batch, transaction);
+    case TargetOperation::Rollback:
+        transaction = {};
+        return replyOf(target);
+    }
+    return makeError(ResultCode::StatementFailed, "unknown operation");
+}
+
+TargetStatus GroupModel::statusOf(const TargetId& id)
+{
+    replicate();
+    return statusOf(find(id));
+}
+
+void GroupModel::setReplication(const TargetId& id, Milliseconds delay, Milliseconds applyLag)
+{
+    replicate();
+    ModelTarget& target = find(id);
+    target.delay = delay;
+    target.applyLag = applyLag;
+}
+
+void GroupModel::setIsolated(const TargetId& id, bool isIsolated)
+{
+    replicate();
+    find(id).isIsolated = isIsolated;
+}
+
+void GroupModel::setLeaving(const TargetId& id, bool isLeaving)
+{
+    find(id).isLeaving = isLeaving;
+}
+
+std::vector<ModelCommit> GroupModel::survivingLog()
+{
+    replicate();
+    const ModelTarget* best = nullptr;
+    for (const auto& it : m_targets) {
+        if (it->role == TargetRole::Primary && (!best || it->term > best->term))
+            best = it.get();
+    }
+    std::vector<ModelCommit> commits;
+    if (!best)
+        return commits;
+    for (const auto& it : best->log)
+        commits.push_back(*it);
+    return commits;
+}
+
+ModelRecords GroupModel::survivingRecords()
+{
+    ModelRecords records;
+    for (const auto& commit : survivingLog()) {
+        for (const auto& change : commit.changes)
+            applyChange(records, change);
+    }
+    return records;
+}
+
+GroupModel::ModelTarget& GroupModel::find(const TargetId& id)
+{
+    auto it = std::find_if(m_targets.begin(), m_targets.end(), [&id](const auto& target) { return target->id == id; });
+    assert(it != m_targets.end());
+    return **it;
+}
+
+// A replica follows the primary of the highest term in reach, but never one of an older term than its own.
+GroupModel::ModelTarget* GroupModel::primaryFor(const ModelTarget& replica)
+{
+    ModelTarget* best = nullptr;
+    if (replica.isIsolated)
+        return best;
+    for (const auto& it : m_targets) {
+        const bool isCandidate = it.get() != &replica && it->role == TargetRole::Primary && !it->isIsolated && it->term >= replica.term;
+        if (isCandidate && (!best || it->term > best->term))
+            best = it.get();
+    }
+    return best;
+}
+
+void GroupModel::replicate()
+{
+    for (const auto& it : m_targets)
+        replicateTo(*it);
+}
+
+void GroupModel::replicateTo(ModelTarget& replica)
+{
+    const ModelTarget* primary = primaryFor(replica);
+    if (replica.role == TargetRole::Primary) {
+        if (!primary || primary->term <= replica.term)
+            return;
+        replica.role = TargetRole::Replica;
+    }
+    const Instant now = m_loop.now();
+    if (primary) {
+        if (primary->term > replica.term)
+            follow(replica, *primary);
+        while (replica.log.size() < primary->log.size() && primary->log[replica.log.size()]->at + replica.delay <= now)
+            replica.log.push_back(primary->log[replica.log.size()]);
+    }
+    size_t due = replica.applied;
+    while (due < replica.log.size() && replica.log[due]->at + replica.delay + replica.applyLag <= now)
+        ++due;
+    apply(replica, due);
+    if (!primary)
+        return;
+    const bool isLevel = replica.applied == primary->log.size();
+    replica.freshAt = std::max(replica.freshAt, isLevel ? now - replica.delay : primary->log[replica.applied]->at);
+}
+
+void GroupModel::follow(ModelTarget& replica, const ModelTarget& primary)
+{
+    size_t common = 0;
+    const size_t most = std::min(replica.log.size(), primary.log.size());
+    while (common < most && replica.log[common] == primary.log[common])
+        ++common;
+    replica.log.resize(common);
+    replica.term = primary.term;
+    replica.isFenced = false;
+    if (replica.applied <= common)
+        return;
+    replica.records.clear();
+    replica.ledger.clear();
+    replica.applied = 0;
+    apply(replica, common);
+}
+
+void GroupModel::apply(ModelTarget& target, size_t upTo)
+{
+    for (; target.applied < upTo; ++target.applied) {
+        const ModelCommit& commit = *target.log[target.applied];
+        for (const auto& it : commit.changes)
+            applyChange(target.records, it);
+        for (const auto& it : commit.ledger)
+            target.ledger[ledgerIndex(it.key)] = it;
+    }
+}
+
+TargetStatus GroupModel::statusOf(const ModelTarget& target) const
+{
+    TargetStatus status;
+    status.role = target.role;
+    status.term = target.term;
+    status.position = LogPosition(target.log.size());
+    status.applied = LogPosition(target.applied);
+    if (target.role == TargetRole::Replica)
+        status.age = m_loop.now() - target.freshAt;
+    status.isLeaving = target.isLeaving;
+    return status;
+}
+
+absl::Status GroupModel::checkWritable(const ModelTarget& target, Term term) const
+{
+    if (target.role != TargetRole::Primary)
+        return makeError(ResultCode::NoPrimary, absl::StrCat(target.id.value(), " is a replica"));
+    if (target.term != term)
+        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
+    return absl::OkStatus();
+}
+
+absl::StatusOr<TargetReply> GroupModel::fence(ModelTarget& target, Term term)
+{
+    if (term <= target.term)
+        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
+    target.term = term;
+    target.role = TargetRole::Replica;
+    target.isFenced = true;
+    return replyOf(target);
+}
+
+absl::StatusOr<TargetReply> GroupModel::promote(ModelTarget& target, Term term)
+{
+    if (term != target.term || !target.isFenced)
+        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
+    target.role = TargetRole::Primary;
+    target.isFenced = false;
+    apply(target, target.log.size());
+    return replyOf(target);
+}
+
+absl::StatusOr<TargetReply> GroupModel::read(ModelTarget& target, const TargetBatch& batch)
+{
+    const TargetStatus status = statusOf(target);
+    if (target.term < batch.term)
+        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
+    if (status.applied < batch.minimumPosition)
+        return makeError(ResultCode::TargetBehind, absl::StrCat(target.id.value(), " has applied ", status.applied.value()));
+    if (batch.greatestAge && status.age > *batch.greatestAge)
+        return makeError(ResultCode::TargetBehind, absl::StrCat(target.id.value(), " is ", status.age.count(), " ms old"));
+    auto statement = ModelStatement::parse(batch.statement);
+    if (!statement.ok())
+        return statement.status();
+    if (!statement->isRead())
+        return makeError(ResultCode::StatementFailed, "a read may not change data");
+    record(target, batch, status.applied);
+    return replyOf(target, statement->read(target.records));
+}
+
+absl::StatusOr<TargetReply> GroupModel::write(ModelTarget& target, const TargetBatch& batch)
+{
+    if (auto status = checkWritable(target, batch.term); !status.ok())
+        return status;
+    auto ranBefore = enterLedger(target, batch.ledgerKey);
+    if (!ranBefore.ok())
+        return ranBefore.status();
+    if (*ranBefore)
+        return replyOf(target, {}, true);
+    auto statement = ModelStatement::parse(batch.statement);
+    if (!statement.ok())
+        return statement.status();
+    ModelCommit commit;
+    if (!statement->isRead())
+        commit.changes.push_back(statement->change());
+    commit.ledger.push_back({ batch.ledgerKey, false });
+    TargetReply reply = append(target, batch, std::move(commit), { batch.ledgerKey.request });
+    reply.rows = statement->read(target.records);
+    return reply;
+}
+
+absl::StatusOr<TargetReply> GroupModel::settle(ModelTarget& target, const TargetBatch& batch)
+{
+    if (auto status = checkWritable(target, batch.term); !status.ok())
+        return status;
+    auto it = target.ledger.find(ledgerIndex(batch.ledgerKey));
+    if (it != target.ledger.end())
+        return replyOf(target, {}, !it->second.isTombstone);
+    ModelCommit commit;
+    commit.ledger.push_back({ batch.ledgerKey, true });
+    return append(target, batch, std::move(commit), {});
+}
+
+absl::StatusOr<TargetReply> GroupModel::begin(ModelTarget& target, const TargetBatch& batch, ModelTransaction& transaction)
+{
+    if (auto status = checkWritable(target, batch.term); !status.ok())
+        return status;
+    if (transaction.isOpen)
+        return makeError(ResultCode::StatementFailed, "a transaction is already open on this connection");
+    transaction.isOpen = true;
+    transaction.term = batch.term;
+    if (batch.statement.text.empty())
+        return replyOf(target);
+    return proceed(target, batch, transaction);
+}
+
+absl::StatusOr<TargetReply> GroupModel::proceed(ModelTarget& target, const TargetBatch& batch, ModelTransaction& transaction)
+{
+    if (!transaction.isOpen)
+        return makeError(ResultCode::TransactionUnknown, "no transaction is open on this connection");
+    auto statement = ModelStatement::parse(batch.statement);
+    if (!statement.ok()) {
+        transaction = {};
+        return statement.status();
+    }
+    transaction.requests.push_back(batch.ledgerKey.request);
+    ModelRecords records = target.records;
+    if (!statement->isRead())
+        transaction.changes.push_back(statement->change());
+    for (const auto& it : transaction.changes)
+        applyChange(records, it);
+    return replyOf(target, statement->read(records));
+}
+
+absl::StatusOr<TargetReply> GroupModel::commit(ModelTarget& target, const TargetBatch& batch, ModelTransaction& transaction)
+{
+    ModelTransaction ended;
+    std::swap(ended, transaction);
+    if (!ended.isOpen)
+        return makeError(ResultCode::TransactionUnknown, "no transaction is open on this connection");
+    if (auto status = checkWritable(target, ended.term); !status.ok())
+        return status;
+    auto ranBefore = enterLedger(target, batch.ledgerKey);
+    if (!ranBefore.ok())
+        return ranBefore.status();
+    if (*ranBefore)
+        return replyOf(target, {}, true);
+    ModelCommit commit;
+    commit.changes = std::move(ended.changes);
+    commit.ledger.push_back({ batch.ledgerKey, false });
+    return append(target, batch, std::move(commit), std::move(ended.requests));
+}
+
+absl::StatusOr<bool> GroupModel::enterLedger(const ModelTarget& target, const LedgerKey& key) const
+{
+    auto it = target.ledger.find(ledgerIndex(key));
+    if (it == target.ledger.end())
+        return false;
+    if (it->second.isTombstone)
+        return makeError(ResultCode::RequestSettled, "the request was settled as not run");
+    if (it->second.key.fingerprint != key.fingerprint)
+        return makeError(ResultCode::RequestIdReused, "the request id belongs to another statement");
+    return true;
+}
+
+TargetReply GroupModel::append(ModelTarget& target, const TargetBatch& batch, ModelCommit commit, std::vector<RequestId> committed)
+{
+    commit.term = target.term;
+    commit.at = m_loop.now();
+    target.log.push_back(std::make_shared<const ModelCommit>(std::move(commit)));
+    apply(target, target.log.size());
+    record(target, batch, LogPosition(target.log.size()), std::move(committed));
+    return replyOf(target);
+}
+
+TargetReply GroupModel::replyOf(const ModelTarget& target, Rows rows, bool ranBefore) const
+{
+    return { statusOf(target), std::move(rows), ranBefore };
+}
+
+void GroupModel::record(const ModelTarget& target, const TargetBatch& batch, LogPosition position, std::vector<RequestId> committed)
+{
+    ModelEvent event;
+    event.at = m_loop.now();
+    event.target = target.id;
+    event.operation = batch.operation;
+    event.term = target.term;
+    event.position = position;
+    event.shop = batch.ledgerKey.shop;
+    event.request = batch.ledgerKey.request;
+    event.committed = std::move(committed);
+    event.wasLeaving = target.isLeaving;
+    m_history.push_back(std::move(event));
+}
+
+}
--- /dev/null
+++ b/src/standins/GroupModelTests.cpp
@@ -0,0 +1,84 @@
+#include "standins/GroupModel.h"
+
+#include "base/ResultCode.h"
+#include "base/VirtualLoop.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+const TargetId first("db-a");
+const TargetId second("db-b");
+const TargetId third("db-c");
+
+TargetBatch writeBatch(const std::string& request, Term term)
+{
+    TargetBatch batch;
+    batch.operation = TargetOperation::Write;
+    batch.term = term;
+    batch.ledgerKey = { ShopId("shop"), RequestId(request), 7 };
+    batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { "key", request } };
+    return batch;
+}
+
+TargetBatch termBatch(TargetOperation operation, Term term)
+{
+    TargetBatch batch;
+    batch.operation = operation;
+    batch.term = term;
+    return batch;
+}
+
+}
+
+TEST_CASE("the model's replica holds a write after its delay and applies it after its lag", "[standins]")
+{
+    VirtualLoop loop;
+    GroupModel model(loop, DatabaseId("db"), { first, second, third });
+    model.setReplication(second, Milliseconds(2), Milliseconds(10));
+    ModelTransaction connection;
+    REQUIRE(model.execute(first, writeBatch("r1", Term(1)), connection).ok());
+
+    loop.advance(Milliseconds(2));
+    CHECK(model.statusOf(second).position == LogPosition(1));
+    CHECK(model.statusOf(second).applied == LogPosition(0));
+    loop.advance(Milliseconds(10));
+    CHECK(model.statusOf(second).applied == LogPosition(1));
+}
+
+TEST_CASE("the model runs a write once and refuses a settled one for good", "[standins]")
+{
+    VirtualLoop loop;
+    GroupModel model(loop, DatabaseId("db"), { first, second, third });
+    ModelTransaction connection;
+    REQUIRE(model.execute(first, writeBatch("r1", Term(1)), connection).ok());
+    CHECK(model.execute(first, writeBatch("r1", Term(1)), connection)->ranBefore);
+
+    auto settle = writeBatch("r2", Term(1));
+    settle.operation = TargetOperation::Settle;
+    CHECK_FALSE(model.execute(first, settle, connection)->ranBefore);
+    CHECK(resultCodeOf(model.execute(first, writeBatch("r2", Term(1)), connection).status()) == ResultCode::RequestSettled);
+    CHECK(model.survivingLog().size() == 2);
+}
+
+TEST_CASE("a fenced target grants a term once and refuses its old primary's log", "[standins]")
+{
+    VirtualLoop loop;
+    GroupModel model(loop, DatabaseId("db"), { first, second, third });
+    ModelTransaction connection;
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Fence, Term(2)), connection).ok());
+    CHECK_FALSE(model.execute(second, termBatch(TargetOperation::Fence, Term(2)), connection).ok());
+
+    REQUIRE(model.execute(first, writeBatch("r1", Term(1)), connection).ok());
+    loop.advance(Milliseconds(100));
+    CHECK(model.statusOf(second).position == LogPosition(0));
+    CHECK(model.statusOf(third).position == LogPosition(1));
+
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Promote, Term(2)), connection).ok());
+    loop.advance(Milliseconds(100));
+    CHECK(model.statusOf(first).role == TargetRole::Replica);
+    CHECK(model.statusOf(first).position == LogPosition(0));
+    CHECK(resultCodeOf(model.execute(first, writeBatch("r2", Term(1)), connection).status()) == ResultCode::NoPrimary);
+}
--- /dev/null
+++ b/src/statements/Rows.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// A value of a row in text form; nullopt is SQL's NULL.
+using SqlValue = std::optional<std::string>;
+
+/// The rows that a statement returned, in their order, and the number of rows it changed.
+struct Rows {
+    std::vector<std::string> columns;
+    std::vector<std::vector<SqlValue>> values;
+    uint64_t changed { 0 };
+};
+
+/// One statement with its parameters ($1, $2, ...).
+struct SqlStatement {
+    std::string text;
+    std::vector<SqlValue> parameters;
+};
+
+}
--- /dev/null
+++ b/src/testing/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
