--- /dev/null
+++ b/src/net/PollLoop.cpp
@@ -0,0 +1,230 @@
+#include "net/PollLoop.h"
+
+#include "base/ResultCode.h"
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/Socket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds longestWait { 1000 };
+
+    /// A socket handle that belongs to someone else: it is forgotten, not closed.
+    class BorrowedSocketImpl final : public Poco::Net::StreamSocketImpl {
+    public:
+        explicit BorrowedSocketImpl(poco_socket_t descriptor)
+            : StreamSocketImpl(descriptor)
+        {
+        }
+
+    protected:
+        ~BorrowedSocketImpl() override { reset(); }
+    };
+
+    class BorrowedSocket final : public Poco::Net::Socket {
+    public:
+        explicit BorrowedSocket(int descriptor)
+            : Socket(new BorrowedSocketImpl(descriptor))
+        {
+        }
+    };
+
+    int pollModeOf(Readiness interest)
+    {
+        int mode = Poco::Net::PollSet::POLL_ERROR;
+        if (has(interest, Readiness::Read))
+            mode |= Poco::Net::PollSet::POLL_READ;
+        if (has(interest, Readiness::Write))
+            mode |= Poco::Net::PollSet::POLL_WRITE;
+        return mode;
+    }
+
+    Readiness readinessOf(int mode)
+    {
+        Readiness ready = Readiness::None;
+        if (mode & Poco::Net::PollSet::POLL_READ)
+            ready = ready | Readiness::Read;
+        if (mode & Poco::Net::PollSet::POLL_WRITE)
+            ready = ready | Readiness::Write;
+        if (mode & Poco::Net::PollSet::POLL_ERROR)
+            ready = ready | Readiness::Failure;
+        return ready;
+    }
+
+    Milliseconds sinceEpoch(std::chrono::system_clock::duration duration)
+    {
+        return Milliseconds(std::chrono::duration<double, std::milli>(duration).count());
+    }
+
+}
+
+class PollLoop::Internals {
+public:
+    struct Watched {
+        BorrowedSocket socket;
+        std::shared_ptr<ReadyTask> task;
+    };
+
+    using Key = std::pair<double, uint64_t>;
+
+    // Steady time set on the epoch once, so that a step of the system's clock moves no timer.
+    Instant now() const
+    {
+        const auto passed = std::chrono::steady_clock::now() - m_steadyStart;
+        return Instant(m_wallStart.count() + std::chrono::duration<double, std::milli>(passed).count());
+    }
+
+    void runDueTimers()
+    {
+        const double due = now().sinceEpoch();
+        while (!timers.empty() && timers.begin()->first.first <= due) {
+            auto it = timers.begin();
+            auto task = std::move(it->second);
+            timerKeys.erase(it->first.second);
+            timers.erase(it);
+            task();
+        }
+    }
+
+    void runPosted()
+    {
+        std::vector<std::function<void()>> tasks;
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            tasks.swap(posted);
+        }
+        for (auto& it : tasks)
+            it();
+    }
+
+    void pollOnce()
+    {
+        Milliseconds wait = longestWait;
+        if (!timers.empty())
+            wait = std::clamp(Instant(timers.begin()->first.first) - now(), Milliseconds(0), longestWait);
+        constexpr double microseconds = 1000;
+        const auto ready = pollSet.poll(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(wait.count() * microseconds)));
+        for (const auto& [socket, mode] : ready)
+            runReady(socket.impl()->sockfd(), mode);
+    }
+
+    void runReady(int descriptor, int mode)
+    {
+        auto it = watched.find(descriptor);
+        if (it == watched.end())
+            return;
+        const auto task = it->second.task;
+        (*task)(readinessOf(mode));
+    }
+
+    Poco::Net::PollSet pollSet;
+    std::unordered_map<int, Watched> watched;
+    std::map<Key, std::function<void()>> timers;
+    std::unordered_map<uint64_t, Key> timerKeys;
+    uint64_t lastTimer { 0 };
+    std::mutex mutex;
+    std::vector<std::function<void()>> posted;
+    std::atomic<bool> isStopping { false };
+
+private:
+    Milliseconds m_wallStart { sinceEpoch(std::chrono::system_clock::now().time_since_epoch()) };
+    std::chrono::steady_clock::time_point m_steadyStart { std::chrono::steady_clock::now() };
+};
+
+absl::StatusOr<std::unique_ptr<PollLoop>> PollLoop::create()
+{
+    try {
+        return std::unique_ptr<PollLoop>(new PollLoop);
+    } catch (const Poco::Exception& ec) {
+        return absl::InternalError(ec.displayText());
+    }
+}
+
+PollLoop::PollLoop()
+    : m_internals(std::make_unique<Internals>())
+{
+}
+
+PollLoop::~PollLoop() = default;
+
+Instant PollLoop::now() const
+{
+    return m_internals->now();
+}
+
+TimerId PollLoop::after(Milliseconds delay, std::function<void()> task)
+{
+    const uint64_t timer = ++m_internals->lastTimer;
+    const Internals::Key key { (now() + std::max(delay, Milliseconds(0))).sinceEpoch(), timer };
+    m_internals->timers.emplace(key, std::move(task));
+    m_internals->timerKeys.emplace(timer, key);
+    return TimerId { timer };
+}
+
+void PollLoop::cancel(TimerId timer)
+{
+    auto it = m_internals->timerKeys.find(static_cast<uint64_t>(timer));
+    if (it == m_internals->timerKeys.end())
+        return;
+    m_internals->timers.erase(it->second);
+    m_internals->timerKeys.erase(it);
+}
+
+void PollLoop::watch(int descriptor, Readiness interest, ReadyTask task)
+{
+    auto shared = std::make_shared<ReadyTask>(std::move(task));
+    auto it = m_internals->watched.find(descriptor);
+    if (it != m_internals->watched.end()) {
+        it->second.task = std::move(shared);
+        m_internals->pollSet.update(it->second.socket, pollModeOf(interest));
+        return;
+    }
+    BorrowedSocket socket(descriptor);
+    m_internals->pollSet.add(socket, pollModeOf(interest));
+    m_internals->watched.emplace(descriptor, Internals::Watched { socket, std::move(shared) });
+}
+
+void PollLoop::unwatch(int descriptor)
+{
+    auto it = m_internals->watched.find(descriptor);
+    if (it == m_internals->watched.end())
+        return;
+    m_internals->pollSet.remove(it->second.socket);
+    m_internals->watched.erase(it);
+}
+
+void PollLoop::post(std::function<void()> task)
+{
+    {
+        std::lock_guard<std::mutex> lock(m_internals->mutex);
+        m_internals->posted.push_back(std::move(task));
+    }
+    m_internals->pollSet.wakeUp();
+}
+
+void PollLoop::run()
+{
+    while (!m_internals->isStopping) {
+        m_internals->pollOnce();
+        m_internals->runPosted();
+        m_internals->runDueTimers();
+    }
+}
+
+void PollLoop::stop()
+{
+    m_internals->isStopping = true;
+    m_internals->pollSet.wakeUp();
+}
+
+}
--- /dev/null
+++ b/src/net/PollLoopTests.cpp
@@ -0,0 +1,49 @@
+#include "net/PollLoop.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace parsleypaddle;
+
+TEST_CASE("the poll loop runs timers in order and tasks from other threads", "[net]")
+{
+    auto loop = PollLoop::create();
+    REQUIRE(loop.ok());
+    std::string order;
+    (*loop)->after(Milliseconds(2), [&] { order += 'b'; });
+    (*loop)->after(Milliseconds(1), [&] { order += 'a'; });
+    std::thread other([&] {
+        (*loop)->post([&] {
+            (*loop)->after(Milliseconds(3), [&] {
+                order += 'c';
+                (*loop)->stop();
+            });
+        });
+    });
+    (*loop)->run();
+    other.join();
+    CHECK(order == "abc");
+}
+
+TEST_CASE("a watched descriptor is reported and stays open when unwatched", "[net]")
+{
+    auto loop = PollLoop::create();
+    REQUIRE(loop.ok());
+    std::array<int, 2> pair {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
+    (*loop)->watch(pair[0], Readiness::Read, [&](Readiness ready) {
+        CHECK(has(ready, Readiness::Read));
+        (*loop)->unwatch(pair[0]);
+        (*loop)->stop();
+    });
+    REQUIRE(write(pair[1], "x", 1) == 1);
+    (*loop)->run();
+    char buf = 0;
+    CHECK(read(pair[0], &buf, 1) == 1);
+    close(pair[0]);
+    close(pair[1]);
+}
