--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <vector>
 
@@ -127,6 +129,20 @@
         (*task)(readinessOf(mode));
     }
 
+    void wake() const
+    {
+        const uint64_t one = 1;
+        // A full counter wakes as well, so the result does not matter.
+        (void)!write(wakeDescriptor, &one, sizeof(one));
+    }
+
+    void clearWake() const
+    {
+        uint64_t count = 0;
+        (void)!read(wakeDescriptor, &count, sizeof(count));
+    }
+
+    int wakeDescriptor { -1 };
     Poco::Net::PollSet pollSet;
     std::unordered_map<int, Watched> watched;
     std::map<Key, std::function<void()>> timers;
@@ -144,7 +160,13 @@
 absl::StatusOr<std::unique_ptr<PollLoop>> PollLoop::create()
 {
     try {
-        return std::unique_ptr<PollLoop>(new PollLoop);
+        std::unique_ptr<PollLoop> loop(new PollLoop);
+        const int descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        if (descriptor < 0)
+            return absl::ResourceExhaustedError("no descriptor for the event loop");
+        loop->m_internals->wakeDescriptor = descriptor;
+        loop->watch(descriptor, Readiness::Read, [internals = loop->m_internals.get()](Readiness) { internals->clearWake(); });
+        return loop;
     } catch (const Poco::Exception& ec) {
         return absl::InternalError(ec.displayText());
     }
@@ -155,7 +177,13 @@
 {
 }
 
-PollLoop::~PollLoop() = default;
+PollLoop::~PollLoop()
+{
+    if (m_internals->wakeDescriptor < 0)
+        return;
+    unwatch(m_internals->wakeDescriptor);
+    close(m_internals->wakeDescriptor);
+}
 
 Instant PollLoop::now() const
 {
@@ -209,7 +237,7 @@
         std::lock_guard<std::mutex> lock(m_internals->mutex);
         m_internals->posted.push_back(std::move(task));
     }
-    m_internals->pollSet.wakeUp();
+    m_internals->wake();
 }
 
 void PollLoop::run()
@@ -224,7 +252,7 @@
 void PollLoop::stop()
 {
     m_internals->isStopping = true;
-    m_internals->pollSet.wakeUp();
+    m_internals->wake();
 }
 
 }
