Session tokens, membership with homes by rendezvous hash, rules that tests may break

HomeCall carries the term that a read's position counts in, since positions of two lineages do not compare.

--- a/cmake/Slices.cmake
+++ b/cmake/Slices.cmake
@@ -4,6 +4,7 @@
 add_library(parsleypaddle_options INTERFACE)
 target_include_directories(parsleypaddle_options INTERFACE ${PROJECT_SOURCE_DIR}/src)
 target_compile_definitions(parsleypaddle_options INTERFACE PARSLEYPADDLE_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+target_compile_definitions(parsleypaddle_options INTERFACE $<$<BOOL:${PARSLEYPADDLE_TEST_HOOKS}>:PARSLEYPADDLE_TEST_HOOKS>)
 target_link_libraries(parsleypaddle_options INTERFACE Poco::Foundation)
 target_compile_options(parsleypaddle_options INTERFACE -Wall -Wextra -Wpedantic
     $<$<BOOL:${PARSLEYPADDLE_WARNINGS_AS_ERRORS}>:-Werror>)
--- a/src/homes/HomeCall.h
+++ b/src/homes/HomeCall.h
@@ -24,8 +24,9 @@
     HomeOperation operation { HomeOperation::Read };
     TargetId target;
     StatementRequest request;
-    /// Position that a read has to see.
+    /// Position that a read has to see, counted in the log of `minimumTerm` and later ones.
     LogPosition minimumPosition;
+    Term minimumTerm;
     /// Greatest age that a read accepts, exceptions applied.
     Milliseconds greatestAge;
 };
--- /dev/null
+++ b/src/membership/Membership.cpp
@@ -0,0 +1,139 @@
+#include "membership/Membership.h"
+
+#include <algorithm>
+#include <tuple>
+#include <xxhash.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds silenceRemembered { 3000 };
+    constexpr size_t watchersOfGroup = 3;
+
+    uint64_t rendezvousHash(const std::string& key, const InstanceId& instance)
+    {
+        const std::string text = key + '\n' + instance.value();
+        return XXH64(text.data(), text.size(), 0);
+    }
+
+}
+
+Membership::Membership(const EventLoop& loop, InstanceEntry self)
+    : m_loop(loop)
+    , m_self(std::move(self))
+{
+    m_members[m_self.instance] = { m_self, std::nullopt };
+}
+
+void Membership::setList(const PlatformList& list)
+{
+    std::map<InstanceId, Member> members;
+    for (const auto& it : list.instances) {
+        Member& member = members[it.instance];
+        member.entry = it;
+        auto known = m_members.find(it.instance);
+        if (known == m_members.end())
+            continue;
+        member.silentSince = known->second.silentSince;
+        member.entry.isLeaving |= known->second.entry.isLeaving;
+    }
+    auto own = m_members.find(m_self.instance);
+    members[m_self.instance] = own->second;
+    m_members = std::move(members);
+    m_leavingTargets = list.leavingTargets;
+}
+
+void Membership::setLeaving(const InstanceId& instance)
+{
+    auto it = m_members.find(instance);
+    if (it != m_members.end())
+        it->second.entry.isLeaving = true;
+}
+
+void Membership::reportSilent(const InstanceId& instance)
+{
+    auto it = m_members.find(instance);
+    if (it != m_members.end())
+        it->second.silentSince = m_loop.now();
+}
+
+void Membership::reportAnswer(const InstanceId& instance)
+{
+    auto it = m_members.find(instance);
+    if (it != m_members.end())
+        it->second.silentSince.reset();
+}
+
+std::vector<InstanceEntry> Membership::instances() const
+{
+    std::vector<InstanceEntry> entries;
+    for (const auto& [id, member] : m_members)
+        entries.push_back(member.entry);
+    return entries;
+}
+
+const InstanceEntry* Membership::find(const InstanceId& instance) const
+{
+    auto it = m_members.find(instance);
+    return it == m_members.end() ? nullptr : &it->second.entry;
+}
+
+bool Membership::isLeaving(const TargetId& target) const
+{
+    return std::find(m_leavingTargets.begin(), m_leavingTargets.end(), target) != m_leavingTargets.end();
+}
+
+std::vector<InstanceId> Membership::homesOf(const TargetConfiguration& target) const
+{
+    return ranked(target.id.value(), target.failureDomain);
+}
+
+std::optional<uint32_t> Membership::rankFor(const TargetConfiguration& target) const
+{
+    const auto homes = homesOf(target);
+    auto it = std::find(homes.begin(), homes.end(), m_self.instance);
+    if (it == homes.end())
+        return std::nullopt;
+    return static_cast<uint32_t>(it - homes.begin());
+}
+
+std::vector<InstanceId> Membership::watchersOf(const GroupConfiguration& group) const
+{
+    std::vector<InstanceId> watchers;
+    auto add = [&watchers](const InstanceId& instance) {
+        if (std::find(watchers.begin(), watchers.end(), instance) == watchers.end())
+            watchers.push_back(instance);
+    };
+    for (const auto& it : group.targets)
+        add(homesOf(it).front());
+    for (const auto& it : ranked(group.database.value(), FailureDomainId())) {
+        if (watchers.size() >= watchersOfGroup)
+            break;
+        add(it);
+    }
+    return watchers;
+}
+
+bool Membership::isSilent(const Member& member) const
+{
+    return member.silentSince && m_loop.now() - *member.silentSince < silenceRemembered;
+}
+
+std::vector<InstanceId> Membership::ranked(const std::string& key, const FailureDomainId& preferred) const
+{
+    using Order = std::tuple<bool, bool, bool, uint64_t>;
+    std::vector<std::pair<Order, InstanceId>> order;
+    for (const auto& [id, member] : m_members) {
+        const bool isFar = member.entry.failureDomain != preferred;
+        order.emplace_back(Order { member.entry.isLeaving, isSilent(member), isFar, rendezvousHash(key, id) }, id);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<InstanceId> instances;
+    instances.reserve(order.size());
+    for (auto& it : order)
+        instances.push_back(std::move(it.second));
+    return instances;
+}
+
+}
--- /dev/null
+++ b/src/membership/MembershipTests.cpp
@@ -0,0 +1,104 @@
+#include "membership/Membership.h"
+
+#include "base/VirtualLoop.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace parsleypaddle;
+
+namespace {
+
+PlatformList listOf(unsigned count)
+{
+    PlatformList list;
+    for (unsigned i = 0; i < count; ++i) {
+        InstanceEntry entry;
+        entry.instance = InstanceId("i" + std::to_string(i));
+        entry.failureDomain = FailureDomainId(i % 2 ? "odd" : "even");
+        list.instances.push_back(entry);
+    }
+    return list;
+}
+
+TargetConfiguration targetIn(const std::string& id, const std::string& domain)
+{
+    return { TargetId(id), {}, FailureDomainId(domain) };
+}
+
+}
+
+TEST_CASE("a target's home is a daemon of its own failure domain", "[membership]")
+{
+    VirtualLoop loop;
+    const auto list = listOf(8);
+    Membership membership(loop, list.instances[0]);
+    membership.setList(list);
+    for (unsigned i = 0; i < 50; ++i) {
+        const auto homes = membership.homesOf(targetIn("t" + std::to_string(i), "odd"));
+        REQUIRE(homes.size() == 8);
+        CHECK(membership.find(homes[0])->failureDomain == FailureDomainId("odd"));
+    }
+}
+
+TEST_CASE("a silent home ranks last for a while and a leaving one for good", "[membership]")
+{
+    VirtualLoop loop;
+    const auto list = listOf(6);
+    Membership membership(loop, list.instances[0]);
+    membership.setList(list);
+    const auto target = targetIn("t", "even");
+    const auto before = membership.homesOf(target);
+
+    SECTION("silent")
+    {
+        membership.reportSilent(before[0]);
+        CHECK(membership.homesOf(target).back() == before[0]);
+        loop.advance(Milliseconds(3001));
+        CHECK(membership.homesOf(target) == before);
+    }
+    SECTION("leaving, though the platform's list lags")
+    {
+        membership.setLeaving(before[0]);
+        membership.setList(list);
+        CHECK(membership.homesOf(target).back() == before[0]);
+        loop.advance(Milliseconds(60'000));
+        CHECK(membership.homesOf(target).back() == before[0]);
+    }
+}
+
+TEST_CASE("when a daemon goes, only its own targets get another home", "[membership]")
+{
+    VirtualLoop loop;
+    auto list = listOf(10);
+    Membership membership(loop, list.instances[0]);
+    membership.setList(list);
+    std::map<std::string, InstanceId> before;
+    for (unsigned i = 0; i < 200; ++i)
+        before["t" + std::to_string(i)] = membership.homesOf(targetIn("t" + std::to_string(i), "even"))[0];
+
+    const InstanceId gone = list.instances[4].instance;
+    list.instances.erase(list.instances.begin() + 4);
+    membership.setList(list);
+    unsigned moved = 0;
+    for (const auto& [target, home] : before) {
+        const auto after = membership.homesOf(targetIn(target, "even"))[0];
+        CHECK((after == home || home == gone));
+        moved += after != home;
+    }
+    CHECK(moved > 0);
+}
+
+TEST_CASE("a group is watched by three daemons, though its targets share a home", "[membership]")
+{
+    VirtualLoop loop;
+    const auto list = listOf(6);
+    Membership membership(loop, list.instances[0]);
+    membership.setList(list);
+    GroupConfiguration group;
+    group.database = DatabaseId("db");
+    group.targets = { targetIn("a", "even"), targetIn("a", "even"), targetIn("a", "even") };
+    const auto watchers = membership.watchersOf(group);
+    CHECK(watchers.size() == 3);
+    CHECK(std::set<InstanceId>(watchers.begin(), watchers.end()).size() == 3);
+}
--- /dev/null
+++ b/src/sessions/TokenSealer.cpp
@@ -0,0 +1,142 @@
+#include "sessions/TokenSealer.h"
+
+#include "base/ResultCode.h"
+
+#include <Poco/HMACEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr size_t shortestSecret = 16;
+    constexpr size_t partsOfToken = 3;
+    constexpr size_t fieldsOfPosition = 4;
+    constexpr char partSeparator = '.';
+    constexpr char positionSeparator = '\n';
+    constexpr char fieldSeparator = '\t';
+
+    /// POCO 1.11's SHA2Engine with the constants that its HMACEngine asks of a hash.
+    class Sha256Engine final : public Poco::SHA2Engine {
+    public:
+        enum : unsigned {
+            BLOCK_SIZE = 64, // NOLINT(readability-identifier-naming): the name that HMACEngine reads
+            DIGEST_SIZE = 32, // NOLINT(readability-identifier-naming)
+        };
+
+        Sha256Engine()
+            : SHA2Engine(SHA_256)
+        {
+        }
+    };
+
+    std::string signatureOf(const TokenKey& key, const ShopId& shop, const SessionId& session, std::string_view body)
+    {
+        Poco::HMACEngine<Sha256Engine> engine(key.secret);
+        engine.update(absl::StrCat(shop.value().size(), ":", shop.value(), session.value().size(), ":", session.value()));
+        engine.update(body.data(), body.size());
+        const auto& digest = engine.digest();
+        return absl::WebSafeBase64Escape(std::string(digest.begin(), digest.end()));
+    }
+
+    bool equalsInConstantTime(std::string_view a, std::string_view b)
+    {
+        if (a.size() != b.size())
+            return false;
+        unsigned difference = 0;
+        for (size_t i = 0; i < a.size(); ++i)
+            difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+        return difference == 0;
+    }
+
+    absl::Status invalid(std::string_view why)
+    {
+        return makeError(ResultCode::TokenInvalid, absl::StrCat("session token: ", std::string(why)));
+    }
+
+    bool readPosition(absl::string_view line, SessionState& state)
+    {
+        const std::vector<std::string> fields = absl::StrSplit(line, fieldSeparator);
+        uint64_t term = 0;
+        uint64_t position = 0;
+        if (fields.size() != fieldsOfPosition || !absl::SimpleAtoi(fields[1], &term) || !absl::SimpleAtoi(fields[2], &position))
+            return false;
+        const DatabaseId database(fields[0]);
+        state.advance(database, Term(term), LogPosition(position));
+        if (fields[3] == "1")
+            state.setUncertain(database);
+        return true;
+    }
+
+    std::string bodyOf(const SessionState& state)
+    {
+        std::string body;
+        for (const auto& it : state.positions()) {
+            if (!body.empty())
+                body.push_back(positionSeparator);
+            absl::StrAppend(&body, it.database.value(), std::string(1, fieldSeparator), it.term.value(), std::string(1, fieldSeparator),
+                it.position.value(), std::string(1, fieldSeparator), it.isUncertain ? "1" : "0");
+        }
+        return body;
+    }
+
+}
+
+absl::StatusOr<TokenSealer> TokenSealer::create(std::vector<TokenKey> keys)
+{
+    if (keys.empty())
+        return makeError(ResultCode::ValueOutOfRange, "session tokens need at least one key");
+    for (const auto& it : keys) {
+        if (it.id.empty() || it.id.find(partSeparator) != std::string::npos)
+            return makeError(ResultCode::ValueOutOfRange, "the id of a token key is letters and digits");
+        if (it.secret.size() < shortestSecret)
+            return makeError(ResultCode::ValueOutOfRange, absl::StrCat("the secret of token key ", it.id, " is under ", shortestSecret, " bytes"));
+    }
+    return TokenSealer(std::move(keys));
+}
+
+std::string TokenSealer::seal(const ShopId& shop, const SessionId& session, const SessionState& state) const
+{
+    const TokenKey& key = m_keys.front();
+    const std::string body = absl::WebSafeBase64Escape(bodyOf(state));
+    return absl::StrCat(key.id, ".", body, ".", signatureOf(key, shop, session, body));
+}
+
+absl::StatusOr<SessionState> TokenSealer::open(const ShopId& shop, const SessionId& session, std::string_view token) const
+{
+    const std::vector<std::string> parts = absl::StrSplit(absl::string_view(token.data(), token.size()), partSeparator);
+    if (parts.size() != partsOfToken)
+        return invalid("damaged");
+    const TokenKey* key = findKey(parts[0]);
+    if (!key)
+        return invalid("its key is not known");
+    if (!equalsInConstantTime(signatureOf(*key, shop, session, parts[1]), parts[2]))
+        return invalid("its signature does not match this shop and session");
+
+    SessionState state;
+    std::string body;
+    if (!absl::WebSafeBase64Unescape(parts[1], &body))
+        return invalid("damaged");
+    if (body.empty())
+        return state;
+    for (const auto& line : absl::StrSplit(body, positionSeparator)) {
+        if (!readPosition(line, state))
+            return invalid("damaged");
+    }
+    return state;
+}
+
+const TokenKey* TokenSealer::findKey(std::string_view id) const
+{
+    for (const auto& it : m_keys) {
+        if (it.id == id)
+            return &it;
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/src/sessions/TokenSealerTests.cpp
@@ -0,0 +1,75 @@
+#include "sessions/TokenSealer.h"
+
+#include "base/ResultCode.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+const TokenKey oldKey { "k1", "an old secret of 16+ bytes" };
+const TokenKey newKey { "k2", "a new secret of 16+ bytes" };
+const ShopId shop("shop");
+const SessionId session("session");
+
+SessionState exampleState()
+{
+    SessionState state;
+    state.advance(DatabaseId("orders-1"), Term(2), LogPosition(77));
+    state.advance(DatabaseId("orders-2"), Term(1), LogPosition(5));
+    state.setUncertain(DatabaseId("orders-2"));
+    return state;
+}
+
+}
+
+TEST_CASE("a sealed session state comes back whole", "[sessions]")
+{
+    const auto sealer = TokenSealer::create({ newKey });
+    REQUIRE(sealer.ok());
+    const auto state = sealer->open(shop, session, sealer->seal(shop, session, exampleState()));
+    REQUIRE(state.ok());
+    CHECK(state->find(DatabaseId("orders-1"))->position == LogPosition(77));
+    CHECK(state->find(DatabaseId("orders-1"))->term == Term(2));
+    CHECK_FALSE(state->find(DatabaseId("orders-1"))->isUncertain);
+    CHECK(state->find(DatabaseId("orders-2"))->isUncertain);
+}
+
+TEST_CASE("a token is refused when any byte of it is changed", "[sessions]")
+{
+    const auto sealer = TokenSealer::create({ newKey });
+    const std::string token = sealer->seal(shop, session, exampleState());
+    for (size_t i = 0; i < token.size(); ++i) {
+        std::string damaged = token;
+        damaged[i] = damaged[i] == 'A' ? 'B' : 'A';
+        INFO(i);
+        CHECK(resultCodeOf(sealer->open(shop, session, damaged).status()) == ResultCode::TokenInvalid);
+    }
+}
+
+TEST_CASE("a token is refused for another shop or session", "[sessions]")
+{
+    const auto sealer = TokenSealer::create({ newKey });
+    const std::string token = sealer->seal(shop, session, exampleState());
+    CHECK_FALSE(sealer->open(ShopId("other"), session, token).ok());
+    CHECK_FALSE(sealer->open(shop, SessionId("other"), token).ok());
+}
+
+TEST_CASE("tokens outlive the replacement of keys until their key is retired", "[sessions]")
+{
+    const auto before = TokenSealer::create({ oldKey });
+    const auto during = TokenSealer::create({ newKey, oldKey });
+    const auto after = TokenSealer::create({ newKey });
+    const std::string token = before->seal(shop, session, exampleState());
+    CHECK(during->open(shop, session, token).ok());
+    CHECK_FALSE(after->open(shop, session, token).ok());
+    CHECK(after->open(shop, session, during->seal(shop, session, exampleState())).ok());
+}
+
+TEST_CASE("a weak or missing key makes no sealer", "[sessions]")
+{
+    CHECK_FALSE(TokenSealer::create({}).ok());
+    CHECK_FALSE(TokenSealer::create({ { "k1", "short" } }).ok());
+    CHECK_FALSE(TokenSealer::create({ { "a.b", newKey.secret } }).ok());
+}
