Connection pool of one daemon to one target

Cause: homes need a pool that hands connections out in order, never reuses one in doubt and does not flood a target that is down. Attempts back off between 50 ms and 1 s with jitter from a seed (new field ConnectionPoolSettings::seed), one at a time while failing and at most four otherwise. A silent connection closes the idle ones that answered nothing since its batch was sent: what lost track of one has mostly lost track of all. Ruled out: calling a target suspect by one silent connection; suspect follows from failed attempts and ends with any answer. Tests compare with a plain counter and queue.

--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -26,6 +26,8 @@
     Milliseconds connectTimeout { 1000 };
     /// An unused connection is closed after this.
     Milliseconds idleLimit { 60'000 };
+    /// Spreads the reconnects of different daemons.
+    uint64_t seed { 0 };
 };
 
 /// The connections of one daemon to one target.
--- /dev/null
+++ b/src/connections/HeldConnection.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "connections/PoolCore.h"
+
+namespace parsleypaddle {
+
+/// A pool's connection while someone holds it.
+class HeldConnection final : public PooledConnection {
+public:
+    HeldConnection(std::shared_ptr<PoolCore>, PoolCore::Entry);
+    ~HeldConnection() override;
+
+    HeldConnection(const HeldConnection&) = delete;
+    HeldConnection& operator=(const HeldConnection&) = delete;
+
+    void run(const TargetBatch&, Milliseconds timeout, TargetConnection::Done) override;
+    void discard() override { m_isReusable = false; }
+
+private:
+    void ended(const absl::Status&, Instant sentAt);
+
+    std::shared_ptr<PoolCore> m_core;
+    PoolCore::Entry m_entry;
+    bool m_isRunning { false };
+    bool m_isReusable { true };
+};
+
+}
