Entry, homes and node: the way of a request from caller to target, decided on ports

Reads learn what the session has to see (token, or the primary's confirmed position), then try targets best first. Writes are sent again with the same ledger key while their outcome is unknown, and settled when time runs short: weighed against answering unknown at once, which leaves the caller to find out, and against retrying without a ledger, which doubles. Rankings are cached per change of membership, since hashing hundreds of daemons for each request is dear.

--- /dev/null
+++ b/src/entry/Entry.cpp
@@ -0,0 +1,100 @@
+#include "entry/Entry.h"
+
+#include "configuration/PolicySettings.h"
+#include "entry/ReadRun.h"
+#include "entry/TransactionRun.h"
+#include "entry/WriteRun.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr size_t digitsOfTime = 13;
+
+    StatementAnswer refusalOf(const RequestId& id, const absl::Status& status)
+    {
+        StatementAnswer answer;
+        answer.id = id;
+        answer.code = resultCodeOf(status);
+        answer.message = std::string(status.message());
+        return answer;
+    }
+
+}
+
+Entry::Entry(EntryContext context)
+    : m_context(std::move(context))
+{
+}
+
+void Entry::setConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    m_context.configuration = std::move(configuration);
+}
+
+void Entry::handle(StatementRequest request, Done done)
+{
+    if (auto status = check(request); !status.ok())
+        return done(refusalOf(request.id, status));
+    SessionState session;
+    if (!request.token.empty()) {
+        auto opened = m_context.sealer.open(request.shop, request.session, request.token);
+        if (!opened.ok())
+            return done(refusalOf(request.id, opened.status()));
+        session = std::move(*opened);
+    }
+    const GroupConfiguration* group = m_context.configuration->findGroup(request.database);
+    run(std::move(request), std::move(session), *group, std::move(done));
+}
+
+absl::Status Entry::check(const StatementRequest& request) const
+{
+    if (!m_context.configuration)
+        return makeError(ResultCode::PlatformUnavailable, "this daemon has no configuration yet");
+    if (!m_context.configuration->findGroup(request.database))
+        return makeError(ResultCode::UnknownDatabase, absl::StrCat("no database ", request.database.value(), " is configured"));
+    if (!m_context.configuration->findClass(request.workload))
+        return makeError(ResultCode::UnknownClass, absl::StrCat("no class ", request.workload.value(), " is configured"));
+    if (request.deadline <= m_context.loop.now())
+        return makeError(ResultCode::DeadlinePassed, "the deadline had passed on arrival");
+    if (!request.token.empty() && request.session.isEmpty())
+        return makeError(ResultCode::TokenInvalid, "a token needs its session");
+    return request.mode == AccessMode::Write ? checkAge(request.id) : absl::OkStatus();
+}
+
+// The ledger forgets old entries; an id from before that can no longer be told from a new one.
+absl::Status Entry::checkAge(const RequestId& id) const
+{
+    double time = 0;
+    if (!absl::SimpleAtod(id.value().substr(0, digitsOfTime), &time))
+        return makeError(ResultCode::ValueOutOfRange, "request_id does not start with a time");
+    const Milliseconds age = m_context.loop.now() - Instant(time);
+    if (age > m_context.settings.requestLifetime)
+        return makeError(ResultCode::RequestExpired, absl::StrCat("the request id is ", age.count(), " ms old"));
+    if (age < Milliseconds(0) - m_context.settings.clockTolerance)
+        return makeError(ResultCode::ValueOutOfRange, "request_id lies in the future");
+    return absl::OkStatus();
+}
+
+void Entry::run(StatementRequest request, SessionState session, const GroupConfiguration& group, Done done)
+{
+    const Policy policy = resolvePolicy(*m_context.configuration, request.shop, request.database, request.workload, m_context.loop.now());
+    ++m_inFlight;
+    auto counted = [this, done = std::move(done)](StatementAnswer answer) {
+        --m_inFlight;
+        done(std::move(answer));
+    };
+    std::shared_ptr<RequestRun> run;
+    if (request.transaction)
+        run = std::make_shared<TransactionRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+    else if (request.mode == AccessMode::Write)
+        run = std::make_shared<WriteRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+    else
+        run = std::make_shared<ReadRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+    run->start();
+}
+
+}
--- /dev/null
+++ b/src/homes/GroupHome.cpp
@@ -0,0 +1,72 @@
+#include "homes/GroupHome.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds replacementRetry { 1000 };
+
+}
+
+GroupHome::GroupHome(EventLoop& loop, TargetConnector& connector, const Membership& membership, const GroupConfiguration& group, const HomeSettings& settings)
+    : m_loop(loop)
+    , m_membership(membership)
+    , m_configuration(group)
+    , m_control(GroupControl::create(loop, connector, group, settings.control))
+    , m_promoter(Promoter::create(loop, *m_control, group, settings.promoter))
+{
+    updateRank();
+}
+
+void GroupHome::updateRank()
+{
+    const auto watchers = m_membership.watchersOf(m_configuration);
+    auto it = std::find(watchers.begin(), watchers.end(), m_membership.self().instance);
+    m_rank.reset();
+    if (it != watchers.end())
+        m_rank = static_cast<uint32_t>(it - watchers.begin());
+    m_promoter->setRank(m_rank);
+}
+
+void GroupHome::onPromoted(Promoted promoted)
+{
+    m_promoter->onPromoted(std::move(promoted));
+}
+
+void GroupHome::checkLeaving()
+{
+    for (const auto& it : m_configuration.targets)
+        noteLeaving(it.id);
+    const bool isPrimaryLeaving = leavingSince(view().primary).has_value();
+    if (!isPrimaryLeaving || m_rank != 0U) {
+        m_replacementOrderedAt.reset();
+        return;
+    }
+    if (m_replacementOrderedAt && m_loop.now() - *m_replacementOrderedAt < replacementRetry)
+        return;
+    m_replacementOrderedAt = m_loop.now();
+    m_promoter->replacePrimary();
+}
+
+std::optional<Instant> GroupHome::leavingSince(const TargetId& target) const
+{
+    auto it = m_leavingSince.find(target);
+    if (it == m_leavingSince.end())
+        return std::nullopt;
+    return it->second;
+}
+
+// A target's own word counts as well as the platform's list, which lags.
+void GroupHome::noteLeaving(const TargetId& target)
+{
+    const TargetView* seen = view().find(target);
+    const bool isLeaving = m_membership.isLeaving(target) || (seen && seen->status.isLeaving);
+    if (isLeaving)
+        m_leavingSince.emplace(target, m_loop.now());
+    else
+        m_leavingSince.erase(target);
+}
+
+}
--- /dev/null
+++ b/src/homes/HomeService.cpp
@@ -0,0 +1,211 @@
+#include "homes/HomeService.h"
+
+#include "base/ResultCode.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds tidyInterval { 10 };
+
+    bool isSameTarget(const TargetConfiguration& a, const TargetConfiguration& b)
+    {
+        return a.id == b.id && a.address.host == b.address.host && a.address.port == b.address.port && a.failureDomain == b.failureDomain;
+    }
+
+    bool haveSameTargets(const GroupConfiguration& a, const GroupConfiguration& b)
+    {
+        return std::equal(a.targets.begin(), a.targets.end(), b.targets.begin(), b.targets.end(), isSameTarget);
+    }
+
+}
+
+HomeService::HomeService(EventLoop& loop, TargetConnector& connector, const Membership& membership, const HomeSettings& settings)
+    : m_loop(loop)
+    , m_connector(connector)
+    , m_membership(membership)
+    , m_settings(settings)
+    , m_startedAt(loop.now())
+{
+    m_tidyTimer = m_loop.after(tidyInterval, [this] { tidy(); });
+}
+
+HomeService::~HomeService()
+{
+    m_loop.cancel(m_tidyTimer);
+}
+
+void HomeService::setConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    m_configuration = std::move(configuration);
+    retireChanged();
+    updateMembership();
+}
+
+void HomeService::updateMembership()
+{
+    if (!m_configuration)
+        return;
+    for (const auto& group : m_configuration->groups) {
+        const auto watchers = m_membership.watchersOf(group);
+        const bool isWatcher = std::find(watchers.begin(), watchers.end(), m_membership.self().instance) != watchers.end();
+        if (isWatcher)
+            groupHome(group);
+        auto it = m_groupHomes.find(group.database);
+        if (it != m_groupHomes.end())
+            it->second->updateRank();
+        for (const auto& target : group.targets) {
+            auto home = m_targetHomes.find(target.id);
+            if (home != m_targetHomes.end())
+                home->second->setLimits(m_configuration, shareOf(group, m_membership.rankFor(target).value_or(mostHomesOfTarget)));
+        }
+    }
+}
+
+void HomeService::handle(const HomeCall& call, Done done)
+{
+    const Located located = locate(call.request.database, call.target);
+    if (!located.target)
+        return refuse(call, makeError(ResultCode::UnknownDatabase, "the home's configuration has no such database or target"), nullptr, done);
+    const auto rank = m_membership.rankFor(*located.target);
+    const bool isPinned = call.request.transaction && m_targetHomes.count(call.target) > 0;
+    if (!isPinned && rank.value_or(mostHomesOfTarget) >= mostHomesOfTarget)
+        return refuse(call, makeError(ResultCode::NotHome, "this daemon is not among the target's homes"), nullptr, done);
+    if (call.operation == HomeOperation::PrimaryPosition)
+        return askPosition(call, groupHome(*located.group), std::move(done));
+    targetHome(located).handle(call, std::move(done));
+}
+
+const GroupView* HomeService::viewOf(const DatabaseId& database) const
+{
+    auto it = m_groupHomes.find(database);
+    return it == m_groupHomes.end() ? nullptr : &it->second->view();
+}
+
+bool HomeService::isIdle() const
+{
+    return std::all_of(m_targetHomes.begin(), m_targetHomes.end(), [](const auto& it) { return it.second->isIdle(); });
+}
+
+size_t HomeService::openTransactions() const
+{
+    size_t n = 0;
+    for (const auto& [id, home] : m_targetHomes)
+        n += home->openTransactions();
+    return n;
+}
+
+HomeService::Located HomeService::locate(const DatabaseId& database, const TargetId& target) const
+{
+    Located located;
+    if (!m_configuration)
+        return located;
+    located.group = m_configuration->findGroup(database);
+    if (!located.group)
+        return located;
+    for (const auto& it : located.group->targets) {
+        if (it.id == target)
+            located.target = &it;
+    }
+    return located;
+}
+
+GroupHome& HomeService::groupHome(const GroupConfiguration& group)
+{
+    auto& home = m_groupHomes[group.database];
+    if (!home) {
+        home = std::make_unique<GroupHome>(m_loop, m_connector, m_membership, group, m_settings);
+        home->onPromoted([this](const PromotionReport& report) {
+            if (m_promoted)
+                m_promoted(report);
+        });
+    }
+    return *home;
+}
+
+TargetHome& HomeService::targetHome(const Located& located)
+{
+    auto& home = m_targetHomes[located.target->id];
+    if (!home) {
+        const std::string prefix = transactionPrefix(m_membership.self().instance, located.target->id, m_startedAt);
+        home = std::make_unique<TargetHome>(m_loop, m_connector, groupHome(*located.group), *located.target, m_settings, prefix);
+        home->setLimits(m_configuration, shareOf(*located.group, m_membership.rankFor(*located.target).value_or(mostHomesOfTarget)));
+        home->onWorkDone([this](const HomeCall& call, const WorkTimes& times) {
+            if (m_observer)
+                m_observer(call, times);
+        });
+    }
+    return *home;
+}
+
+void HomeService::retireChanged()
+{
+    for (auto it = m_groupHomes.begin(); it != m_groupHomes.end();) {
+        const GroupConfiguration* group = m_configuration->findGroup(it->first);
+        if (group && haveSameTargets(*group, it->second->configuration())) {
+            ++it;
+            continue;
+        }
+        std::vector<std::unique_ptr<TargetHome>> homes;
+        for (const auto& target : it->second->configuration().targets) {
+            auto node = m_targetHomes.extract(target.id);
+            if (!node.empty())
+                homes.push_back(std::move(node.mapped()));
+        }
+        m_retired.emplace_back(std::move(it->second), std::move(homes));
+        it = m_groupHomes.erase(it);
+    }
+}
+
+void HomeService::askPosition(const HomeCall& call, GroupHome& group, Done done)
+{
+    std::weak_ptr<bool> alive = m_alive;
+    const DatabaseId database = call.request.database;
+    group.control().askPrimaryPosition(call.request.deadline, [this, alive, call, database, done](absl::StatusOr<PrimaryPosition> position) {
+        if (alive.expired())
+            return;
+        if (!position.ok())
+            return refuse(call, position.status(), viewOf(database), done);
+        HomeReply reply;
+        reply.answer.id = call.request.id;
+        reply.answer.code = ResultCode::Done;
+        reply.term = position->term;
+        reply.position = position->position;
+        if (const GroupView* view = viewOf(database))
+            reply.view = *view;
+        done(std::move(reply));
+    });
+}
+
+void HomeService::refuse(const HomeCall& call, const absl::Status& status, const GroupView* view, const Done& done)
+{
+    HomeReply reply;
+    reply.answer.id = call.request.id;
+    reply.answer.code = resultCodeOf(status);
+    reply.answer.message = std::string(status.message());
+    if (view)
+        reply.view = *view;
+    done(std::move(reply));
+}
+
+void HomeService::tidy()
+{
+    for (const auto& [id, home] : m_groupHomes)
+        home->checkLeaving();
+    for (const auto& [id, home] : m_targetHomes)
+        home->tidy();
+    auto hasEnded = [](const auto& retired) {
+        return std::all_of(retired.second.begin(), retired.second.end(), [](const auto& home) { return home->isIdle(); });
+    };
+    for (auto& it : m_retired) {
+        for (auto& home : it.second)
+            home->tidy();
+    }
+    m_retired.erase(std::remove_if(m_retired.begin(), m_retired.end(), hasEnded), m_retired.end());
+    m_tidyTimer = m_loop.after(tidyInterval, [this] { tidy(); });
+}
+
+}
--- /dev/null
+++ b/src/homes/TransactionTable.cpp
@@ -0,0 +1,95 @@
+#include "homes/TransactionTable.h"
+
+#include "base/ResultCode.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr char separator = '/';
+    constexpr size_t partsOfId = 4;
+
+    std::string partOf(const TransactionId& id, size_t n)
+    {
+        const std::vector<std::string> parts = absl::StrSplit(id.value(), separator);
+        return parts.size() == partsOfId ? parts[n] : std::string();
+    }
+
+}
+
+InstanceId instanceOf(const TransactionId& id)
+{
+    return InstanceId(partOf(id, 0));
+}
+
+TargetId targetOf(const TransactionId& id)
+{
+    return TargetId(partOf(id, 1));
+}
+
+std::string transactionPrefix(const InstanceId& instance, const TargetId& target, Instant start)
+{
+    return absl::StrCat(instance.value(), "/", target.value(), "/", static_cast<uint64_t>(start.sinceEpoch()), "/");
+}
+
+TransactionTable::TransactionTable(EventLoop& loop, std::string prefix, Milliseconds idleLimit)
+    : m_loop(loop)
+    , m_prefix(std::move(prefix))
+    , m_idleLimit(idleLimit)
+{
+}
+
+std::shared_ptr<OpenTransaction> TransactionTable::open(const ShopId& shop, Term term, std::unique_ptr<PooledConnection> connection)
+{
+    auto transaction = std::make_shared<OpenTransaction>();
+    transaction->id = TransactionId(absl::StrCat(m_prefix, ++m_last));
+    transaction->shop = shop;
+    transaction->term = term;
+    transaction->connection = std::move(connection);
+    transaction->isBusy = true;
+    transaction->lastUsed = m_loop.now();
+    m_transactions[transaction->id] = transaction;
+    return transaction;
+}
+
+absl::StatusOr<std::shared_ptr<OpenTransaction>> TransactionTable::use(const TransactionId& id, const ShopId& shop)
+{
+    auto it = m_transactions.find(id);
+    if (it == m_transactions.end() || it->second->shop != shop)
+        return makeError(ResultCode::TransactionUnknown, "no open transaction has that id; it may have ended while idle");
+    if (it->second->isBusy)
+        return makeError(ResultCode::TransactionBusy, "another statement of the transaction is still running");
+    it->second->isBusy = true;
+    return it->second;
+}
+
+void TransactionTable::release(OpenTransaction& transaction)
+{
+    transaction.isBusy = false;
+    transaction.lastUsed = m_loop.now();
+}
+
+void TransactionTable::close(const TransactionId& id)
+{
+    m_transactions.erase(id);
+}
+
+void TransactionTable::closeIdle()
+{
+    const Instant limit = m_loop.now() - m_idleLimit;
+    for (auto it = m_transactions.begin(); it != m_transactions.end();) {
+        OpenTransaction& transaction = *it->second;
+        if (transaction.isBusy || transaction.lastUsed > limit) {
+            ++it;
+            continue;
+        }
+        // Its transaction is still open at the target: the connection must not be used by anyone else.
+        transaction.connection->discard();
+        it = m_transactions.erase(it);
+    }
+}
+
+}
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -42,27 +42,40 @@
     members[m_self.instance] = own->second;
     m_members = std::move(members);
     m_leavingTargets = list.leavingTargets;
+    setChanged();
 }
 
 void Membership::setLeaving(const InstanceId& instance)
 {
     auto it = m_members.find(instance);
-    if (it != m_members.end())
-        it->second.entry.isLeaving = true;
+    if (it == m_members.end() || it->second.entry.isLeaving)
+        return;
+    it->second.entry.isLeaving = true;
+    setChanged();
+}
+
+void Membership::setSelfLeaving()
+{
+    m_self.isLeaving = true;
+    setLeaving(m_self.instance);
 }
 
 void Membership::reportSilent(const InstanceId& instance)
 {
     auto it = m_members.find(instance);
-    if (it != m_members.end())
-        it->second.silentSince = m_loop.now();
+    if (it == m_members.end())
+        return;
+    it->second.silentSince = m_loop.now();
+    setChanged();
 }
 
 void Membership::reportAnswer(const InstanceId& instance)
 {
     auto it = m_members.find(instance);
-    if (it != m_members.end())
-        it->second.silentSince.reset();
+    if (it == m_members.end() || !it->second.silentSince)
+        return;
+    it->second.silentSince.reset();
+    setChanged();
 }
 
 std::vector<InstanceEntry> Membership::instances() const
@@ -84,14 +97,14 @@
     return std::find(m_leavingTargets.begin(), m_leavingTargets.end(), target) != m_leavingTargets.end();
 }
 
-std::vector<InstanceId> Membership::homesOf(const TargetConfiguration& target) const
+const std::vector<InstanceId>& Membership::homesOf(const TargetConfiguration& target) const
 {
     return ranked(target.id.value(), target.failureDomain);
 }
 
 std::optional<uint32_t> Membership::rankFor(const TargetConfiguration& target) const
 {
-    const auto homes = homesOf(target);
+    const auto& homes = homesOf(target);
     auto it = std::find(homes.begin(), homes.end(), m_self.instance);
     if (it == homes.end())
         return std::nullopt;
@@ -120,7 +133,41 @@
     return member.silentSince && m_loop.now() - *member.silentSince < silenceRemembered;
 }
 
-std::vector<InstanceId> Membership::ranked(const std::string& key, const FailureDomainId& preferred) const
+uint64_t Membership::generation() const
+{
+    forgetOldSilences();
+    return m_generation;
+}
+
+void Membership::setChanged() const
+{
+    m_rankings.clear();
+    ++m_generation;
+    m_nextSilenceEnd.reset();
+    for (const auto& [id, member] : m_members) {
+        if (!isSilent(member))
+            continue;
+        const Instant end = *member.silentSince + silenceRemembered;
+        m_nextSilenceEnd = m_nextSilenceEnd ? std::min(*m_nextSilenceEnd, end) : end;
+    }
+}
+
+void Membership::forgetOldSilences() const
+{
+    if (m_nextSilenceEnd && m_loop.now() >= *m_nextSilenceEnd)
+        setChanged();
+}
+
+const std::vector<InstanceId>& Membership::ranked(const std::string& key, const FailureDomainId& preferred) const
+{
+    forgetOldSilences();
+    auto& ranking = m_rankings[key + '\n' + preferred.value()];
+    if (ranking.empty())
+        ranking = rank(key, preferred);
+    return ranking;
+}
+
+std::vector<InstanceId> Membership::rank(const std::string& key, const FailureDomainId& preferred) const
 {
     using Order = std::tuple<bool, bool, bool, uint64_t>;
     std::vector<std::pair<Order, InstanceId>> order;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -23,6 +23,9 @@
     /// Takes over what a peer said of itself, such as that it is leaving.
     void setLeaving(const InstanceId&);
 
+    /// This daemon itself is leaving.
+    void setSelfLeaving();
+
     /// A call to the instance went unanswered: it ranks behind the others for a while.
     void reportSilent(const InstanceId&);
     void reportAnswer(const InstanceId&);
@@ -36,11 +39,14 @@
 
     /// The daemons that may be the target's home, best first: those of its failure domain by rendezvous hash, then
     /// the others; silent ones behind those, leaving ones last.
-    std::vector<InstanceId> homesOf(const TargetConfiguration&) const;
+    const std::vector<InstanceId>& homesOf(const TargetConfiguration&) const;
 
     /// This daemon's place in homesOf(); nullopt when it is not a member.
     std::optional<uint32_t> rankFor(const TargetConfiguration&) const;
 
+    /// Grows with each change of the ranking, the end of a remembered silence included.
+    uint64_t generation() const;
+
     /// The daemons that watch the group and may change its primary, in the order in which they move.
     std::vector<InstanceId> watchersOf(const GroupConfiguration&) const;
 
@@ -51,12 +57,19 @@
     };
 
     bool isSilent(const Member&) const;
-    std::vector<InstanceId> ranked(const std::string& key, const FailureDomainId& preferred) const;
+    void setChanged() const;
+    void forgetOldSilences() const;
+    const std::vector<InstanceId>& ranked(const std::string& key, const FailureDomainId& preferred) const;
+    std::vector<InstanceId> rank(const std::string& key, const FailureDomainId& preferred) const;
 
     const EventLoop& m_loop;
     InstanceEntry m_self;
     std::map<InstanceId, Member> m_members;
     std::vector<TargetId> m_leavingTargets;
+    /// Rankings computed since the last change: with hundreds of daemons they are too dear for every request.
+    mutable std::map<std::string, std::vector<InstanceId>> m_rankings;
+    mutable uint64_t m_generation { 1 };
+    mutable std::optional<Instant> m_nextSilenceEnd;
 };
 
 }
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,139 @@
+#include "node/Node.h"
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds refreshInterval { 100 };
+
+}
+
+/// Calls this daemon's own homes directly and others through the port, and notes who is silent.
+class Node::Homes final : public HomePort {
+public:
+    Homes(HomeService& own, HomePort& peers, Membership& membership)
+        : m_own(own)
+        , m_peers(peers)
+        , m_membership(membership)
+    {
+    }
+
+    void call(const InstanceId& instance, const HomeCall& call, Done done) override
+    {
+        if (instance == m_membership.self().instance)
+            return m_own.handle(call, std::move(done));
+        m_peers.call(instance, call, [this, instance, done = std::move(done)](HomeReply reply) {
+            const ResultCode code = reply.answer.code;
+            if (code == ResultCode::PeerUnreachable || code == ResultCode::PeerSilent)
+                m_membership.reportSilent(instance);
+            else
+                m_membership.reportAnswer(instance);
+            done(std::move(reply));
+        });
+    }
+
+private:
+    HomeService& m_own;
+    HomePort& m_peers;
+    Membership& m_membership;
+};
+
+absl::StatusOr<std::unique_ptr<Node>> Node::create(const NodePorts& ports, NodeSettings settings)
+{
+    auto sealer = TokenSealer::create(settings.tokenKeys);
+    if (!sealer.ok())
+        return sealer.status();
+    return std::unique_ptr<Node>(new Node(ports, std::move(settings), std::move(*sealer)));
+}
+
+Node::Node(const NodePorts& ports, NodeSettings settings, TokenSealer sealer)
+    : m_ports(ports)
+    , m_settings(std::move(settings))
+    , m_sealer(std::move(sealer))
+    , m_membership(ports.loop, m_settings.self)
+    , m_homes(ports.loop, ports.targets, m_membership, m_settings.home)
+    , m_homePort(std::make_unique<Homes>(m_homes, ports.peers, m_membership))
+{
+    m_entry = std::make_unique<Entry>(EntryContext {
+        ports.loop,
+        m_membership,
+        *m_homePort,
+        m_sealer,
+        m_settings.entry,
+        nullptr,
+        {},
+        ReadRouter::create(m_settings.self.failureDomain, m_settings.seed),
+        RetryBudget(),
+        std::mt19937_64(m_settings.seed),
+        [this](const EntryDecision& decision) {
+            if (m_onDecision)
+                m_onDecision(decision);
+        } });
+    m_refreshTimer = ports.loop.after(refreshInterval, [this] { refresh(); });
+}
+
+Node::~Node()
+{
+    m_ports.loop.cancel(m_refreshTimer);
+}
+
+void Node::setConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    m_configuration = configuration;
+    m_entry->setConfiguration(configuration);
+    m_homes.setConfiguration(std::move(configuration));
+}
+
+void Node::setList(const PlatformList& list)
+{
+    m_membership.setList(list);
+    refresh();
+}
+
+void Node::handle(StatementRequest request, Entry::Done done)
+{
+    if (const GroupView* own = m_homes.viewOf(request.database))
+        m_entry->mergeView(*own);
+    m_entry->handle(std::move(request), std::move(done));
+}
+
+void Node::handleHomeCall(const HomeCall& call, HomePort::Done done)
+{
+    m_homes.handle(call, std::move(done));
+}
+
+void Node::startDraining()
+{
+    m_membership.setSelfLeaving();
+    m_homes.updateMembership();
+}
+
+bool Node::isIdle() const
+{
+    return m_entry->requestsInFlight() == 0 && m_homes.isIdle();
+}
+
+const GroupView& Node::view(const DatabaseId& database)
+{
+    if (const GroupView* own = m_homes.viewOf(database))
+        m_entry->mergeView(*own);
+    return m_entry->view(database);
+}
+
+void Node::onDecision(std::function<void(const EntryDecision&)> onDecision)
+{
+    m_onDecision = std::move(onDecision);
+}
+
+// Ranks follow every change of the membership, the end of a remembered silence included.
+void Node::refresh()
+{
+    m_ports.loop.cancel(m_refreshTimer);
+    if (m_generation != m_membership.generation()) {
+        m_generation = m_membership.generation();
+        m_homes.updateMembership();
+    }
+    m_refreshTimer = m_ports.loop.after(refreshInterval, [this] { refresh(); });
+}
+
+}
--- a/src/statements/StatementRequest.h
+++ b/src/statements/StatementRequest.h
@@ -44,6 +44,8 @@
     DatabaseId database;
     SqlStatement statement;
     AccessMode mode { AccessMode::Read };
+    /// 1 for the first time; more when the caller asks again with the same id. A "not run" then covers all times.
+    uint32_t attempt { 1 };
     Repeatability repeatability { Repeatability::NotRepeatable };
     /// Greatest age of the data that a read accepts; the configuration's when absent.
     std::optional<Milliseconds> greatestAge;
