Group control and change of primary: confirmation by majority, detection, fencing, promotion

Cause: writes need a majority's word before they are acknowledged, and nothing else orders a promotion. Ruled out: comparing log positions alone. A fenced target can hold a longer log of an older term, so a position alone would count as a copy of a newer commit, and the wrong target would be promoted. TargetStatus therefore carries logTerm, the term of the last commit in its log; the target adapter and the stand-in have to give it. The model changes with it: a fenced target that meets the primary of its term drops the commits that primary lacks (they stayed before), and a fenced primary still sends the rest of its log to replicas that are not fenced, which a planned change needs.

--- a/src/acknowledgement/GroupControl.h
+++ b/src/acknowledgement/GroupControl.h
@@ -25,8 +25,8 @@
     Milliseconds connectTimeout { 300 };
 };
 
-/// One daemon's control connections to the targets of one group, at most one to each. Questions that come up
-/// while one is under way share the next one, so that one status answer covers all that wait.
+/// One daemon's control connections to the targets of one group: one to each, and more only while an answer is
+/// overdue. Questions that come up while one is under way share the next one, so that one answer covers all that wait.
 class GroupControl {
 public:
     using Confirmed = std::function<void(absl::StatusOr<AckLevel>)>;
@@ -38,7 +38,7 @@
     /// The latest view; heard from the targets themselves.
     virtual const GroupView& view() const = 0;
 
-    /// Calls back whenever term, primary or a target's suspicion changed.
+    /// Calls back whenever term, primary or a target's suspicion changed. Every callback given is kept.
     virtual void onChange(ViewChanged) = 0;
 
     /// Answers the level a commit at (term, position) has reached: as soon as `rule` is met, or at `deadline` with
--- a/src/groups/TargetStatus.h
+++ b/src/groups/TargetStatus.h
@@ -16,6 +16,9 @@
     TargetRole role { TargetRole::Replica };
     /// The highest term it was fenced at, promoted to, or took log from.
     Term term;
+    /// The term in which the last commit of its log was written; 0 while the log is empty. A log of a higher one is
+    /// the more complete, whatever the positions say.
+    Term logTerm;
     /// The end of the log it holds.
     LogPosition position;
     /// How far it has applied; reads see this.
--- /dev/null
+++ b/src/promotion/FailureDetectorTests.cpp
@@ -0,0 +1,92 @@
+#include "promotion/FailureDetector.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+constexpr Instant start { 1'000'000 };
+
+TargetView viewOf(const std::string& id, TargetRole role, Term term, Instant heardAt, Milliseconds age)
+{
+    TargetView view;
+    view.target = TargetId(id);
+    view.status.role = role;
+    view.status.term = term;
+    view.status.age = age;
+    view.heardAt = heardAt;
+    return view;
+}
+
+/// A primary and two replicas, all heard at `heardAt`.
+GroupView viewAt(Instant heardAt, Milliseconds replicaAge)
+{
+    GroupView view;
+    view.term = Term(1);
+    view.primary = TargetId("a");
+    view.targets.push_back(viewOf("a", TargetRole::Primary, Term(1), heardAt, Milliseconds(0)));
+    view.targets.push_back(viewOf("b", TargetRole::Replica, Term(1), heardAt, replicaAge));
+    view.targets.push_back(viewOf("c", TargetRole::Replica, Term(1), heardAt, replicaAge));
+    return view;
+}
+
+}
+
+TEST_CASE("a primary is silent only after the detection time and with failing connections", "[promotion]")
+{
+    FailureDetector detector { PromoterSettings() };
+    const Milliseconds silence(GENERATE(100.0, 699.0, 700.0, 2000.0));
+    const bool isSuspect = GENERATE(false, true);
+    GroupView view = viewAt(start + silence, silence);
+    view.targets[0].heardAt = start;
+    view.targets[0].isSuspect = isSuspect;
+    CHECK(detector.examine(view, start + silence).has_value() == (isSuspect && silence >= Milliseconds(700)));
+}
+
+TEST_CASE("a replica that hears the primary holds a change off, each time for longer", "[promotion]")
+{
+    FailureDetector detector { PromoterSettings() };
+    const auto isChangeDueAfter = [&](Milliseconds span) {
+        GroupView view = viewAt(start + span, Milliseconds(5));
+        view.targets[0].heardAt = start;
+        view.targets[0].isSuspect = true;
+        return detector.examine(view, start + span).has_value();
+    };
+    CHECK_FALSE(isChangeDueAfter(Milliseconds(1000)));
+    CHECK_FALSE(isChangeDueAfter(Milliseconds(8900)));
+    CHECK(isChangeDueAfter(Milliseconds(9000)));
+
+    const Instant recovered = start + Milliseconds(20'000);
+    CHECK_FALSE(detector.examine(viewAt(recovered, Milliseconds(5)), recovered));
+    CHECK_FALSE(isChangeDueAfter(Milliseconds(30'000)));
+    CHECK_FALSE(isChangeDueAfter(Milliseconds(45'900)));
+    CHECK(isChangeDueAfter(Milliseconds(46'000)));
+}
+
+TEST_CASE("without a majority in reach no change is due", "[promotion]")
+{
+    FailureDetector detector { PromoterSettings() };
+    const Instant now = start + Milliseconds(5000);
+    GroupView view = viewAt(start, Milliseconds(5000));
+    view.targets[0].isSuspect = true;
+    view.targets[1].heardAt = now;
+    CHECK_FALSE(detector.examine(view, now));
+}
+
+TEST_CASE("a group without a primary and a stranded target become due after the detection time", "[promotion]")
+{
+    FailureDetector detector { PromoterSettings() };
+    const bool hasPrimary = GENERATE(false, true);
+    const auto examineAfter = [&](Milliseconds span) {
+        GroupView view = viewAt(start + span, Milliseconds(5000) + span);
+        view.targets[1].status.term = Term(2);
+        if (!hasPrimary)
+            view.primary = TargetId();
+        return detector.examine(view, start + span);
+    };
+    CHECK_FALSE(examineAfter(Milliseconds(0)));
+    CHECK_FALSE(examineAfter(Milliseconds(699)));
+    REQUIRE(examineAfter(Milliseconds(700)));
+    CHECK(examineAfter(Milliseconds(710))->cause == (hasPrimary ? PromotionCause::TargetStranded : PromotionCause::NoPrimary));
+}
--- /dev/null
+++ b/src/promotion/Promoter.cpp
@@ -0,0 +1,169 @@
+#include "promotion/Promoter.h"
+
+#include "promotion/ChangeAttempt.h"
+#include "promotion/FailureDetector.h"
+
+#include <algorithm>
+#include <random>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds checkInterval { 25 };
+    constexpr Milliseconds longestBackoff { 3000 };
+    constexpr uint32_t mostBackoffDoublings { 4 };
+
+    class GroupPromoter final : public Promoter {
+    public:
+        GroupPromoter(EventLoop&, GroupControl&, const GroupConfiguration&, const PromoterSettings&);
+        ~GroupPromoter() override { m_loop.cancel(m_timer); }
+
+        void setRank(std::optional<uint32_t> rank) override { m_rank = rank; }
+        void replacePrimary() override;
+        void onPromoted(Promoted promoted) override { m_promoted = std::move(promoted); }
+
+    private:
+        void scheduleCheck();
+        void check();
+        bool isDue(const FailureDetector::Finding&) const;
+        void startFor(PromotionCause);
+        void start(ChangeAttempt::Plan);
+        Term nextTerm() const;
+        TargetId bestReplica() const;
+        void ended(const absl::StatusOr<PromotionReport>&);
+        void backOff();
+
+        EventLoop& m_loop;
+        GroupControl& m_control;
+        GroupConfiguration m_group;
+        PromoterSettings m_settings;
+        FailureDetector m_detector;
+        std::mt19937_64 m_random;
+        std::optional<uint32_t> m_rank;
+        Promoted m_promoted;
+        std::unique_ptr<ChangeAttempt> m_attempt;
+        bool m_isChangeRequested { false };
+        uint32_t m_failures { 0 };
+        Instant m_notBefore;
+        TimerId m_timer { TimerId::None };
+    };
+
+    GroupPromoter::GroupPromoter(EventLoop& loop, GroupControl& control, const GroupConfiguration& group, const PromoterSettings& settings)
+        : m_loop(loop)
+        , m_control(control)
+        , m_group(group)
+        , m_settings(settings)
+        , m_detector(settings)
+        , m_random(settings.seed)
+    {
+        scheduleCheck();
+    }
+
+    void GroupPromoter::scheduleCheck()
+    {
+        m_timer = m_loop.after(checkInterval, [this] {
+            check();
+            scheduleCheck();
+        });
+    }
+
+    void GroupPromoter::check()
+    {
+        const auto finding = m_detector.examine(m_control.view(), m_loop.now());
+        if (!finding)
+            m_failures = 0;
+        if (m_attempt || m_loop.now() < m_notBefore)
+            return;
+        if (finding && m_rank && isDue(*finding))
+            startFor(finding->cause);
+        else if (m_isChangeRequested)
+            startFor(PromotionCause::Planned);
+    }
+
+    bool GroupPromoter::isDue(const FailureDetector::Finding& finding) const
+    {
+        return m_loop.now() - finding.since >= m_settings.stagger * *m_rank;
+    }
+
+    void GroupPromoter::replacePrimary()
+    {
+        m_isChangeRequested = true;
+        check();
+    }
+
+    void GroupPromoter::startFor(PromotionCause cause)
+    {
+        ChangeAttempt::Plan plan;
+        plan.cause = cause;
+        plan.term = nextTerm();
+        if (cause == PromotionCause::Planned) {
+            plan.servingPrimary = m_control.view().primary;
+            plan.preferred = bestReplica();
+            m_isChangeRequested = false;
+            if (plan.servingPrimary.isEmpty() || plan.preferred.isEmpty())
+                return;
+        }
+        if (cause == PromotionCause::TargetStranded) {
+            plan.servingPrimary = m_control.view().primary;
+            plan.preferred = plan.servingPrimary;
+        }
+        start(std::move(plan));
+    }
+
+    void GroupPromoter::start(ChangeAttempt::Plan plan)
+    {
+        m_attempt = std::make_unique<ChangeAttempt>(m_loop, m_control, m_group, m_settings, plan, [this](const auto& result) { ended(result); });
+        m_attempt->start();
+    }
+
+    Term GroupPromoter::nextTerm() const
+    {
+        Term latest = m_control.view().term;
+        for (const auto& it : m_control.view().targets)
+            latest = std::max(latest, it.status.term);
+        return latest.next();
+    }
+
+    TargetId GroupPromoter::bestReplica() const
+    {
+        const GroupView& view = m_control.view();
+        const TargetView* best = nullptr;
+        for (const auto& it : view.targets) {
+            const bool isFit = it.target != view.primary && !it.isSuspect && !it.status.isLeaving && it.status.term == view.term;
+            if (isFit && (!best || it.status.position > best->status.position))
+                best = &it;
+        }
+        return best ? best->target : TargetId();
+    }
+
+    // The attempt is calling back, so it ends with the next task.
+    void GroupPromoter::ended(const absl::StatusOr<PromotionReport>& result)
+    {
+        std::shared_ptr<ChangeAttempt> over = std::move(m_attempt);
+        m_loop.after(Milliseconds(0), [over] { (void)over; });
+        if (!result.ok()) {
+            backOff();
+            return;
+        }
+        m_failures = 0;
+        if (m_promoted)
+            m_promoted(*result);
+    }
+
+    void GroupPromoter::backOff()
+    {
+        const uint32_t doublings = std::min(m_failures, mostBackoffDoublings);
+        ++m_failures;
+        const double factor = static_cast<double>(1U << doublings) * std::uniform_real_distribution<double>(0.2, 1)(m_random);
+        m_notBefore = m_loop.now() + std::min(m_settings.stagger * factor, longestBackoff);
+    }
+
+}
+
+std::unique_ptr<Promoter> Promoter::create(EventLoop& loop, GroupControl& control, const GroupConfiguration& group, const PromoterSettings& settings)
+{
+    return std::make_unique<GroupPromoter>(loop, control, group, settings);
+}
+
+}
--- a/src/promotion/Promoter.h
+++ b/src/promotion/Promoter.h
@@ -10,11 +10,31 @@
     Milliseconds detection { 700 };
     /// What each further rank waits longer before it moves.
     Milliseconds stagger { 300 };
+    /// How long a replica's word that it hears the primary holds off a change, for a primary that only some cannot reach.
+    Milliseconds replicaEvidence { 8000 };
+    /// How long an attempt waits for a majority to grant its term.
+    Milliseconds fenceTimeout { 600 };
+    /// How long a planned change waits until the next primary holds all of the log.
+    Milliseconds catchUpTimeout { 500 };
+    /// Spreads the retries of daemons that try at the same time.
+    uint64_t seed { 0 };
+};
+
+/// Why a change of primary was ordered.
+enum class PromotionCause : uint8_t {
+    /// The primary was silent.
+    PrimarySilent,
+    /// Terms were granted, but no primary came of it.
+    NoPrimary,
+    /// A target holds a later term than the primary and cannot take its log.
+    TargetStranded,
+    Planned,
 };
 
 /// What a change of primary took, by part.
 struct PromotionReport {
     DatabaseId database;
+    PromotionCause cause { PromotionCause::PrimarySilent };
     Term term;
     TargetId primary;
     Instant primaryLastHeard;
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -12,6 +12,8 @@
     TargetId id;
     TargetRole role { TargetRole::Replica };
     Term term;
+    /// The term it is or was primary at; 0 when it never was.
+    Term ledTerm;
     /// The term last fenced here and not yet promoted by anyone.
     bool isFenced { false };
     std::vector<std::shared_ptr<const ModelCommit>> log;
@@ -50,6 +52,7 @@
     }
     assert(!m_targets.empty());
     m_targets.front()->role = TargetRole::Primary;
+    m_targets.front()->ledTerm = firstTerm;
 }
 
 absl::StatusOr<TargetReply> GroupModel::execute(const TargetId& id, const TargetBatch& batch, ModelTransaction& transaction)
@@ -140,15 +143,17 @@
     return **it;
 }
 
-// A replica follows the primary of the highest term in reach, but never one of an older term than its own.
+// A replica follows the primary of the highest term in reach, but never one of an older term than its own. A fenced
+// primary commits nothing more, yet still sends the rest of its log to replicas that are not fenced themselves.
 GroupModel::ModelTarget* GroupModel::primaryFor(const ModelTarget& replica)
 {
     ModelTarget* best = nullptr;
     if (replica.isIsolated)
         return best;
     for (const auto& it : m_targets) {
-        const bool isCandidate = it.get() != &replica && it->role == TargetRole::Primary && !it->isIsolated && it->term >= replica.term;
-        if (isCandidate && (!best || it->term > best->term))
+        const bool isSending = it->role == TargetRole::Primary || (it->isFenced && !replica.isFenced && replica.role == TargetRole::Replica);
+        const bool isCandidate = it.get() != &replica && isSending && !it->isIsolated && it->ledTerm >= replica.term;
+        if (isCandidate && (!best || it->ledTerm > best->ledTerm))
             best = it.get();
     }
     return best;
@@ -164,13 +169,13 @@
 {
     const ModelTarget* primary = primaryFor(replica);
     if (replica.role == TargetRole::Primary) {
-        if (!primary || primary->term <= replica.term)
+        if (!primary || primary->ledTerm <= replica.term)
             return;
         replica.role = TargetRole::Replica;
     }
     const Instant now = m_loop.now();
     if (primary) {
-        if (primary->term > replica.term)
+        if (primary->ledTerm > replica.term || replica.isFenced)
             follow(replica, *primary);
         while (replica.log.size() < primary->log.size() && primary->log[replica.log.size()]->at + replica.delay <= now)
             replica.log.push_back(primary->log[replica.log.size()]);
@@ -192,7 +197,7 @@
     while (common < most && replica.log[common] == primary.log[common])
         ++common;
     replica.log.resize(common);
-    replica.term = primary.term;
+    replica.term = primary.ledTerm;
     replica.isFenced = false;
     if (replica.applied <= common)
         return;
@@ -218,6 +223,8 @@
     TargetStatus status;
     status.role = target.role;
     status.term = target.term;
+    if (!target.log.empty())
+        status.logTerm = target.log.back()->term;
     status.position = LogPosition(target.log.size());
     status.applied = LogPosition(target.applied);
     if (target.role == TargetRole::Replica)
@@ -250,6 +257,7 @@
     if (term != target.term || !target.isFenced)
         return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
     target.role = TargetRole::Primary;
+    target.ledTerm = term;
     target.isFenced = false;
     apply(target, target.log.size());
     return replyOf(target);
