Fake fleet: several daemons' decisions on virtual time, with kills, pauses and cuts

A paused daemon catches up later and a killed one loses its connections, which a plain shared loop could not show.

--- /dev/null
+++ b/src/fleet/FakeFleetTests.cpp
@@ -0,0 +1,148 @@
+#include "fleet/FakeFleet.h"
+
+#include "base/VirtualLoop.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+const DatabaseId orders("orders-1");
+const ShopId counter("shop-1");
+
+std::shared_ptr<const Configuration> exampleConfiguration()
+{
+    auto configuration = std::make_shared<Configuration>();
+    GroupConfiguration group;
+    group.database = orders;
+    group.slots = 3;
+    group.connections = 40;
+    for (const char* it : { "a", "b", "c" })
+        group.targets.push_back({ TargetId("orders-1-" + std::string(it)), {}, FailureDomainId(it) });
+    configuration->groups.push_back(group);
+    configuration->classes.push_back({ ClassName("counter"), Urgency::Urgent, 1, Milliseconds(500), Milliseconds(2000) });
+    return configuration;
+}
+
+/// A fleet of three daemons before one group, and callers that wait for their answers.
+struct ExampleFleet {
+    ExampleFleet()
+    {
+        targets.addGroup(configuration->groups[0], {});
+        FakeFleetSettings settings;
+        settings.domains = { FailureDomainId("a"), FailureDomainId("b"), FailureDomainId("c") };
+        fleet = std::make_unique<FakeFleet>(loop, targets, settings, configuration);
+        loop.advance(Milliseconds(500));
+    }
+
+    StatementRequest request(AccessMode mode, const std::string& id, SqlStatement statement)
+    {
+        StatementRequest made;
+        made.shop = counter;
+        made.session = SessionId("session-1");
+        made.workload = ClassName("counter");
+        made.database = orders;
+        made.mode = mode;
+        made.id = RequestId(std::to_string(static_cast<int64_t>(loop.now().sinceEpoch())) + "-" + id);
+        made.statement = std::move(statement);
+        made.deadline = loop.now() + Milliseconds(5000);
+        return made;
+    }
+
+    StatementRequest write(const std::string& id)
+    {
+        return request(AccessMode::Write, id, { "INSERT INTO records (key, value) VALUES ($1, $2)", { "k", id } });
+    }
+
+    StatementRequest read(const std::string& id)
+    {
+        return request(AccessMode::Read, id, { "SELECT value FROM records WHERE key = $1", { "k" } });
+    }
+
+    StatementAnswer ask(size_t n, const StatementRequest& request)
+    {
+        std::optional<StatementAnswer> answer;
+        fleet->handle(n, request, [&answer](StatementAnswer value) { answer = std::move(value); });
+        loop.runUntil([&answer] { return answer.has_value(); }, Milliseconds(6000));
+        REQUIRE(answer);
+        INFO(answer->message);
+        return *answer;
+    }
+
+    VirtualLoop loop;
+    FakeTargets targets { loop };
+    std::shared_ptr<const Configuration> configuration { exampleConfiguration() };
+    std::unique_ptr<FakeFleet> fleet;
+};
+
+}
+
+TEST_CASE("a session's write through one daemon is read through another", "[fleet]")
+{
+    ExampleFleet example;
+    const auto written = example.ask(0, example.write("w1"));
+    REQUIRE(written.code == ResultCode::Done);
+    CHECK(written.ackLevel == AckLevel::Replicated);
+
+    auto read = example.read("r1");
+    SECTION("with its token") { read.token = written.token; }
+    SECTION("without a token") { }
+    const auto answer = example.ask(1, read);
+    REQUIRE(answer.code == ResultCode::Done);
+    REQUIRE(answer.rows.values.size() == 1);
+    CHECK(answer.rows.values[0][0] == "w1");
+}
+
+TEST_CASE("a write sent twice through two daemons runs once", "[fleet]")
+{
+    ExampleFleet example;
+    const auto request = example.write("w1");
+    CHECK(example.ask(0, request).code == ResultCode::Done);
+    CHECK(example.ask(2, request).code == ResultCode::DoneEarlier);
+    CHECK(example.targets.model(orders).survivingLog().size() == 1);
+}
+
+TEST_CASE("a primary that goes silent is replaced within two seconds and writes go on", "[fleet]")
+{
+    ExampleFleet example;
+    REQUIRE(example.ask(0, example.write("w1")).code == ResultCode::Done);
+    example.targets.setFrozen(TargetId("orders-1-a"), true);
+    const Instant cutAt = example.loop.now();
+    const auto answer = example.ask(1, example.write("w2"));
+    REQUIRE(answer.outcome() == Outcome::Done);
+    CHECK(example.loop.now() - cutAt < Milliseconds(2000));
+    CHECK(answer.target != TargetId("orders-1-a"));
+
+    example.targets.setFrozen(TargetId("orders-1-a"), false);
+    example.loop.advance(Milliseconds(1000));
+    const auto records = example.targets.model(orders).survivingRecords();
+    CHECK(records.at("k") == "w2");
+}
+
+TEST_CASE("a transaction commits all of its statements at once", "[fleet]")
+{
+    ExampleFleet example;
+    auto begin = example.write("t1");
+    begin.transaction = TransactionPart { TransactionStep::Begin, {} };
+    const auto begun = example.ask(0, begin);
+    REQUIRE(begun.code == ResultCode::Done);
+    CHECK(example.targets.model(orders).survivingLog().empty());
+
+    auto commit = example.write("t2");
+    commit.statement = {};
+    commit.transaction = TransactionPart { TransactionStep::Commit, begun.transaction };
+    const auto committed = example.ask(1, commit);
+    INFO(committed.message);
+    CHECK(committed.code == ResultCode::Done);
+    CHECK(example.targets.model(orders).survivingRecords().at("k") == "t1");
+    CHECK(example.ask(2, commit).code == ResultCode::DoneEarlier);
+}
+
+TEST_CASE("an answer lost after its effect is settled, and the write ran once", "[fleet]")
+{
+    ExampleFleet example;
+    example.targets.loseNextAnswer(TargetId("orders-1-a"), TargetOperation::Write);
+    CHECK(example.ask(0, example.write("w1")).outcome() == Outcome::Done);
+    CHECK(example.targets.model(orders).survivingLog().size() == 1);
+}
--- /dev/null
+++ b/src/fleet/NodeLoop.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/EventLoop.h"
+
+#include <memory>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// The event loop of one fake daemon on a shared loop. A paused one runs nothing and catches up when it goes on;
+/// a stopped one never runs anything again.
+class NodeLoop final : public EventLoop {
+public:
+    explicit NodeLoop(EventLoop& shared);
+
+    Instant now() const override { return m_shared.now(); }
+    TimerId after(Milliseconds delay, std::function<void()> task) override;
+    void cancel(TimerId) override;
+
+    /// Runs a task now, or once the daemon goes on.
+    void run(std::function<void()> task);
+
+    void setPaused(bool);
+    void stop();
+    bool isStopped() const { return m_isStopped; }
+    bool isPaused() const { return m_isPaused; }
+
+private:
+    EventLoop& m_shared;
+    bool m_isPaused { false };
+    bool m_isStopped { false };
+    std::vector<std::function<void()>> m_held;
+};
+
+}
