--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -43,6 +43,16 @@
     uint32_t capacity { 1000 };
 };
 
+/// What a queue did with its work so far.
+struct WorkQueueCounts {
+    uint64_t started { 0 };
+    uint64_t refused { 0 };
+    /// Dropped while waiting: for more urgent work, or because the deadline could not be met any more.
+    uint64_t shed { 0 };
+    /// Taken for short work, and ran longer than short work may.
+    uint64_t overran { 0 };
+};
+
 /// Decides which waiting work gets a target's next free slot. Pure: it is told of every event and its time.
 class WorkQueue {
 public:
@@ -68,6 +78,7 @@
 
     virtual size_t waiting() const = 0;
     virtual size_t running() const = 0;
+    virtual WorkQueueCounts counts() const = 0;
 
     static std::unique_ptr<WorkQueue> create(const WorkQueueSettings&);
 };
