--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -99,7 +99,14 @@
 
 void Node::handleHomeCall(const HomeCall& call, HomePort::Done done)
 {
-    m_homes.handle(call, std::move(done));
+    const bool isStepOfOpenTransaction = call.request.transaction && call.request.transaction->step != TransactionStep::Begin;
+    if (!isDraining() || isStepOfOpenTransaction)
+        return m_homes.handle(call, std::move(done));
+    HomeReply refusal;
+    refusal.answer.id = call.request.id;
+    refusal.answer.code = ResultCode::Draining;
+    refusal.answer.message = "the daemon is leaving";
+    done(std::move(refusal));
 }
 
 void Node::startDraining()
