--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -247,6 +247,7 @@
         m_internals->runPosted();
         m_internals->runDueTimers();
     }
+    m_internals->isStopping = false;
 }
 
 void PollLoop::stop()
--- a/src/net/PollLoop.h
+++ b/src/net/PollLoop.h
@@ -39,7 +39,7 @@
     /// Runs `task` on the loop's thread soon; callable from any thread.
     void post(std::function<void()> task);
 
-    /// Runs until stop().
+    /// Runs until stop(); a stop() that came before ends it at once. May be called again afterwards.
     void run();
     void stop();
 
