--- a/src/platform/FakePlatform.cpp
+++ b/src/platform/FakePlatform.cpp
@@ -76,7 +76,7 @@
 
 TableRow FakePlatform::store(const std::string& key, const std::string& value)
 {
-    const TableRow row { value, std::to_string(++m_lastEtag) };
+    TableRow row { value, std::to_string(++m_lastEtag) };
     m_rows[key] = row;
     return row;
 }
