Test that a damaged body is refused by its hash

The test before never reached the comparison of hashes: with the comparison taken out of a scratch copy it still passed. It now puts a damaged and a whole body side by side, and fails on that copy.

--- a/src/configuration/ConfigurationStoreTests.cpp
+++ b/src/configuration/ConfigurationStoreTests.cpp
@@ -222,11 +222,13 @@
 TEST_CASE("a body that does not match its digest is not taken", "[configuration]")
 {
     auto fleet = startedFleet(2);
-    auto digest = fleet->store(0).digest();
-    digest.version = ConfigurationVersion(2);
-    fleet->store(1).answerExchange(StoreFleet::idOf(0), digest);
-    fleet->loop.advance(Milliseconds(5000));
-    CHECK(fleet->isEverywhere(ConfigurationVersion(1)));
+    const std::string encoded = encodeBody({ {}, "version: 2\n" + documentWithAge(2) });
+    fleet->nodes[0]->client->put("body", encoded, [](const auto&) {});
+    const bool isDamaged = GENERATE(false, true);
+    const std::string hash = hashOf(isDamaged ? encoded + " " : encoded);
+    fleet->platform.forceRow(configurationRootKey, encodeRoot({ { ConfigurationVersion(2), "change", hash }, "body" }));
+    fleet->loop.advance(Milliseconds(20'000));
+    CHECK(fleet->isEverywhere(ConfigurationVersion(isDamaged ? 1 : 2)));
 }
 
 TEST_CASE("a part that was cut off for an hour keeps its version and catches up within the bound", "[configuration]")
