A frozen target runs what its departed clients had sent

A client that gave up during a freeze closed its connection, and the stand-in dropped what it had sent: a real paused process finds the bytes after the thaw and runs them, and so does FakeTargets. The stand-in now reads to the end and acts on it after the thaw.

--- a/src/pq/PqConnectorTests.cpp
+++ b/src/pq/PqConnectorTests.cpp
@@ -316,6 +316,8 @@
         wire.target("db-a").setFrozen(true);
         CHECK(resultCodeOf(wire.tryConnect("db-a", shortTimeout).status()) == ResultCode::TargetUnreachable);
         CHECK(wire.codeOf(*first, wireWrite("late"), shortTimeout) == ResultCode::TargetSilent);
+        wire.loop().after(shortTimeout, [&] { wire.loop().stop(); });
+        wire.runLoop();
         wire.target("db-a").setFrozen(false);
         CHECK(wire.run(*wire.connect("db-a"), wireWrite("late", TargetOperation::Settle))->ranBefore);
     }
--- a/src/standin_program/WireSession.cpp
+++ b/src/standin_program/WireSession.cpp
@@ -45,10 +45,12 @@
     const bool isOpen = receive();
     if (has(readiness, Readiness::Write))
         flush();
+    if (!isOpen)
+        m_isInputEnded = true;
     if (!m_isFrozen)
         processInput();
-    if (!isOpen)
-        close();
+    else if (m_isInputEnded)
+        m_loop.unwatch(m_socket.impl()->sockfd());
 }
 
 /// Returns whether the client is still there.
@@ -78,7 +80,7 @@
         else
             processStartup(*message);
     }
-    if (m_reader.isBroken())
+    if (m_reader.isBroken() || m_isInputEnded)
         close();
 }
 
--- a/src/standin_program/WireSession.h
+++ b/src/standin_program/WireSession.h
@@ -83,6 +83,7 @@
     std::string m_output;
     bool m_isFrozen { false };
     bool m_isSilent { false };
+    bool m_isInputEnded { false };
     bool m_hasEnded { false };
 };
 
