--- a/src/promotion/ChangeAttempt.cpp
+++ b/src/promotion/ChangeAttempt.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr Milliseconds catchUpCheck { 2 };
+    /// How long a majority's grants wait for that of the preferred target.
+    constexpr Milliseconds preferredPatience { 100 };
 
     TargetBatch batchOf(TargetOperation operation, Term term)
     {
@@ -28,6 +30,7 @@
     , m_settings(settings)
     , m_plan(plan)
     , m_ended(std::move(ended))
+    , m_isPreferredOutstanding(!m_plan.preferred.isEmpty())
 {
     m_report.database = group.database;
     m_report.cause = plan.cause;
@@ -86,6 +89,7 @@
 void ChangeAttempt::granted(const TargetId& target, absl::StatusOr<TargetReply> reply)
 {
     --m_outstanding;
+    m_isPreferredOutstanding = m_isPreferredOutstanding && target != m_plan.preferred;
     if (m_isPromoting)
         return;
     if (isOvertaken()) {
@@ -101,8 +105,10 @@
             end(reply.status());
         return;
     }
-    if (m_grants.size() >= majority())
+    if (m_grants.size() >= majority() && !m_isPreferredOutstanding)
         promoteBest();
+    else if (m_grants.size() == majority())
+        promoteAfter(preferredPatience);
     else if (m_grants.size() + m_outstanding < majority())
         end(makeError(ResultCode::TermChanged, "no majority granted the term"));
 }
@@ -131,6 +137,15 @@
     return next->status.logTerm == fencedPrimary.logTerm && next->status.position >= fencedPrimary.position;
 }
 
+void ChangeAttempt::promoteAfter(Milliseconds patience)
+{
+    std::weak_ptr<int> alive = m_alive;
+    m_loop.after(patience, [this, alive] {
+        if (!alive.expired() && !m_isPromoting)
+            promoteBest();
+    });
+}
+
 bool ChangeAttempt::isBetter(const Grant& a, const Grant& b) const
 {
     const auto key = [this](const Grant& it) {
--- a/src/promotion/ChangeAttempt.h
+++ b/src/promotion/ChangeAttempt.h
@@ -44,6 +44,7 @@
     void granted(const TargetId&, absl::StatusOr<TargetReply>);
     void awaitLog(const TargetStatus& fencedPrimary, Instant until);
     bool holdsAll(const TargetStatus& fencedPrimary) const;
+    void promoteAfter(Milliseconds patience);
     void promoteBest();
     bool isBetter(const Grant&, const Grant&) const;
     void end(absl::StatusOr<PromotionReport>);
@@ -57,6 +58,7 @@
     PromotionReport m_report;
     std::vector<Grant> m_grants;
     size_t m_outstanding { 0 };
+    bool m_isPreferredOutstanding { false };
     bool m_isPromoting { false };
     TimerId m_timer { TimerId::None };
     std::shared_ptr<int> m_alive { std::make_shared<int>(0) };
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -65,7 +65,7 @@
     case TargetOperation::Fence:
         return fence(target, batch.term);
     case TargetOperation::Promote:
-        return promote(target, batch.term);
+        return promote(target, batch);
     case TargetOperation::Read:
         return read(target, batch);
     case TargetOperation::Write:
@@ -252,14 +252,15 @@
     return replyOf(target);
 }
 
-absl::StatusOr<TargetReply> GroupModel::promote(ModelTarget& target, Term term)
+absl::StatusOr<TargetReply> GroupModel::promote(ModelTarget& target, const TargetBatch& batch)
 {
-    if (term != target.term || !target.isFenced)
+    if (batch.term != target.term || !target.isFenced)
         return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
     target.role = TargetRole::Primary;
-    target.ledTerm = term;
+    target.ledTerm = batch.term;
     target.isFenced = false;
     apply(target, target.log.size());
+    record(target, batch, LogPosition(target.log.size()));
     return replyOf(target);
 }
 
--- a/src/standins/GroupModel.h
+++ b/src/standins/GroupModel.h
@@ -23,7 +23,7 @@
     std::vector<ModelLedgerEntry> ledger;
 };
 
-/// What the model did, for checkers: one entry for each batch that it carried out.
+/// What the model did, for checkers: one entry for each read, commit and promotion that it carried out.
 struct ModelEvent {
     Instant at;
     TargetId target;
@@ -88,7 +88,7 @@
 
     absl::Status checkWritable(const ModelTarget&, Term) const;
     absl::StatusOr<TargetReply> fence(ModelTarget&, Term);
-    absl::StatusOr<TargetReply> promote(ModelTarget&, Term);
+    absl::StatusOr<TargetReply> promote(ModelTarget&, const TargetBatch&);
     absl::StatusOr<TargetReply> read(ModelTarget&, const TargetBatch&);
     absl::StatusOr<TargetReply> write(ModelTarget&, const TargetBatch&);
     absl::StatusOr<TargetReply> settle(ModelTarget&, const TargetBatch&);
