Ping quiet homes and abandon work stranded at a silent or replaced target

Cause: a call's deadline was cut to 60% to leave time for another attempt, which also cut short what waited rightly in a home's queue; and work at a frozen primary waited out its answer though a successor stood after a second. Now a call has the caller's time, a quiet home is pinged (ruled out: trimming further, which refuses more), and a batch is abandoned once a later term is known or, for reads, once new connections fail too.

--- a/src/entry/EntryContext.h
+++ b/src/entry/EntryContext.h
@@ -17,10 +17,8 @@
 
 /// Times and limits of an entry daemon.
 struct EntrySettings {
-    /// Share of the remaining time that one call of a home may take, so that time is left for another.
-    double callShare { 0.6 };
-    /// Longest wait for one call of a home.
-    Milliseconds callTimeout { 2500 };
+    /// Time that a home leaves for its answer's way back before the caller's deadline.
+    Milliseconds returnMargin { 20 };
     /// First and greatest pause before a request tries again.
     Milliseconds firstPause { 5 };
     Milliseconds longestPause { 100 };
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -72,7 +72,7 @@
     call.target = target;
     call.request = m_request;
     call.request.token.clear();
-    const Milliseconds span = std::min(remaining() * m_context.settings.callShare, m_context.settings.callTimeout);
+    const Milliseconds span = remaining() - m_context.settings.returnMargin;
     call.request.deadline = m_context.loop.now() + std::max(Milliseconds(1), span);
     call.minimumPosition = minimumPosition;
     call.minimumTerm = minimumTerm;
--- a/src/homes/HomeCall.h
+++ b/src/homes/HomeCall.h
@@ -17,6 +17,8 @@
     Settle,
     /// Give the log position of the primary, confirmed to be on its term.
     PrimaryPosition,
+    /// Answer at once: tells a slow home from a silent one.
+    Ping,
 };
 
 /// A request on its way from an entry daemon to a home.
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -66,6 +66,8 @@
     Instant arrivedAt;
     Instant startedAt;
     bool holdsSlot { false };
+    /// Term under which the batch was sent.
+    Term term;
     std::unique_ptr<PooledConnection> connection;
     std::shared_ptr<OpenTransaction> transaction;
 };
@@ -121,6 +123,7 @@
 
 void TargetHome::tidy()
 {
+    abandonStranded();
     pump();
     m_transactions.closeIdle();
 }
@@ -143,6 +146,9 @@
         return makeError(ResultCode::TargetLeaving, absl::StrCat(m_target.id.value(), " is leaving"));
     if (call.operation != HomeOperation::Read)
         return checkPrimary();
+    const TargetView* seen = m_group.view().find(m_target.id);
+    if (seen && seen->isSuspect)
+        return makeError(ResultCode::TargetUnreachable, absl::StrCat(m_target.id.value(), " does not answer"));
     // A primary that lost its majority may have been replaced: what it holds is no younger than its last majority.
     if (isPrimary && !m_group.control().isMajorityConfirmed(std::max(call.greatestAge, m_settings.majorityFreshness)))
         return makeError(ResultCode::TargetBehind, absl::StrCat(m_target.id.value(), " was not confirmed as primary within the age that the read accepts"));
@@ -237,8 +243,10 @@
 void TargetHome::runBatch(const JobPointer& job, PooledConnection& connection)
 {
     std::weak_ptr<bool> alive = m_alive;
+    job->term = m_group.view().term;
+    m_atTarget[job->id] = job;
     connection.run(batchOf(job->call), timeoutOf(*job), [this, alive, job](absl::StatusOr<TargetReply> reply) {
-        if (!alive.expired())
+        if (!alive.expired() && m_atTarget.erase(job->id) > 0)
             finishBatch(job, std::move(reply));
     });
 }
@@ -281,6 +289,26 @@
         refuse(job, reply.status());
 }
 
+// Work at a target that went silent need not wait out its answer: reads are free to go elsewhere once new connections
+// fail too, and writes once another primary has a later term. Whether the writes ran is settled there.
+void TargetHome::abandonStranded()
+{
+    const TargetView* seen = m_group.view().find(m_target.id);
+    const bool isSuspect = seen && seen->isSuspect;
+    std::vector<JobPointer> stranded;
+    for (const auto& [id, job] : m_atTarget) {
+        const bool isRead = job->call.operation == HomeOperation::Read;
+        if (isRead ? isSuspect : job->term < m_group.view().term)
+            stranded.push_back(job);
+    }
+    for (const auto& it : stranded) {
+        m_atTarget.erase(it->id);
+        if (it->connection)
+            it->connection->discard();
+        finishBatch(it, makeError(ResultCode::ConnectionLost, absl::StrCat(m_target.id.value(), " went silent")));
+    }
+}
+
 // A transaction that goes on keeps its connection; one that ended gives it back, or closes it when in doubt.
 void TargetHome::keepTransaction(const JobPointer& job, const absl::StatusOr<TargetReply>& reply)
 {
--- a/src/homes/TargetHome.h
+++ b/src/homes/TargetHome.h
@@ -68,6 +68,7 @@
     void succeed(const JobPointer&, TargetReply);
     void confirm(const JobPointer&, const TargetReply&, StatementAnswer);
     void endSlot(const JobPointer&);
+    void abandonStranded();
     void answer(const JobPointer&, StatementAnswer, Term = {}, LogPosition = {});
     void refuse(const JobPointer&, const absl::Status&);
 
@@ -80,6 +81,8 @@
     std::unique_ptr<WorkQueue> m_queue;
     TransactionTable m_transactions;
     absl::flat_hash_map<WorkId, JobPointer> m_waiting;
+    /// Jobs whose batch is at the target.
+    absl::flat_hash_map<WorkId, JobPointer> m_atTarget;
     uint64_t m_lastWork { 0 };
     size_t m_underWay { 0 };
     Observer m_observer;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,5 +1,7 @@
 #include "node/Node.h"
 
+#include "node/WatchedHomes.h"
+
 namespace parsleypaddle {
 
 namespace {
@@ -8,36 +10,6 @@
 
 }
 
-/// Calls this daemon's own homes directly and others through the port, and notes who is silent.
-class Node::Homes final : public HomePort {
-public:
-    Homes(HomeService& own, HomePort& peers, Membership& membership)
-        : m_own(own)
-        , m_peers(peers)
-        , m_membership(membership)
-    {
-    }
-
-    void call(const InstanceId& instance, const HomeCall& call, Done done) override
-    {
-        if (instance == m_membership.self().instance)
-            return m_own.handle(call, std::move(done));
-        m_peers.call(instance, call, [this, instance, done = std::move(done)](HomeReply reply) {
-            const ResultCode code = reply.answer.code;
-            if (code == ResultCode::PeerUnreachable || code == ResultCode::PeerSilent)
-                m_membership.reportSilent(instance);
-            else
-                m_membership.reportAnswer(instance);
-            done(std::move(reply));
-        });
-    }
-
-private:
-    HomeService& m_own;
-    HomePort& m_peers;
-    Membership& m_membership;
-};
-
 absl::StatusOr<std::unique_ptr<Node>> Node::create(const NodePorts& ports, NodeSettings settings)
 {
     auto sealer = TokenSealer::create(settings.tokenKeys);
@@ -52,7 +24,7 @@
     , m_sealer(std::move(sealer))
     , m_membership(ports.loop, m_settings.self)
     , m_homes(ports.loop, ports.targets, m_membership, m_settings.home)
-    , m_homePort(std::make_unique<Homes>(m_homes, ports.peers, m_membership))
+    , m_homePort(std::make_unique<WatchedHomes>(ports.loop, m_homes, ports.peers, m_membership))
 {
     m_entry = std::make_unique<Entry>(EntryContext {
         ports.loop,
@@ -99,14 +71,12 @@
 
 void Node::handleHomeCall(const HomeCall& call, HomePort::Done done)
 {
+    if (call.operation == HomeOperation::Ping)
+        return done(WatchedHomes::replyOf(call.request.id, ResultCode::Done));
     const bool isStepOfOpenTransaction = call.request.transaction && call.request.transaction->step != TransactionStep::Begin;
     if (!isDraining() || isStepOfOpenTransaction)
         return m_homes.handle(call, std::move(done));
-    HomeReply refusal;
-    refusal.answer.id = call.request.id;
-    refusal.answer.code = ResultCode::Draining;
-    refusal.answer.message = "the daemon is leaving";
-    done(std::move(refusal));
+    done(WatchedHomes::replyOf(call.request.id, ResultCode::Draining));
 }
 
 void Node::startDraining()
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -10,6 +10,8 @@
 
 namespace parsleypaddle {
 
+class WatchedHomes;
+
 /// What a daemon's decisions reach the world through.
 struct NodePorts {
     EventLoop& loop;
@@ -71,8 +73,6 @@
     void onDecision(std::function<void(const EntryDecision&)>);
 
 private:
-    class Homes;
-
     Node(const NodePorts&, NodeSettings, TokenSealer);
     void refresh();
 
@@ -81,7 +81,7 @@
     TokenSealer m_sealer;
     Membership m_membership;
     HomeService m_homes;
-    std::unique_ptr<Homes> m_homePort;
+    std::unique_ptr<WatchedHomes> m_homePort;
     std::unique_ptr<Entry> m_entry;
     std::shared_ptr<const Configuration> m_configuration;
     std::function<void(const EntryDecision&)> m_onDecision;
