Gateway for callers and peers on libmicrohttpd, JSON between daemons, worker pool

A caller's statement needs a way in, and a forwarded one a way to its home. libmicrohttpd parses HTTP on its epoll descriptor, which the loop watches; a request that waits is suspended and resumed. Its external mode has no wake of its own, so a resumption schedules a run (seen as a hang of the first late-answer test). It takes no response while a body arrives, so a request that is too slow gets its numbered refusal written straight to the socket before that is shut down. Oversized bodies are discarded, not buffered, and then refused, so that the caller reads the refusal.

--- /dev/null
+++ b/src/gateway/Exchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <list>
+#include <memory>
+#include <string>
+
+struct MHD_Connection;
+
+namespace parsleypaddle {
+
+/// What a request asks for.
+enum class Route : uint8_t {
+    Statement,
+    HomeCall,
+    Page,
+    Unknown,
+};
+
+/// How far a request has come.
+enum class ExchangePhase : uint8_t {
+    /// Its head is being received.
+    Head,
+    /// Its body is being received.
+    Body,
+    /// It was refused; the rest of its body is discarded.
+    Discarding,
+    /// A handler has it.
+    Handling,
+    /// Its answer is being sent.
+    Answering,
+};
+
+/// One HTTP request and its answer.
+struct Exchange {
+    MHD_Connection* connection { nullptr };
+    ExchangePhase phase { ExchangePhase::Head };
+    Route route { Route::Unknown };
+    std::string path;
+    std::string body;
+    Instant arrived;
+    RequestId id;
+
+    unsigned status { 0 };
+    std::string answer;
+    std::string contentType { "application/json" };
+    bool isAnswered { false };
+    bool isSuspended { false };
+    bool isDeparted { false };
+
+    using List = std::list<std::shared_ptr<Exchange>>;
+    /// Its place in the list that owns it.
+    List::iterator place;
+};
+
+}
--- /dev/null
+++ b/src/gateway/GatewayTests.cpp
@@ -0,0 +1,273 @@
+#include "gateway/Gateway.h"
+
+#include "gateway/GatewayFixture.h"
+#include "peers/HomeCallJson.h"
+#include "statements/StatementJson.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+namespace {
+
+struct RefusedInput {
+    std::string name;
+    std::string method;
+    std::string path;
+    std::string body;
+    std::vector<std::string> headers;
+    ResultCode code;
+    long status;
+    std::string message;
+};
+
+constexpr size_t smallBodyLimit = 4096;
+
+}
+
+TEST_CASE("a statement is answered, at once or later", "[gateway]")
+{
+    const bool isLate = GENERATE(false, true);
+    std::unique_ptr<GatewayFixture> fixture;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        if (!isLate)
+            return;
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& answer) {
+            fixture->loop->after(Milliseconds(5), [request, answer] { answer(echoOf(request)); });
+        };
+    });
+    HttpResult result;
+    fixture->run({ [&] { result = sendRequest(fixture->gateway->port(), "POST", "/v1/statements", statementBody("a")); } });
+    CHECK(result.status == 200);
+    const auto answer = decodeStatementAnswer(result.body);
+    REQUIRE(answer.ok());
+    CHECK(answer->id == RequestId("1700000000000-a"));
+    CHECK(answer->rows.values == std::vector<std::vector<SqlValue>> { { "p" } });
+    CHECK(fixture->gateway->counts().statements == 1);
+}
+
+TEST_CASE("each of many connections gets the answers to its own requests, whatever their order", "[gateway]")
+{
+    constexpr int connectionCount = 24;
+    constexpr int requestsEach = 25;
+    const auto seed = Catch::rngSeed();
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    std::unique_ptr<GatewayFixture> fixture;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& answer) {
+            const double delay = std::uniform_real_distribution<>(0, 4)(random);
+            fixture->loop->after(Milliseconds(delay), [request, answer] { answer(echoOf(request)); });
+        };
+    });
+    std::atomic<int> right { 0 };
+    std::vector<std::function<void()>> clients;
+    clients.reserve(connectionCount);
+    for (int client = 0; client < connectionCount; ++client) {
+        clients.emplace_back([&, client] {
+            for (int n = 0; n < requestsEach; ++n) {
+                const std::string id = std::to_string(client) + "_" + std::to_string(n);
+                const auto result = sendRequest(fixture->gateway->port(), "POST", "/v1/statements", statementBody(id, "text of " + id));
+                const auto answer = decodeStatementAnswer(result.body);
+                if (answer.ok() && answer->id.value() == "1700000000000-" + id && answer->rows.values[0][0] == "text of " + id)
+                    ++right;
+            }
+        });
+    }
+    fixture->run(clients);
+    CHECK(right == connectionCount * requestsEach);
+    CHECK(fixture->gateway->requestsInFlight() == 0);
+}
+
+TEST_CASE("bodies of several megabytes pass whole both ways", "[gateway]")
+{
+    constexpr size_t megabytes = size_t { 5 } * 1024 * 1024;
+    std::string large(megabytes, '.');
+    for (size_t n = 0; n < large.size(); ++n)
+        large[n] = static_cast<char>('a' + (n * n) % 26);
+    GatewayFixture fixture;
+    HttpResult result;
+    fixture.run({ [&] { result = sendRequest(fixture.gateway->port(), "POST", "/v1/statements", statementBody("a", large)); } });
+    const auto answer = decodeStatementAnswer(result.body);
+    REQUIRE(answer.ok());
+    CHECK(answer->rows.values[0][0] == large);
+}
+
+TEST_CASE("faulty input gets a numbered refusal and the gateway lives on", "[gateway]")
+{
+    const std::string path = "/v1/statements";
+    const auto input = GENERATE_COPY(values<RefusedInput>({
+        { "no JSON", "POST", path, "x", {}, ResultCode::MalformedInput, 400, "body: not JSON" },
+        { "empty", "POST", path, "", {}, ResultCode::MalformedInput, 400, "body: not JSON" },
+        { "missing fields", "POST", path, "{}", {}, ResultCode::MissingField, 400, "version: absent" },
+        { "too large", "POST", path, std::string(smallBodyLimit + 1, ' '), {}, ResultCode::TooLarge, 413, "larger than 4096 bytes" },
+        { "far too large", "POST", path, std::string(8 * smallBodyLimit * 1024, ' '), {}, ResultCode::TooLarge, 413, "larger than" },
+        { "too large in chunks", "POST", path, std::string(2 * smallBodyLimit, ' '), { "Transfer-Encoding: chunked" }, ResultCode::TooLarge, 413, "larger than" },
+        { "too large with expectation", "POST", path, std::string(2 * smallBodyLimit, ' '), { "Expect: 100-continue" }, ResultCode::TooLarge, 413, "larger than" },
+        { "no such path", "POST", "/v2/statements", "{}", {}, ResultCode::UnknownResource, 404, "no POST at this path" },
+        { "no such method", "PUT", path, "{}", {}, ResultCode::UnknownResource, 404, "no PUT at this path" },
+        { "no such page", "GET", "/nothing", "", {}, ResultCode::UnknownResource, 404, "no page" },
+        { "no key", "POST", "/v1/home", "{}", {}, ResultCode::KeyRefused, 401, "X-Parsleypaddle-Key: absent" },
+        { "wrong key", "POST", "/v1/home", "{}", { "X-Parsleypaddle-Key: old-kez" }, ResultCode::KeyRefused, 401, "not an accepted key" },
+        { "damaged home call", "POST", "/v1/home", "{}", { "X-Parsleypaddle-Key: old-key" }, ResultCode::MalformedInput, 400, "message between daemons" },
+    }));
+    CAPTURE(input.name);
+    GatewayFixture fixture([](GatewaySettings& settings, GatewayHandlers&) { settings.maximumBody = smallBodyLimit; });
+    HttpResult refused;
+    HttpResult next;
+    fixture.run({ [&] {
+        const uint16_t port = fixture.gateway->port();
+        refused = sendRequest(port, input.method, input.path, input.body, input.headers);
+        next = sendRequest(port, "POST", path, statementBody("next"));
+    } });
+    CHECK(refused.status == input.status);
+    const auto answer = decodeStatementAnswer(refused.body);
+    REQUIRE(answer.ok());
+    CHECK(answer->code == input.code);
+    CHECK_THAT(answer->message, Catch::Contains(input.message));
+    CHECK(next.status == 200);
+    CHECK(fixture.gateway->counts().refused == 1);
+    CHECK(fixture.gateway->counts().keysRefused == (input.code == ResultCode::KeyRefused ? 1 : 0));
+}
+
+TEST_CASE("bytes that are no HTTP end their connection only", "[gateway]")
+{
+    const auto bytes = GENERATE(as<std::string>(), "\r\n\r\n\r\n", "GET\r\n\r\n", std::string(20'000, 'A'), "POST /v1/statements HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+        "POST /v1/statements HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "\x16\x03\x01\x02\x00\x01", std::string(64, '\0') + "\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(50'000, 'b') + "\r\n\r\n");
+    CAPTURE(bytes.substr(0, 60));
+    GatewayFixture fixture([](GatewaySettings& settings, GatewayHandlers&) {
+        settings.idleTimeout = Milliseconds(1000);
+        settings.requestTimeout = Milliseconds(50);
+    });
+    HttpResult next;
+    fixture.run({ [&] {
+        sendRaw(fixture.gateway->port(), bytes);
+        next = sendRequest(fixture.gateway->port(), "POST", "/v1/statements", statementBody("next"));
+    } });
+    CHECK(next.status == 200);
+    CHECK(fixture.gateway->requestsInFlight() == 0);
+}
+
+TEST_CASE("a request that does not arrive whole in time is refused as too slow", "[gateway]")
+{
+    const auto bytes = GENERATE(as<std::string>(), "POST /v1/statements HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{", "POST /v1/statements HTTP/1.1\r\nHost: x\r\nConte");
+    GatewayFixture fixture([](GatewaySettings& settings, GatewayHandlers&) { settings.requestTimeout = Milliseconds(30); });
+    std::string received;
+    fixture.run({ [&] { received = sendRaw(fixture.gateway->port(), bytes); } });
+    CHECK_THAT(received, Catch::StartsWith("HTTP/1.1 408") && Catch::Contains("\"code\":2008") && Catch::Contains("within 30 ms"));
+    CHECK(fixture.gateway->counts().tooSlow == 1);
+}
+
+TEST_CASE("a peer's call is handed on with its key, either of the accepted ones", "[gateway]")
+{
+    const auto key = GENERATE(as<std::string>(), "old-key", "new-key");
+    GatewayFixture fixture;
+    HomeCall call;
+    call.request.id = RequestId("1700000000000-a");
+    HttpResult result;
+    fixture.run({ [&] { result = sendRequest(fixture.gateway->port(), "POST", "/v1/home", encodeHomeCall(call, Instant()), { "X-Parsleypaddle-Key: " + key }); } });
+    const auto reply = decodeHomeReply(result.body, Instant());
+    REQUIRE(reply.ok());
+    CHECK(reply->answer.id == call.request.id);
+    CHECK(fixture.gateway->counts().homeCalls == 1);
+}
+
+TEST_CASE("a page is served with its status and type", "[gateway]")
+{
+    GatewayFixture fixture([](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.page = [](const std::string& path) -> std::optional<Page> {
+            if (path != "/health")
+                return std::nullopt;
+            return Page { 503, "text/x-test", "leaving\n" };
+        };
+    });
+    HttpResult result;
+    fixture.run({ [&] { result = sendRequest(fixture.gateway->port(), "GET", "/health?verbose=1"); } });
+    CHECK(result.status == 503);
+    CHECK(result.body == "leaving\n");
+    CHECK_THAT(result.headers, Catch::Contains("text/x-test"));
+}
+
+TEST_CASE("a caller that leaves before its answer is noticed and its late answer dropped", "[gateway]")
+{
+    std::vector<RequestId> departed;
+    GatewayFixture::Answer late;
+    StatementRequest held;
+    std::unique_ptr<GatewayFixture> fixture;
+    std::unique_ptr<Poco::Net::StreamSocket> socket;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& answer) {
+            held = request;
+            late = answer;
+            socket->close();
+        };
+        handlers.onDeparted = [&](const RequestId& id) {
+            departed.push_back(id);
+            late(echoOf(held));
+            late(echoOf(held));
+            fixture->loop->after(Milliseconds(1), [&] { fixture->loop->stop(); });
+        };
+    });
+    const std::string body = statementBody("a");
+    const std::string head = "POST /v1/statements HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    socket = std::make_unique<Poco::Net::StreamSocket>(Poco::Net::SocketAddress("127.0.0.1", fixture->gateway->port()));
+    const std::string bytes = head + body;
+    socket->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    fixture->loop->run();
+    CHECK(departed == std::vector<RequestId> { RequestId("1700000000000-a") });
+    CHECK(fixture->gateway->requestsInFlight() == 0);
+    CHECK(fixture->gateway->counts().departed == 1);
+}
+
+TEST_CASE("an answer that comes after the gateway is gone is dropped", "[gateway]")
+{
+    GatewayFixture::Answer late;
+    StatementRequest held;
+    std::unique_ptr<GatewayFixture> fixture;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& answer) {
+            held = request;
+            late = answer;
+            fixture->loop->post([&] { fixture->gateway.reset(); });
+        };
+    });
+    HttpResult result;
+    fixture->run({ [&, port = fixture->gateway->port()] { result = sendRequest(port, "POST", "/v1/statements", statementBody("a")); } });
+    CHECK(result.status == 0);
+    late(echoOf(held));
+}
+
+TEST_CASE("a draining gateway takes no connection and finishes what it has", "[gateway]")
+{
+    HttpResult refused;
+    HttpResult finished;
+    std::unique_ptr<GatewayFixture> fixture;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& answer) {
+            fixture->gateway->stopAccepting();
+            CHECK(fixture->gateway->requestsInFlight() == 1);
+            refused = sendRequest(fixture->gateway->port(), "GET", "/");
+            fixture->loop->after(Milliseconds(1), [request, answer] { answer(echoOf(request)); });
+        };
+    });
+    fixture->run({ [&] { finished = sendRequest(fixture->gateway->port(), "POST", "/v1/statements", statementBody("a")); } });
+    CHECK(refused.status == 0);
+    CHECK(finished.status == 200);
+    CHECK_THAT(finished.headers, Catch::Contains("Connection: close"));
+    CHECK(fixture->gateway->requestsInFlight() == 0);
+}
+
+TEST_CASE("a gateway needs an address that is an IP number and free", "[gateway]")
+{
+    GatewayFixture fixture;
+    GatewaySettings settings;
+    settings.host = "localhost.example";
+    CHECK(resultCodeOf(Gateway::create(*fixture.loop, settings, {}).status()) == ResultCode::ValueOutOfRange);
+    settings.host = "127.0.0.1";
+    settings.port = fixture.gateway->port();
+    CHECK(resultCodeOf(Gateway::create(*fixture.loop, settings, {}).status()) == ResultCode::ValueOutOfRange);
+}
--- a/src/statements/StatementJson.cpp
+++ b/src/statements/StatementJson.cpp
@@ -1,79 +1,15 @@
 #include "statements/StatementJson.h"
 
+#include "statements/JsonText.h"
 #include "statements/StatementFields.h"
 
-#include <Poco/UTF8Encoding.h>
 #include <absl/strings/str_cat.h>
 #include <array>
-#include <json/reader.h>
-#include <json/writer.h>
-#include <memory>
-#include <sstream>
 
 namespace parsleypaddle {
 
 namespace {
 
-    constexpr int deepestNesting = 16;
-
-    std::unique_ptr<Json::CharReader> createReader()
-    {
-        Json::CharReaderBuilder builder;
-        Json::CharReaderBuilder::strictMode(&builder.settings_);
-        builder["stackLimit"] = deepestNesting;
-        builder["failIfExtra"] = true;
-        builder["rejectDupKeys"] = true;
-        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
-    }
-
-    absl::StatusOr<Json::Value> parseObject(std::string_view body)
-    {
-        thread_local const std::unique_ptr<Json::CharReader> reader = createReader();
-        Json::Value object;
-        std::string faults;
-        try {
-            if (!reader->parse(body.data(), body.data() + body.size(), &object, &faults))
-                return makeError(ResultCode::MalformedInput, absl::StrCat("body: not JSON: ", faults));
-        } catch (const Json::Exception&) {
-            return makeError(ResultCode::MalformedInput, absl::StrCat("body: not JSON, or nested deeper than ", deepestNesting));
-        }
-        if (!object.isObject())
-            return makeError(ResultCode::MalformedInput, "body: not a JSON object");
-        return object;
-    }
-
-    bool isUtf8(std::string_view text)
-    {
-        const Poco::UTF8Encoding encoding;
-        const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
-        size_t n = 0;
-        while (n < text.size()) {
-            if (bytes[n] < 0x80) {
-                ++n;
-                continue;
-            }
-            const int length = encoding.sequenceLength(bytes + n, 1);
-            if (length < 1 || n + length > text.size() || !Poco::UTF8Encoding::isLegal(bytes + n, length))
-                return false;
-            n += length;
-        }
-        return true;
-    }
-
-    std::string writeCompact(const Json::Value& value)
-    {
-        static const Json::StreamWriterBuilder builder = [] {
-            Json::StreamWriterBuilder settings;
-            settings["indentation"] = "";
-            settings["emitUTF8"] = true;
-            return settings;
-        }();
-        thread_local const std::unique_ptr<Json::StreamWriter> writer(builder.newStreamWriter());
-        std::ostringstream stream;
-        writer->write(value, &stream);
-        return stream.str();
-    }
-
     Json::Value jsonOf(const Rows& rows)
     {
         Json::Value lines(Json::arrayValue);
@@ -120,7 +56,7 @@
 {
     if (!isUtf8(body))
         return makeError(ResultCode::MalformedInput, "body: not UTF-8");
-    auto object = parseObject(body);
+    auto object = parseJsonObject(body);
     if (!object.ok())
         return object.status();
     StatementRequest request;
@@ -148,12 +84,12 @@
     object["target"] = answer.target.value();
     object["age_ms"] = answer.age.count();
     object["retry_after_ms"] = answer.retryAfter.count();
-    return writeCompact(object);
+    return writeJson(object);
 }
 
 absl::StatusOr<StatementAnswer> decodeStatementAnswer(std::string_view body)
 {
-    auto parsed = parseObject(body);
+    auto parsed = parseJsonObject(body);
     if (!parsed.ok())
         return parsed.status();
     const Json::Value& object = *parsed;
