--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -129,6 +129,27 @@
         (*task)(readinessOf(mode));
     }
 
+    // A descriptor that its owner closed too early has left the kernel's set by itself, and its number may already be
+    // another's. libcurl does so with transfers that are given up.
+    bool update(const BorrowedSocket& socket, Readiness interest)
+    {
+        try {
+            pollSet.update(socket, pollModeOf(interest));
+            return true;
+        } catch (const Poco::Exception&) {
+            return false;
+        }
+    }
+
+    void remove(const BorrowedSocket& socket)
+    {
+        try {
+            pollSet.remove(socket);
+        } catch (const Poco::Exception&) {
+            return;
+        }
+    }
+
     void wake() const
     {
         const uint64_t one = 1;
@@ -212,11 +233,11 @@
 {
     auto shared = std::make_shared<ReadyTask>(std::move(task));
     auto it = m_internals->watched.find(descriptor);
-    if (it != m_internals->watched.end()) {
+    if (it != m_internals->watched.end() && m_internals->update(it->second.socket, interest)) {
         it->second.task = std::move(shared);
-        m_internals->pollSet.update(it->second.socket, pollModeOf(interest));
         return;
     }
+    unwatch(descriptor);
     BorrowedSocket socket(descriptor);
     m_internals->pollSet.add(socket, pollModeOf(interest));
     m_internals->watched.emplace(descriptor, Internals::Watched { socket, std::move(shared) });
@@ -227,7 +248,7 @@
     auto it = m_internals->watched.find(descriptor);
     if (it == m_internals->watched.end())
         return;
-    m_internals->pollSet.remove(it->second.socket);
+    m_internals->remove(it->second.socket);
     m_internals->watched.erase(it);
 }
 
@@ -242,12 +263,11 @@
 
 void PollLoop::run()
 {
-    while (!m_internals->isStopping) {
+    while (!m_internals->isStopping.exchange(false)) {
         m_internals->pollOnce();
         m_internals->runPosted();
         m_internals->runDueTimers();
     }
-    m_internals->isStopping = false;
 }
 
 void PollLoop::stop()
--- a/src/net/PollLoop.h
+++ b/src/net/PollLoop.h
@@ -32,7 +32,7 @@
     void cancel(TimerId) override;
 
     /// Calls `task` whenever the descriptor is ready for one of `interest`. Watching again replaces both.
-    /// The descriptor stays its owner's, who unwatches it before closing it.
+    /// The descriptor stays its owner's, who should unwatch it before closing it; one closed too early is forgotten.
     void watch(int descriptor, Readiness interest, ReadyTask task);
     void unwatch(int descriptor);
 
--- a/src/net/PollLoopTests.cpp
+++ b/src/net/PollLoopTests.cpp
@@ -47,3 +47,32 @@
     close(pair[0]);
     close(pair[1]);
 }
+
+TEST_CASE("a descriptor closed while watched may be unwatched, or watched anew under its number", "[net]")
+{
+    auto loop = PollLoop::create();
+    REQUIRE(loop.ok());
+    std::array<int, 2> first {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, first.data()) == 0);
+    (*loop)->watch(first[0], Readiness::Read, [](Readiness) { FAIL("the closed descriptor was reported"); });
+    close(first[0]);
+    close(first[1]);
+    const bool isUnwatched = GENERATE(true, false);
+    if (isUnwatched)
+        (*loop)->unwatch(first[0]);
+
+    std::array<int, 2> second {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, second.data()) == 0);
+    REQUIRE(second[0] == first[0]);
+    bool isReported = false;
+    (*loop)->watch(second[0], Readiness::Read, [&](Readiness) {
+        isReported = true;
+        (*loop)->unwatch(second[0]);
+        (*loop)->stop();
+    });
+    REQUIRE(write(second[1], "x", 1) == 1);
+    (*loop)->run();
+    CHECK(isReported);
+    close(second[0]);
+    close(second[1]);
+}
