--- /dev/null
+++ b/src/telemetry/JournalTests.cpp
@@ -0,0 +1,44 @@
+#include "telemetry/Journal.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+Decision decisionOn(const std::string& request, double at, const std::string& what)
+{
+    return { Instant(at), RequestId(request), DatabaseId("fitting-1"), what, "because" };
+}
+
+}
+
+TEST_CASE("the journal gives the decisions on a request and on a group in their order", "[telemetry]")
+{
+    Journal journal({});
+    journal.note(decisionOn("r1", 1, "read"));
+    journal.note(decisionOn("", 2, "promote"));
+    journal.note(decisionOn("r2", 3, "read"));
+    journal.note(decisionOn("r1", 4, "ask another target"));
+    REQUIRE(journal.ofRequest(RequestId("r1")).size() == 2);
+    CHECK(journal.ofRequest(RequestId("r1"))[1].what == "ask another target");
+    REQUIRE(journal.ofGroup(DatabaseId("fitting-1")).size() == 1);
+    CHECK(journal.ofGroup(DatabaseId("fitting-1"))[0].what == "promote");
+    CHECK(journal.ofGroup(DatabaseId("other")).empty());
+    CHECK(journal.completeSince() == Instant());
+}
+
+TEST_CASE("the journal keeps within its limits, and callers' requests push out no decision on a group", "[telemetry]")
+{
+    const JournalLimits limits { 100'000, 10'000 };
+    Journal journal(limits);
+    journal.note(decisionOn("", 1, "promote"));
+    for (int n = 0; n < 10'000; ++n)
+        journal.note(decisionOn("r" + std::to_string(n), n, "read"));
+    CHECK(journal.size() <= limits.requestBytes + limits.groupBytes);
+    CHECK(journal.size() > limits.requestBytes / 2);
+    CHECK(journal.ofGroup(DatabaseId("fitting-1")).size() == 1);
+    CHECK(journal.ofRequest(RequestId("r0")).empty());
+    CHECK(journal.ofRequest(RequestId("r9999")).size() == 1);
+    CHECK(journal.completeSince() > Instant(0));
+}
--- /dev/null
+++ b/src/telemetry/LabelLimit.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+namespace parsleypaddle {
+
+/// Bounds the values of a metric's label: the first ones seen keep their name, all further ones are "other".
+class LabelLimit {
+public:
+    explicit LabelLimit(size_t limit)
+        : m_limit(limit)
+    {
+    }
+
+    const std::string& labelOf(const std::string& value)
+    {
+        static const std::string other("other");
+        auto it = m_values.find(value);
+        if (it != m_values.end())
+            return *it;
+        return m_values.size() < m_limit ? *m_values.insert(value).first : other;
+    }
+
+private:
+    size_t m_limit;
+    std::set<std::string> m_values;
+};
+
+}
