Platform over HTTP, and its stand-in

The three platform ports had only the fake in memory. HttpPlatform sends each request from a worker and bounds it twice: the socket's timeouts bound each step, a timer on the loop bounds the whole.

--- /dev/null
+++ b/src/platform_http/HttpPlatform.cpp
@@ -0,0 +1,147 @@
+#include "platform_http/HttpPlatform.h"
+
+#include "base/ResultCode.h"
+#include "platform_http/PlatformExchange.h"
+#include "platform_http/PlatformListJson.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/URI.h>
+#include <utility>
+
+namespace parsleypaddle {
+
+namespace {
+
+    using Poco::Net::HTTPResponse;
+
+    std::string pathOf(const std::string& folder, const std::string& name)
+    {
+        std::string encoded;
+        Poco::URI::encode(name, "/?#", encoded);
+        return "/" + folder + "/" + encoded;
+    }
+
+    absl::Status refusalOf(const PlatformResponse& response)
+    {
+        return makeError(ResultCode::PlatformUnavailable, "the platform answered with status " + std::to_string(response.status));
+    }
+
+    // Reads of rows and objects tell "none" apart from a failure.
+    absl::StatusOr<std::optional<PlatformResponse>> foundIn(absl::StatusOr<PlatformResponse> response)
+    {
+        if (!response.ok())
+            return response.status();
+        if (response->status == HTTPResponse::HTTP_NOT_FOUND)
+            return std::optional<PlatformResponse>();
+        if (response->status != HTTPResponse::HTTP_OK)
+            return refusalOf(*response);
+        return std::optional<PlatformResponse>(std::move(*response));
+    }
+
+}
+
+HttpPlatform::HttpPlatform(PollLoop& loop, WorkerPool& workers, const HttpPlatformSettings& settings)
+    : m_loop(loop)
+    , m_workers(workers)
+    , m_settings(settings)
+    , m_onFailure(std::make_shared<std::function<void()>>())
+{
+}
+
+void HttpPlatform::onFailure(std::function<void()> callback)
+{
+    *m_onFailure = std::move(callback);
+}
+
+void HttpPlatform::send(PlatformRequest request, Responded done)
+{
+    // The socket's timeouts bound each step, the timer bounds the whole; whichever comes first is the answer.
+    auto pending = std::make_shared<Responded>(std::move(done));
+    const auto finish = [pending, onFailure = m_onFailure](absl::StatusOr<PlatformResponse> response) {
+        auto function = std::exchange(*pending, nullptr);
+        if (!function)
+            return;
+        if (!response.ok() && *onFailure)
+            (*onFailure)();
+        function(std::move(response));
+    };
+    const TimerId timer = m_loop.after(m_settings.timeout, [finish] { finish(makeError(ResultCode::PlatformUnavailable, "the platform did not answer in time")); });
+    const bool isTaken = m_workers.submit([&loop = m_loop, timer, finish, settings = m_settings, request = std::move(request)]() -> std::function<void()> {
+        auto response = exchangeWithPlatform(settings.host, settings.port, settings.timeout, request);
+        return [&loop, timer, finish, response = std::move(response)] {
+            loop.cancel(timer);
+            finish(response);
+        };
+    });
+    if (!isTaken) {
+        m_loop.cancel(timer);
+        m_loop.post([finish] { finish(makeError(ResultCode::PlatformUnavailable, "too many requests to the platform wait already")); });
+    }
+}
+
+void HttpPlatform::read(const std::string& key, ReadDone done)
+{
+    send({ "GET", pathOf("table", key), "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+        const auto found = foundIn(std::move(response));
+        if (!found.ok())
+            done(found.status());
+        else if (!*found)
+            done(std::optional<TableRow>());
+        else
+            done(std::optional<TableRow>({ (*found)->body, (*found)->etag }));
+    });
+}
+
+void HttpPlatform::write(const std::string& key, const std::string& value, const std::string& expected, WriteDone done)
+{
+    PlatformRequest request { "PUT", pathOf("table", key), value, "If-Match", expected };
+    if (expected.empty()) {
+        request.conditionName = "If-None-Match";
+        request.conditionValue = "*";
+    }
+    send(std::move(request), [value, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+        if (!response.ok())
+            done(response.status());
+        else if (response->status == HTTPResponse::HTTP_PRECONDITION_FAILED)
+            done(makeError(ResultCode::ConfigurationConflict, "the row was changed by another write"));
+        else if (response->status != HTTPResponse::HTTP_OK)
+            done(refusalOf(*response));
+        else
+            done(TableRow { value, response->etag });
+    });
+}
+
+void HttpPlatform::get(const std::string& name, GetDone done)
+{
+    send({ "GET", pathOf("objects", name), "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+        auto found = foundIn(std::move(response));
+        if (!found.ok())
+            done(found.status());
+        else
+            done(*found ? std::optional<std::string>(std::move((*found)->body)) : std::nullopt);
+    });
+}
+
+void HttpPlatform::put(const std::string& name, const std::string& body, PutDone done)
+{
+    send({ "PUT", pathOf("objects", name), body, "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+        if (!response.ok())
+            done(response.status());
+        else
+            done(response->status == HTTPResponse::HTTP_OK ? absl::OkStatus() : refusalOf(*response));
+    });
+}
+
+void HttpPlatform::list(ListDone done)
+{
+    send({ "GET", "/instances", "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+        if (!response.ok())
+            done(response.status());
+        else if (response->status != HTTPResponse::HTTP_OK)
+            done(refusalOf(*response));
+        else
+            done(decodePlatformList(response->body));
+    });
+}
+
+}
--- /dev/null
+++ b/src/platform_http/PlatformExchange.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+
+namespace parsleypaddle {
+
+/// One HTTP request to the platform.
+struct PlatformRequest {
+    std::string method;
+    std::string path;
+    std::string body;
+    /// "If-Match" or "If-None-Match"; empty for an unconditional request.
+    std::string conditionName;
+    std::string conditionValue;
+};
+
+/// The platform's response.
+struct PlatformResponse {
+    int status { 0 };
+    std::string etag;
+    std::string body;
+};
+
+/// Sends the request and waits for the response; blocks. PlatformUnavailable when there is none in time.
+absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest&);
+
+}
--- a/src/standin_program/main.cpp
+++ b/src/standin_program/main.cpp
@@ -1,4 +1,5 @@
 #include "standin_program/GroupCommand.h"
+#include "standin_program/PlatformCommand.h"
 
 #include <array>
 #include <cstdlib>
@@ -12,8 +13,9 @@
     int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Command, 1> commands { {
+constexpr std::array<Command, 2> commands { {
     { "group", parsleypaddle::runGroup },
+    { "platform", parsleypaddle::runPlatform },
 } };
 
 }
@@ -25,6 +27,7 @@
         if (it.name == name)
             return it.run(argc - 1, argv + 1);
     }
-    std::cerr << "usage: parsleypaddle-standin group --settings FILE\n";
+    std::cerr << "usage: parsleypaddle-standin group --settings FILE\n"
+                 "       parsleypaddle-standin platform [--port N] [--instances FILE]\n";
     return EXIT_FAILURE;
 }
