A request asked again says so, and its refusal then covers every earlier time

Cause: a caller that got an unknown outcome and asked again could be told not_run of an overload while its first copy still ran. Ruled out: settling every refusal, which puts writes on an overloaded primary. A request carries attempt; above 1 a refusal is settled through the ledger first. Calls between daemons carry the term of a read's position, and pings.

--- a/src/fleet/FakeFleetTests.cpp
+++ b/src/fleet/FakeFleetTests.cpp
@@ -146,3 +146,25 @@
     CHECK(example.ask(0, example.write("w1")).outcome() == Outcome::Done);
     CHECK(example.targets.model(orders).survivingLog().size() == 1);
 }
+
+TEST_CASE("a refusal of a request that was sent before covers the earlier times too", "[fleet]")
+{
+    ExampleFleet example;
+    auto again = example.write("w1");
+    again.statement.text = "DROP TABLE records";
+    SECTION("the first time it is told as it came")
+    {
+        CHECK(example.ask(0, again).code == ResultCode::StatementFailed);
+        CHECK(example.targets.model(orders).survivingLog().empty());
+    }
+    SECTION("a later time it is settled, so that no earlier copy can still run")
+    {
+        again.attempt = 2;
+        CHECK(example.ask(0, again).code == ResultCode::RequestSettled);
+        auto lateCopy = again;
+        lateCopy.attempt = 1;
+        lateCopy.statement = example.write("w1").statement;
+        CHECK(example.ask(1, lateCopy).code == ResultCode::RequestSettled);
+        CHECK(example.targets.model(orders).survivingRecords().empty());
+    }
+}
--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -221,6 +221,7 @@
     object["op"] = number(call.operation);
     object["target"] = call.target.value();
     object["min"] = jsonOf(call.minimumPosition);
+    object["term"] = jsonOf(call.minimumTerm);
     object["age"] = call.greatestAge.count();
     object["req"] = jsonOf(call.request, now);
     return writeJson(object);
@@ -231,8 +232,9 @@
     return decode<HomeCall>(text, [now](const Json::Value& object, HomeCall& call) {
         call.target = TargetId(object["target"].asString());
         call.minimumPosition = LogPosition(object["min"].asUInt64());
+        call.minimumTerm = Term(object["term"].asUInt64());
         call.greatestAge = Milliseconds(object["age"].asDouble());
-        return read(object["op"], HomeOperation::PrimaryPosition, call.operation)
+        return read(object["op"], HomeOperation::Ping, call.operation)
             && read(object["req"], now, call.request);
     });
 }
--- a/src/peers/HomeCallJsonTests.cpp
+++ b/src/peers/HomeCallJsonTests.cpp
@@ -14,6 +14,7 @@
     call.operation = HomeOperation::Write;
     call.target = TargetId("db-1-a");
     call.minimumPosition = LogPosition(77);
+    call.minimumTerm = Term(3);
     call.greatestAge = Milliseconds(12.5);
     auto& request = call.request;
     request.shop = ShopId("yoff-3");
@@ -43,6 +44,7 @@
     CHECK(read->operation == call.operation);
     CHECK(read->target == call.target);
     CHECK(read->minimumPosition == call.minimumPosition);
+    CHECK(read->minimumTerm == call.minimumTerm);
     CHECK(read->request.statement.parameters == call.request.statement.parameters);
     CHECK(read->request.transaction->step == TransactionStep::Continue);
     CHECK(read->request.repeatability == Repeatability::NotRepeatable);
--- a/src/statements/StatementFields.cpp
+++ b/src/statements/StatementFields.cpp
@@ -17,6 +17,7 @@
     constexpr size_t timestampDigits = 13;
     constexpr size_t longestRequestSuffix = 64;
     constexpr double longestDeadlineMilliseconds = 600'000;
+    constexpr double mostAttempts = 1000;
     constexpr double greatestAgeLimitMilliseconds = 86'400'000;
 
     const char* typeName(const Json::Value& value)
@@ -192,6 +193,15 @@
         return absl::OkStatus();
     }
 
+    absl::Status decodeAttempt(const char* name, const Json::Value& value, const FieldContext& context)
+    {
+        double attempt = 0;
+        if (auto ec = decodeNumber(name, value, 1, mostAttempts, attempt); !ec.ok())
+            return ec;
+        context.request.attempt = static_cast<uint32_t>(attempt);
+        return absl::OkStatus();
+    }
+
     absl::Status decodeDeadline(const char* name, const Json::Value& value, const FieldContext& context)
     {
         double deadline = 0;
@@ -248,7 +258,7 @@
         return absl::OkStatus();
     }
 
-    constexpr std::array<StatementField, 14> statementFields { {
+    constexpr std::array<StatementField, 15> statementFields { {
         { "version", true, decodeVersion },
         { "shop", true, decodeName<&StatementRequest::shop> },
         { "session", false, decodeName<&StatementRequest::session> },
@@ -259,6 +269,7 @@
         { "parameters", false, decodeParameters },
         { "mode", true, decodeMode },
         { "greatest_age_ms", false, decodeGreatestAge },
+        { "attempt", false, decodeAttempt },
         { "repeatable", false, decodeRepeatable },
         { "deadline_ms", true, decodeDeadline },
         { "transaction", false, decodeTransaction },
