Calls to homes on other daemons by libcurl's multi interface

Entry daemons forward statements to homes. curl's sockets and timers are driven by the loop; connections are kept and bounded per peer; the deadline travels as remaining milliseconds, less a margin so that the home's own answer arrives first. curl sends a request again by itself when a kept connection breaks before the answer: a write is stopped from that in curl's callback before sending, and becomes PeerSilent. TCP_USER_TIMEOUT ends calls on connections that went silent; after a silent call, connections that were idle since then are not used again.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -13,9 +13,6 @@
 
 namespace parsleypaddle {
 
-/// The header that carries the key of a peer daemon.
-constexpr const char* peerKeyHeader = "X-Parsleypaddle-Key";
-
 /// Where and within which bounds a gateway listens.
 struct GatewaySettings {
     /// IP number.
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -3,6 +3,7 @@
 #include "gateway/HttpStatus.h"
 #include "net/KeyCheck.h"
 #include "peers/HomeCallJson.h"
+#include "peers/PeerPaths.h"
 #include "statements/StatementJson.h"
 
 #include <absl/strings/str_cat.h>
@@ -15,7 +16,6 @@
 namespace {
 
     constexpr const char* statementPath = "/v1/statements";
-    constexpr const char* homePath = "/v1/home";
 
     Route routeOf(const char* url, const char* method)
     {
--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -242,7 +242,7 @@
 
 void PollLoop::run()
 {
-    while (!m_internals->isStopping) {
+    while (!m_internals->isStopping.exchange(false)) {
         m_internals->pollOnce();
         m_internals->runPosted();
         m_internals->runDueTimers();
--- a/src/net/PollLoop.h
+++ b/src/net/PollLoop.h
@@ -39,7 +39,7 @@
     /// Runs `task` on the loop's thread soon; callable from any thread.
     void post(std::function<void()> task);
 
-    /// Runs until stop().
+    /// Runs until stop(); may then run again.
     void run();
     void stop();
 
--- /dev/null
+++ b/src/peers/PeerCall.cpp
@@ -0,0 +1,161 @@
+#include "peers/PeerCall.h"
+
+#include "peers/HomeCallJson.h"
+#include "peers/PeerClient.h"
+#include "peers/PeerPaths.h"
+#include "statements/StatementJson.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    // The home stops this much earlier than the asker, so that its answer arrives in time. A share for short deadlines.
+    constexpr Milliseconds longestMargin { 10 };
+    constexpr double marginShare = 0.1;
+    constexpr long bufferBytes = 16L * 1024;
+
+    Milliseconds marginOf(Milliseconds remaining)
+    {
+        return std::min(longestMargin, remaining * marginShare);
+    }
+
+    const char* deliveryText(bool mayBeDelivered)
+    {
+        return mayBeDelivered ? "the call may have been delivered" : "the call was not delivered";
+    }
+
+}
+
+std::unique_ptr<PeerCall> PeerCall::create(const PeerClientSettings& settings)
+{
+    CURL* handle = curl_easy_init();
+    if (!handle)
+        return nullptr;
+    std::unique_ptr<PeerCall> call(new PeerCall(handle));
+    call->setOptions(settings);
+    return call;
+}
+
+PeerCall::PeerCall(CURL* handle)
+    : m_handle(handle)
+{
+}
+
+PeerCall::~PeerCall()
+{
+    curl_easy_cleanup(m_handle);
+    curl_slist_free_all(m_headers);
+}
+
+void PeerCall::setOptions(const PeerClientSettings& settings)
+{
+    m_unconfirmedMilliseconds = static_cast<unsigned>(settings.unconfirmedTimeout.count());
+    m_headers = curl_slist_append(m_headers, absl::StrCat(peerKeyHeader, ": ", settings.key).c_str());
+    m_headers = curl_slist_append(m_headers, "Content-Type: application/json");
+    m_headers = curl_slist_append(m_headers, "Expect:");
+    m_headers = curl_slist_append(m_headers, "Accept:");
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headers);
+    curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(settings.connectTimeout.count()));
+    curl_easy_setopt(m_handle, CURLOPT_BUFFERSIZE, bufferBytes);
+    curl_easy_setopt(m_handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &PeerCall::onSending);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &PeerCall::onReceived);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_SOCKOPTFUNCTION, &PeerCall::onSocket);
+    curl_easy_setopt(m_handle, CURLOPT_SOCKOPTDATA, &m_unconfirmedMilliseconds);
+}
+
+void PeerCall::prepare(const Target& target, const HomeCall& call, Instant now, HomePort::Done done)
+{
+    m_peer = target.peer;
+    m_request = call.request.id;
+    m_done = std::move(done);
+    m_body = encodeHomeCall(call, now + marginOf(call.request.deadline - now));
+    m_mayRepeat = call.operation != HomeOperation::Write;
+    m_isSending = false;
+    curl_easy_setopt(m_handle, CURLOPT_URL, target.url.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_MAXAGE_CONN, target.oldestConnection);
+    curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_body.size()));
+    curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_body.data());
+}
+
+// curl sends a request again by itself when a kept connection breaks before the answer. A write that the peer
+// may have taken must not be sent twice, since a step of a transaction would run twice.
+int PeerCall::onSending(void* call, char*, char*, int, int)
+{
+    auto* self = static_cast<PeerCall*>(call);
+    if (self->m_isSending && !self->m_mayRepeat)
+        return CURL_PREREQFUNC_ABORT;
+    self->m_isSending = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+size_t PeerCall::onReceived(char* data, size_t size, size_t count, void* call)
+{
+    static_cast<PeerCall*>(call)->m_received.append(data, size * count);
+    return size * count;
+}
+
+int PeerCall::onSocket(void* unconfirmedMilliseconds, curl_socket_t descriptor, curlsocktype)
+{
+    // Without it a connection that went silent holds its call until the deadline.
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unconfirmedMilliseconds, sizeof(unsigned));
+    return CURL_SOCKOPT_OK;
+}
+
+HomeReply PeerCall::replyOf(CURLcode result, Instant now) const
+{
+    if (result != CURLE_OK) {
+        const ResultCode code = m_isSending ? ResultCode::PeerSilent : ResultCode::PeerUnreachable;
+        return failureReply(code, absl::StrCat(m_peer.value(), ": ", curl_easy_strerror(result), "; ", deliveryText(m_isSending)));
+    }
+    long status = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+    constexpr long success = 200;
+    if (status == success) {
+        if (auto reply = decodeHomeReply(m_received, now); reply.ok())
+            return *std::move(reply);
+    } else if (auto refusal = decodeStatementAnswer(m_received); refusal.ok()) {
+        HomeReply reply;
+        reply.answer = *std::move(refusal);
+        reply.answer.id = m_request;
+        return reply;
+    }
+    return failureReply(ResultCode::PeerSilent, absl::StrCat(m_peer.value(), ": unreadable answer with HTTP status ", status));
+}
+
+HomeReply PeerCall::replyOfDeadline() const
+{
+    const ResultCode code = m_isSending ? ResultCode::PeerSilent : ResultCode::PeerUnreachable;
+    return failureReply(code, absl::StrCat(m_peer.value(), ": no answer by the deadline; ", deliveryText(m_isSending)));
+}
+
+HomePort::Done PeerCall::finish()
+{
+    std::string().swap(m_body);
+    std::string().swap(m_received);
+    HomePort::Done done;
+    done.swap(m_done);
+    return done;
+}
+
+HomeReply PeerCall::failureReply(ResultCode code, const std::string& message) const
+{
+    HomeReply reply;
+    reply.answer.id = m_request;
+    reply.answer.code = code;
+    reply.answer.message = message;
+    return reply;
+}
+
+}
--- /dev/null
+++ b/src/peers/PeerClient.cpp
@@ -0,0 +1,272 @@
+#include "peers/PeerClient.h"
+
+#include "peers/PeerCall.h"
+#include "peers/PeerPaths.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <optional>
+
+// libcurl's multi interface on the daemon's loop: curl says which descriptors and times it waits for.
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr size_t idleCallLimit = 256;
+    constexpr long oldestIdleSeconds = 100;
+    constexpr double millisecondsPerSecond = 1000;
+
+    HomeReply refusal(const HomeCall& call, ResultCode code, const std::string& message)
+    {
+        HomeReply reply;
+        reply.answer.id = call.request.id;
+        reply.answer.code = code;
+        reply.answer.message = message;
+        return reply;
+    }
+
+}
+
+class PeerClient::Internals {
+public:
+    Internals(PollLoop& loop, PeerClientSettings settings)
+        : m_loop(loop)
+        , m_settings(std::move(settings))
+    {
+    }
+
+    ~Internals();
+
+    bool start();
+    void setPeers(const std::vector<InstanceEntry>&);
+    void call(const InstanceId&, const HomeCall&, Done);
+    size_t callsInFlight() const { return m_calls.size(); }
+
+private:
+    struct Peer {
+        std::string url;
+        /// When a call to it last stayed without an answer.
+        std::optional<Instant> silentAt;
+    };
+
+    static int onSocket(CURL*, curl_socket_t, int what, void* internals, void* watched);
+    static int onTimer(CURLM*, long timeoutMilliseconds, void* internals);
+
+    /// Lets curl work on a descriptor, or on its timers, and answers the calls that ended.
+    void act(curl_socket_t, int ready);
+    void collect();
+    void end(CURL*, const HomeReply&);
+    void expire(CURL*);
+    void answerLater(HomeReply, Done);
+    long oldestConnection(const Peer&) const;
+    std::unique_ptr<PeerCall> takeCall();
+
+    PollLoop& m_loop;
+    PeerClientSettings m_settings;
+    CURLM* m_multi { nullptr };
+    TimerId m_timer { TimerId::None };
+    absl::flat_hash_map<InstanceId, Peer> m_peers;
+    absl::flat_hash_map<CURL*, std::unique_ptr<PeerCall>> m_calls;
+    std::vector<std::unique_ptr<PeerCall>> m_idleCalls;
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+PeerClient::Internals::~Internals()
+{
+    for (auto& [handle, call] : m_calls) {
+        m_loop.cancel(call->timer);
+        curl_multi_remove_handle(m_multi, handle);
+    }
+    if (m_multi)
+        curl_multi_cleanup(m_multi);
+    m_loop.cancel(m_timer);
+}
+
+bool PeerClient::Internals::start()
+{
+    m_multi = curl_multi_init();
+    if (!m_multi)
+        return false;
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Internals::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Internals::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(m_settings.connectionsPerPeer));
+    return true;
+}
+
+void PeerClient::Internals::setPeers(const std::vector<InstanceEntry>& entries)
+{
+    absl::flat_hash_map<InstanceId, Peer> peers;
+    for (const auto& it : entries) {
+        const std::string host = it.host.find(':') == std::string::npos ? it.host : absl::StrCat("[", it.host, "]");
+        Peer peer { absl::StrCat("http://", host, ":", it.port, homePath), std::nullopt };
+        auto known = m_peers.find(it.instance);
+        if (known != m_peers.end() && known->second.url == peer.url)
+            peer.silentAt = known->second.silentAt;
+        peers.emplace(it.instance, std::move(peer));
+    }
+    m_peers = std::move(peers);
+}
+
+void PeerClient::Internals::call(const InstanceId& instance, const HomeCall& call, Done done)
+{
+    const Instant now = m_loop.now();
+    if (call.request.deadline <= now) {
+        answerLater(refusal(call, ResultCode::DeadlinePassed, "the deadline passed before the call went out"), std::move(done));
+        return;
+    }
+    auto peer = m_peers.find(instance);
+    auto made = peer == m_peers.end() ? nullptr : takeCall();
+    if (!made) {
+        answerLater(refusal(call, ResultCode::PeerUnreachable, absl::StrCat(instance.value(), ": no address known")), std::move(done));
+        return;
+    }
+    made->prepare({ instance, peer->second.url, oldestConnection(peer->second) }, call, now, std::move(done));
+    CURL* handle = made->handle();
+    made->timer = m_loop.after(call.request.deadline - now, [this, handle] { expire(handle); });
+    m_calls.emplace(handle, std::move(made));
+    curl_multi_add_handle(m_multi, handle);
+}
+
+int PeerClient::Internals::onSocket(CURL*, curl_socket_t descriptor, int what, void* internals, void*)
+{
+    auto* self = static_cast<Internals*>(internals);
+    if (what == CURL_POLL_REMOVE) {
+        self->m_loop.unwatch(descriptor);
+        return 0;
+    }
+    Readiness interest = Readiness::None;
+    if (what & CURL_POLL_IN)
+        interest = interest | Readiness::Read;
+    if (what & CURL_POLL_OUT)
+        interest = interest | Readiness::Write;
+    self->m_loop.watch(descriptor, interest, [self, descriptor](Readiness ready) {
+        int bits = 0;
+        if (has(ready, Readiness::Read))
+            bits |= CURL_CSELECT_IN;
+        if (has(ready, Readiness::Write))
+            bits |= CURL_CSELECT_OUT;
+        if (has(ready, Readiness::Failure))
+            bits |= CURL_CSELECT_ERR;
+        self->act(descriptor, bits);
+    });
+    return 0;
+}
+
+int PeerClient::Internals::onTimer(CURLM*, long timeoutMilliseconds, void* internals)
+{
+    auto* self = static_cast<Internals*>(internals);
+    self->m_loop.cancel(self->m_timer);
+    self->m_timer = TimerId::None;
+    if (timeoutMilliseconds < 0)
+        return 0;
+    self->m_timer = self->m_loop.after(Milliseconds(static_cast<double>(timeoutMilliseconds)), [self] {
+        self->m_timer = TimerId::None;
+        self->act(CURL_SOCKET_TIMEOUT, 0);
+    });
+    return 0;
+}
+
+void PeerClient::Internals::act(curl_socket_t descriptor, int ready)
+{
+    int running = 0;
+    curl_multi_socket_action(m_multi, descriptor, ready, &running);
+    collect();
+}
+
+void PeerClient::Internals::collect()
+{
+    // An answer may lead its receiver to drop this client.
+    const std::weak_ptr<bool> alive = m_isAlive;
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        auto it = m_calls.find(message->easy_handle);
+        if (it != m_calls.end())
+            end(it->first, it->second->replyOf(message->data.result, m_loop.now()));
+        if (alive.expired())
+            return;
+    }
+}
+
+void PeerClient::Internals::end(CURL* handle, const HomeReply& reply)
+{
+    auto node = m_calls.extract(handle);
+    std::unique_ptr<PeerCall> call = std::move(node.mapped());
+    m_loop.cancel(call->timer);
+    curl_multi_remove_handle(m_multi, handle);
+    auto peer = m_peers.find(call->peer());
+    if (peer != m_peers.end() && reply.answer.code == ResultCode::PeerSilent)
+        peer->second.silentAt = m_loop.now();
+    const Done done = call->finish();
+    if (m_idleCalls.size() < idleCallLimit)
+        m_idleCalls.push_back(std::move(call));
+    done(reply);
+}
+
+void PeerClient::Internals::expire(CURL* handle)
+{
+    auto it = m_calls.find(handle);
+    if (it != m_calls.end())
+        end(handle, it->second->replyOfDeadline());
+}
+
+void PeerClient::Internals::answerLater(HomeReply reply, Done done)
+{
+    m_loop.after(Milliseconds(0), [alive = std::weak_ptr<bool>(m_isAlive), reply = std::move(reply), done = std::move(done)] {
+        if (!alive.expired())
+            done(reply);
+    });
+}
+
+long PeerClient::Internals::oldestConnection(const Peer& peer) const
+{
+    if (!peer.silentAt)
+        return oldestIdleSeconds;
+    // What made one connection silent may have cut the others as well: those idle since then are not used.
+    const auto seconds = static_cast<long>((m_loop.now() - *peer.silentAt).count() / millisecondsPerSecond);
+    return std::clamp(seconds, 1L, oldestIdleSeconds);
+}
+
+std::unique_ptr<PeerCall> PeerClient::Internals::takeCall()
+{
+    if (m_idleCalls.empty())
+        return PeerCall::create(m_settings);
+    auto call = std::move(m_idleCalls.back());
+    m_idleCalls.pop_back();
+    return call;
+}
+
+absl::StatusOr<std::unique_ptr<PeerClient>> PeerClient::create(PollLoop& loop, PeerClientSettings settings)
+{
+    std::unique_ptr<PeerClient> client(new PeerClient);
+    client->m_internals = std::make_unique<Internals>(loop, std::move(settings));
+    if (!client->m_internals->start())
+        return absl::ResourceExhaustedError("libcurl cannot start");
+    return client;
+}
+
+PeerClient::PeerClient() = default;
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::setPeers(const std::vector<InstanceEntry>& entries)
+{
+    m_internals->setPeers(entries);
+}
+
+void PeerClient::call(const InstanceId& instance, const HomeCall& call, Done done)
+{
+    m_internals->call(instance, call, std::move(done));
+}
+
+size_t PeerClient::callsInFlight() const
+{
+    return m_internals->callsInFlight();
+}
+
+}
