--- a/src/homes/HomeCall.h
+++ b/src/homes/HomeCall.h
@@ -17,6 +17,8 @@
     Settle,
     /// Give the log position of the primary, confirmed to be on its term.
     PrimaryPosition,
+    /// Answer at once: tells a slow home from a silent one.
+    Ping,
 };
 
 /// A request on its way from an entry daemon to a home.
@@ -24,8 +26,9 @@
     HomeOperation operation { HomeOperation::Read };
     TargetId target;
     StatementRequest request;
-    /// Position that a read has to see.
+    /// Position that a read has to see, counted in the log of `minimumTerm` and later ones.
     LogPosition minimumPosition;
+    Term minimumTerm;
     /// Greatest age that a read accepts, exceptions applied.
     Milliseconds greatestAge;
 };
