--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -247,7 +247,6 @@
         m_internals->runPosted();
         m_internals->runDueTimers();
     }
-    m_internals->isStopping = false;
 }
 
 void PollLoop::stop()
