--- a/src/entry/ReadRun.cpp
+++ b/src/entry/ReadRun.cpp
@@ -35,7 +35,7 @@
 {
     callHomes(HomeOperation::PrimaryPosition, primaryToAsk(), LogPosition(), Term(), [this](const HomeReply& reply) {
         if (reply.answer.code != ResultCode::Done) {
-            m_lastRefusal = reply.answer;
+            noteRefusal(reply.answer);
             if (reply.answer.outcome() == Outcome::Unknown)
                 m_lastRefusal.code = ResultCode::NoPrimary;
             return attemptLater();
@@ -87,7 +87,7 @@
         decide("read", "at " + target.value());
         return finish(answer);
     }
-    m_lastRefusal = answer;
+    noteRefusal(answer);
     const bool isSpent = answer.outcome() == Outcome::Unknown && !takeRetry();
     if (isSpent)
         return refuse(ResultCode::RetryBudgetSpent, answer.message);
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -59,6 +59,7 @@
 
 void RequestRun::callHomes(HomeOperation operation, const TargetId& target, LogPosition minimumPosition, Term minimumTerm, Replied replied)
 {
+    m_lastAsked = target;
     auto it = std::find_if(m_group.targets.begin(), m_group.targets.end(), [&target](const TargetConfiguration& configuration) { return configuration.id == target; });
     auto homes = std::make_shared<std::vector<InstanceId>>(m_context.membership.homesOf(*it));
     homes->resize(std::min<size_t>(homes->size(), mostHomesOfTarget));
@@ -101,6 +102,14 @@
     });
 }
 
+// A refusal by the home of the known primary may mean that it was cut off and replaced: the next attempt asks the
+// home of another target, which may have heard of the successor.
+void RequestRun::noteRefusal(const StatementAnswer& answer)
+{
+    m_lastRefusal = answer;
+    m_mustAskOthers = m_lastAsked == view().primary && mayServeElsewhere(answer.code);
+}
+
 void RequestRun::attemptLater()
 {
     const double growth = std::pow(pauseGrowth, m_attempts);
@@ -147,11 +156,10 @@
 {
     const TargetId& primary = view().primary;
     const bool isKnown = std::any_of(m_group.targets.begin(), m_group.targets.end(), [&primary](const TargetConfiguration& it) { return it.id == primary; });
-    // Every second attempt asks another target's home: the view may name a primary that was cut off and replaced.
-    const uint32_t ask = m_asks++;
-    if (isKnown && ask % 2 == 0)
+    if (isKnown && !m_mustAskOthers)
         return primary;
-    return m_group.targets[ask / 2 % m_group.targets.size()].id;
+    m_mustAskOthers = false;
+    return m_group.targets[m_asks++ % m_group.targets.size()].id;
 }
 
 }
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -40,6 +40,9 @@
 
     HomeCall makeCall(HomeOperation, const TargetId&, LogPosition minimumPosition, Term minimumTerm) const;
 
+    /// Keeps the latest refusal, for the answer at the deadline and for whom to ask next.
+    void noteRefusal(const StatementAnswer&);
+
     /// Attempts again after a pause that grows with each time.
     void attemptLater();
 
@@ -71,6 +74,8 @@
     Done m_done;
     uint32_t m_attempts { 0 };
     uint32_t m_asks { 0 };
+    bool m_mustAskOthers { false };
+    TargetId m_lastAsked;
     TimerId m_deadlineTimer { TimerId::None };
 };
 
--- a/src/entry/TransactionRun.cpp
+++ b/src/entry/TransactionRun.cpp
@@ -38,7 +38,7 @@
     const StatementAnswer& answer = reply.answer;
     if (answer.outcome() == Outcome::Done)
         return finish(answer);
-    m_lastRefusal = answer;
+    noteRefusal(answer);
     if (answer.outcome() == Outcome::Unknown)
         return refuse(ResultCode::TransactionEnded, answer.message);
     if (!mayServeElsewhere(answer.code))
--- a/src/entry/WriteRun.cpp
+++ b/src/entry/WriteRun.cpp
@@ -50,7 +50,7 @@
     if (m_context.settings.brokenRules.has(BrokenRule::UnknownOutcome))
         return refuse(ResultCode::TargetUnreachable, answer.message);
     m_isUncertain = true;
-    m_lastRefusal = answer;
+    noteRefusal(answer);
     decide("ask again", std::string(nameOf(answer.code)));
     if (!takeRetry())
         m_isSettling = true;
@@ -59,7 +59,7 @@
 
 void WriteRun::handleRefusal(HomeOperation operation, const StatementAnswer& answer)
 {
-    m_lastRefusal = answer;
+    noteRefusal(answer);
     // The ledger's word is final; any other refusal says nothing of an earlier, uncertain attempt.
     const bool isFinal = answer.code == ResultCode::RequestSettled || answer.code == ResultCode::RequestIdReused;
     if (isFinal || (!m_isUncertain && !mayServeElsewhere(answer.code))) {
--- a/src/peers/HomeCallJsonTests.cpp
+++ b/src/peers/HomeCallJsonTests.cpp
@@ -66,6 +66,7 @@
     reply.view.primary = TargetId("db-1-a");
     reply.view.targets.resize(2);
     reply.view.targets[0].status.role = TargetRole::Primary;
+    reply.view.targets[0].status.logTerm = Term(4);
     reply.view.targets[0].heardAt = here - Milliseconds(30);
 
     const auto read = decodeHomeReply(encodeHomeReply(reply, here), there);
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -267,7 +267,9 @@
 absl::StatusOr<TargetReply> GroupModel::read(ModelTarget& target, const TargetBatch& batch)
 {
     const TargetStatus status = statusOf(target);
-    if (target.term < batch.term)
+    // What a fenced target holds is the log of an older term, until it follows the new primary.
+    const bool isOfOlderTerm = target.isFenced ? target.term <= batch.term : target.term < batch.term;
+    if (isOfOlderTerm)
         return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
     if (status.applied < batch.minimumPosition)
         return makeError(ResultCode::TargetBehind, absl::StrCat(target.id.value(), " has applied ", status.applied.value()));
--- a/src/standins/GroupModelTests.cpp
+++ b/src/standins/GroupModelTests.cpp
@@ -82,3 +82,29 @@
     CHECK(model.statusOf(first).position == LogPosition(0));
     CHECK(resultCodeOf(model.execute(first, writeBatch("r2", Term(1)), connection).status()) == ResultCode::NoPrimary);
 }
+
+TEST_CASE("a fenced target serves no read of the new term until it follows its primary", "[standins]")
+{
+    VirtualLoop loop;
+    GroupModel model(loop, DatabaseId("db"), { first, second, third });
+    ModelTransaction connection;
+    model.setIsolated(second, true);
+    REQUIRE(model.execute(first, writeBatch("r1", Term(1)), connection).ok());
+    loop.advance(Milliseconds(100));
+
+    // The second target wins term 2 without r1; the third holds r1 and is fenced, but cut off from the winner.
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Fence, Term(2)), connection).ok());
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Promote, Term(2)), connection).ok());
+    REQUIRE(model.execute(second, writeBatch("r2", Term(2)), connection).ok());
+    REQUIRE(model.execute(third, termBatch(TargetOperation::Fence, Term(2)), connection).ok());
+
+    TargetBatch read = termBatch(TargetOperation::Read, Term(2));
+    read.minimumPosition = LogPosition(1);
+    read.statement = { "SELECT value FROM records WHERE key = $1", { "key" } };
+    CHECK(resultCodeOf(model.execute(third, read, connection).status()) == ResultCode::TermChanged);
+    model.setIsolated(second, false);
+    loop.advance(Milliseconds(100));
+    const auto reply = model.execute(third, read, connection);
+    REQUIRE(reply.ok());
+    CHECK(reply->rows.values[0][0] == "r2");
+}
