--- /dev/null
+++ b/src/operations/GossipJson.cpp
@@ -0,0 +1,34 @@
+#include "operations/GossipJson.h"
+
+#include "base/ResultCode.h"
+
+namespace parsleypaddle {
+
+Json::Value digestToJson(const ConfigurationDigest& digest)
+{
+    Json::Value value;
+    value["version"] = Json::UInt64(digest.version.value());
+    value["change_id"] = digest.changeId;
+    value["body_hash"] = digest.bodyHash;
+    return value;
+}
+
+absl::StatusOr<ConfigurationDigest> digestFromJson(const Json::Value& value)
+{
+    if (!value.isObject() || !value["version"].isUInt64() || !value["change_id"].isString() || !value["body_hash"].isString())
+        return makeError(ResultCode::WrongType, "not the digest of a configuration");
+    return ConfigurationDigest { ConfigurationVersion(value["version"].asUInt64()), value["change_id"].asString(), value["body_hash"].asString() };
+}
+
+Json::Value changeRecordToJson(const ChangeRecord& record)
+{
+    Json::Value value;
+    value["version"] = Json::UInt64(record.version.value());
+    value["change_id"] = record.changeId;
+    value["author"] = record.author;
+    value["at"] = record.at.sinceEpoch();
+    value["summary"] = record.summary;
+    return value;
+}
+
+}
