--- a/src/promotion/PromoterTests.cpp
+++ b/src/promotion/PromoterTests.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ResultCode.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <random>
@@ -38,10 +39,25 @@
         (report.promotedAt - report.fencedAt).count(), gap.count());
 }
 
+/// Gives a target a short, long or very long way to its primary's log.
+void changeReplication(PromotionScene& scene, const TargetId& target, std::mt19937_64& random)
+{
+    const std::array<double, 3> delays { 1, 40, 600 };
+    scene.model().setReplication(target, Milliseconds(delays.at(random() % delays.size())), Milliseconds(static_cast<double>(random() % 50)));
+}
+
+/// Mostly the primary, since its faults matter most.
+TargetId chooseTarget(PromotionScene& scene, std::mt19937_64& random)
+{
+    const TargetId primary = scene.daemon(random() % scene.daemonCount()).control().view().primary;
+    const TargetId any = scene.target(random() % scene.targetCount());
+    return random() % 2 == 0 || primary.isEmpty() ? any : primary;
+}
+
 /// One random fault at one target, or its end.
 void injectFault(PromotionScene& scene, std::mt19937_64& random)
 {
-    const TargetId target = scene.target(random() % scene.targetCount());
+    const TargetId target = chooseTarget(scene, random);
     const FailureDomainId domain = scene.domain(random() % scene.targetCount());
     const bool begins = random() % 3 != 0;
     switch (random() % 8) {
@@ -64,7 +80,7 @@
         scene.targets().loseNextAnswer(target, random() % 2 == 0 ? TargetOperation::Fence : TargetOperation::Promote);
         break;
     case 6:
-        scene.model().setReplication(target, Milliseconds(static_cast<double>(random() % 300)), Milliseconds(static_cast<double>(random() % 50)));
+        changeReplication(scene, target, random);
         break;
     default:
         scene.daemon(random() % scene.daemonCount()).promoter().replacePrimary();
@@ -215,6 +231,27 @@
     CHECK(scene.model().survivingLog().size() >= commits);
 }
 
+TEST_CASE("a returning primary with a longer log of an older term is not promoted", "[promotion]")
+{
+    PromotionScene scene(3, 3, teranga());
+    for (size_t i = 1; i < 3; ++i)
+        scene.model().setReplication(scene.target(i), Milliseconds(600), Milliseconds(0));
+    scene.startWriting();
+    scene.setCutOff(scene.target(0), true);
+    for (size_t i = 1; i < 3; ++i)
+        scene.model().setReplication(scene.target(i), Milliseconds(1), Milliseconds(0));
+    REQUIRE(scene.loop().runUntil([&] { return scene.promotions() == 1; }, Milliseconds(2000)));
+    scene.loop().advance(Milliseconds(100));
+    const TargetId second = scene.primaries().begin()->second;
+    REQUIRE(scene.model().statusOf(second).position < scene.model().statusOf(scene.target(0)).position);
+    scene.targets().setDown(second, true);
+    scene.setCutOff(scene.target(0), false);
+    scene.loop().advance(Milliseconds(5000));
+    REQUIRE(scene.promotions() == 2);
+    CHECK(scene.primaries().rbegin()->second != scene.target(0));
+    CHECK(scene.lostWrites().empty());
+}
+
 TEST_CASE("a target stranded on a later term than the primary is taken back", "[promotion]")
 {
     PromotionScene scene(3, 3, teranga());
@@ -240,6 +277,8 @@
     PromotionScene scene(random() % 3 == 0 ? 5 : 3, 3, random() % 2 == 0 ? teranga() : vizitka(), seed);
     for (size_t i = 0; i < scene.daemonCount(); ++i)
         scene.daemon(i).promoter().setRank(static_cast<uint32_t>(random() % 2));
+    for (size_t i = 0; i < scene.targetCount(); ++i)
+        changeReplication(scene, scene.target(i), random);
     scene.startWriting(Milliseconds(15));
     for (int i = 0; i < faultsPerSchedule; ++i) {
         injectFault(scene, random);
