--- /dev/null
+++ b/src/measure/main.cpp
@@ -0,0 +1,112 @@
+#include "measure/Report.h"
+
+#include <absl/strings/numbers.h>
+#include <getopt.h>
+#include <iostream>
+
+using namespace parsleypaddle;
+
+namespace {
+
+constexpr int usageError = 2;
+constexpr char usage[] = "usage: parsleypaddle-measure --workload teranga|vizitka [--seed N] [--json|--csv] [--break RULE]\n"
+                         "rules: session-position, ledger, confirmation, unknown-outcome, transaction-connection, leaving\n";
+
+enum class Format : uint8_t {
+    Table,
+    Json,
+    Csv,
+};
+
+struct Options {
+    std::string workload;
+    uint64_t seed { 1 };
+    Format format { Format::Table };
+    std::set<BrokenRule> brokenRules;
+};
+
+std::optional<BrokenRule> ruleNamed(std::string_view name)
+{
+    constexpr std::pair<std::string_view, BrokenRule> rules[] = {
+        { "session-position", BrokenRule::SessionPosition },
+        { "ledger", BrokenRule::Ledger },
+        { "confirmation", BrokenRule::Confirmation },
+        { "unknown-outcome", BrokenRule::UnknownOutcome },
+        { "transaction-connection", BrokenRule::TransactionConnection },
+        { "leaving", BrokenRule::Leaving },
+    };
+    for (const auto& [key, rule] : rules) {
+        if (key == name)
+            return rule;
+    }
+    return std::nullopt;
+}
+
+bool breakRule(Options& options, std::string_view name)
+{
+#ifdef PARSLEYPADDLE_TEST_HOOKS
+    const auto rule = ruleNamed(name);
+    if (rule)
+        options.brokenRules.insert(*rule);
+    return rule.has_value();
+#else
+    std::cerr << "this build has no test hooks: rules cannot be broken\n";
+    return false;
+#endif
+}
+
+std::optional<Options> parse(int argc, char** argv)
+{
+    static const option longOptions[] = {
+        { "workload", required_argument, nullptr, 'w' },
+        { "seed", required_argument, nullptr, 's' },
+        { "json", no_argument, nullptr, 'j' },
+        { "csv", no_argument, nullptr, 'c' },
+        { "break", required_argument, nullptr, 'b' },
+        { nullptr, 0, nullptr, 0 },
+    };
+    Options options;
+    int found = 0;
+    while ((found = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
+        bool isValid = found != '?';
+        if (found == 'w')
+            options.workload = optarg;
+        if (found == 's')
+            isValid = absl::SimpleAtoi(optarg, &options.seed);
+        if (found == 'j')
+            options.format = Format::Json;
+        if (found == 'c')
+            options.format = Format::Csv;
+        if (found == 'b')
+            isValid = breakRule(options, optarg);
+        if (!isValid)
+            return std::nullopt;
+    }
+    return optind == argc ? std::optional(options) : std::nullopt;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const auto options = parse(argc, argv);
+    const auto deployment = options ? Deployment::find(options->workload) : std::nullopt;
+    if (!deployment) {
+        std::cerr << usage;
+        return usageError;
+    }
+    std::vector<SeriesPoint> naiveSeries;
+    std::vector<SeriesPoint> productSeries;
+    Comparison comparison;
+    comparison.workload = deployment->name;
+    comparison.seed = options->seed;
+    comparison.naive = measure(*deployment, { Side::Naive, options->seed, {} }, &naiveSeries);
+    comparison.product = measure(*deployment, { Side::Product, options->seed, BrokenRules(options->brokenRules) }, &productSeries);
+    if (options->format == Format::Json)
+        std::cout << toJson(comparison);
+    else if (options->format == Format::Csv)
+        std::cout << toCsv(naiveSeries, productSeries);
+    else
+        std::cout << toTable(comparison);
+    return 0;
+}
