Steps of open transactions are never refused, and transactions leave connections free

Cause: at the crest of the measured swing 850 of 2,100 urgent writes were shed. Later steps of transactions waited and were refused like new work while their transactions went on holding connections, until the pool was empty and every slot waited for one. Now a step of an open transaction is always taken in and goes first in its urgency (Work::isContinuation, set in TargetHome::workOf), and Begin is refused once the open transactions would leave fewer connections than slots (TargetHome::checkAdmissible).

--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -88,6 +88,7 @@
 void TargetHome::setLimits(std::shared_ptr<const Configuration> configuration, TargetShare share)
 {
     m_configuration = std::move(configuration);
+    m_share = share;
     m_pool->setLimit(share.connections);
     WorkQueueSettings settings;
     settings.slots = share.slots;
@@ -144,6 +145,10 @@
     const Milliseconds grace = isPrimary ? m_settings.leavingGrace : Milliseconds(0);
     if (leavingSince && m_loop.now() - *leavingSince >= grace && !m_settings.brokenRules.has(BrokenRule::Leaving))
         return makeError(ResultCode::TargetLeaving, absl::StrCat(m_target.id.value(), " is leaving"));
+    // Transactions keep their connections while their callers think; the slots need some that are free.
+    const bool isBegin = isStep(call.request, TransactionStep::Begin);
+    if (isBegin && m_transactions.size() + m_share.slots >= m_share.connections)
+        return makeError(ResultCode::Overloaded, "too many transactions are open");
     if (call.operation != HomeOperation::Read)
         return checkPrimary();
     const TargetView* seen = m_group.view().find(m_target.id);
@@ -176,6 +181,7 @@
     work.arrived = m_loop.now();
     work.deadline = call.request.deadline;
     work.shopWeight = policyOf(call).shopWeight;
+    work.isContinuation = isPinned(call);
     if (const ClassConfiguration* found = m_configuration->findClass(call.request.workload)) {
         work.urgency = found->urgency;
         work.classWeight = found->weight;
--- a/src/homes/TargetHome.h
+++ b/src/homes/TargetHome.h
@@ -77,6 +77,7 @@
     TargetConfiguration m_target;
     HomeSettings m_settings;
     std::shared_ptr<const Configuration> m_configuration;
+    TargetShare m_share;
     std::unique_ptr<ConnectionPool> m_pool;
     std::unique_ptr<WorkQueue> m_queue;
     TransactionTable m_transactions;
--- a/src/measure/Callers.cpp
+++ b/src/measure/Callers.cpp
@@ -183,6 +183,8 @@
         return true;
     }
     const bool mayAskAgain = statement.mode == AccessMode::Write && (!statement.transaction || isCommit);
+    if (statement.transaction && !statement.transaction->id.isEmpty() && !isCommit)
+        rollBack(*request);
     if (answer.outcome() != Outcome::Unknown || !mayAskAgain || statement.attempt >= mostAttempts)
         return false;
     ++statement.attempt;
@@ -192,6 +194,16 @@
     return true;
 }
 
+// Nobody waits for its answer.
+void Callers::rollBack(const Request& request)
+{
+    StatementRequest statement = request.statement;
+    statement.transaction->step = TransactionStep::Rollback;
+    statement.id = RequestId(absl::StrCat(statement.id.value(), ".r"));
+    statement.deadline = m_loop.now() + request.allowance;
+    m_loop.after(m_deployment.callerDelay, [this, statement, daemon = livingDaemon(request.daemon)] { m_proxy.handle(daemon, statement, [](const StatementAnswer&) {}); });
+}
+
 void Callers::finish(const RequestPointer& request, const StatementAnswer& answer)
 {
     CallerResult& result = request->result;
--- a/src/measure/Callers.h
+++ b/src/measure/Callers.h
@@ -52,6 +52,7 @@
     void send(const RequestPointer&);
     void receive(const RequestPointer&, uint32_t sending, StatementAnswer);
     bool goOn(const RequestPointer&, const StatementAnswer&);
+    void rollBack(const Request&);
     void finish(const RequestPointer&, const StatementAnswer&);
     bool mightUseReplica(const Request&);
     size_t livingDaemon(size_t preferred) const;
--- a/src/scheduling/UrgencyQueue.cpp
+++ b/src/scheduling/UrgencyQueue.cpp
@@ -10,28 +10,41 @@
 
 void UrgencyQueue::add(const WaitingWork& waiting)
 {
+    m_deadlines.insert(deadlineOf(waiting));
+    if (waiting.work.isContinuation) {
+        m_continuations.push_back(waiting);
+        return;
+    }
     const ClassName& name = waiting.work.workload;
     ClassQueue& queue = m_classes[name];
     if (queue.isEmpty())
         m_shares.activate(name, waiting.work.classWeight);
     m_weights[name] = std::max(waiting.work.classWeight, 0.001);
     queue.add(waiting);
-    m_deadlines.insert(deadlineOf(waiting));
 }
 
 void UrgencyQueue::remove(const WaitingWork& waiting)
 {
     m_deadlines.erase(deadlineOf(waiting));
+    if (waiting.work.isContinuation) {
+        auto isSame = [id = waiting.work.id](const WaitingWork& it) { return it.work.id == id; };
+        m_continuations.erase(std::find_if(m_continuations.begin(), m_continuations.end(), isSame));
+        return;
+    }
     m_classes[waiting.work.workload].remove(waiting);
 }
 
 bool UrgencyQueue::has(Eligibility eligibility) const
 {
+    if (!m_continuations.empty())
+        return true;
     return std::any_of(m_classes.begin(), m_classes.end(), [eligibility](const auto& it) { return it.second.has(eligibility); });
 }
 
 const WaitingWork* UrgencyQueue::next(Eligibility eligibility) const
 {
+    if (!m_continuations.empty())
+        return &m_continuations.front();
     const ClassName* best = m_shares.next([this, eligibility](const ClassName& name) {
         auto it = m_classes.find(name);
         return it != m_classes.end() && it->second.has(eligibility);
@@ -55,12 +68,16 @@
 
 void UrgencyQueue::serve(const WaitingWork& waiting)
 {
+    if (waiting.work.isContinuation)
+        return;
     m_shares.serve(waiting.work.workload, waiting.cost.count());
     m_classes[waiting.work.workload].serve(waiting);
 }
 
 void UrgencyQueue::correct(const Work& work, Milliseconds difference)
 {
+    if (work.isContinuation)
+        return;
     m_shares.correct(work.workload, difference.count());
     m_classes[work.workload].correct(work, difference);
 }
--- a/src/scheduling/UrgencyQueue.h
+++ b/src/scheduling/UrgencyQueue.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/ClassQueue.h"
 
+#include <deque>
 #include <set>
 
 namespace parsleypaddle {
@@ -45,6 +46,8 @@
 
     static Deadline deadlineOf(const WaitingWork&);
 
+    /// Steps of open transactions, in order of arrival.
+    std::deque<WaitingWork> m_continuations;
     std::map<ClassName, ClassQueue> m_classes;
     std::map<ClassName, double> m_weights;
     FairShares<ClassName> m_shares;
--- a/src/scheduling/WorkQueue.cpp
+++ b/src/scheduling/WorkQueue.cpp
@@ -46,6 +46,7 @@
         };
 
         void apply(const WorkQueueSettings&);
+        void take(const WaitingWork&, Instant now);
         WaitingWork describe(const Work&, Instant now) const;
         Milliseconds estimatedWait(const WaitingWork&, Instant now) const;
         Admission refuse(std::string_view why, Milliseconds retryAfter);
@@ -75,10 +76,13 @@
     {
         shedOverdue(now);
         const WaitingWork waiting = describe(work, now);
-        Level& level = m_levels[levelOf(work.urgency)];
         const Milliseconds left = work.deadline - now;
         if (left <= Milliseconds(0))
             return refuse("the deadline has passed", leastRetryAfter);
+        if (work.isContinuation) {
+            take(waiting, now);
+            return {};
+        }
         const Milliseconds wait = estimatedWait(waiting, now);
         const Milliseconds estimate = m_runTimes.estimate(work.statement, now).mean;
         // Work that finds the target free is let through whatever its estimate, which is how a wrong one is mended.
@@ -86,10 +90,16 @@
             return refuse("the work ahead would take it past its deadline", wait + estimate - left);
         if (m_waiting.size() >= m_settings.capacity && !makeRoom(work.urgency))
             return refuse("too much work waits", std::max(wait, leastRetryAfter));
+        take(waiting, now);
+        return {};
+    }
+
+    void UrgencyWorkQueue::take(const WaitingWork& waiting, Instant now)
+    {
+        Level& level = m_levels[levelOf(waiting.work.urgency)];
         level.demand.add(waiting.cost, now);
         level.queue.add(waiting);
-        m_waiting[work.id] = waiting;
-        return {};
+        m_waiting[waiting.work.id] = waiting;
     }
 
     WaitingWork UrgencyWorkQueue::describe(const Work& work, Instant now) const
@@ -98,7 +108,7 @@
         WaitingWork waiting;
         waiting.work = work;
         waiting.cost = estimate.mean;
-        waiting.isLong = estimate.typical > m_settings.longWork;
+        waiting.isLong = estimate.typical > m_settings.longWork && !work.isContinuation;
         const Milliseconds reserve = std::min(estimate.typical, (work.deadline - work.arrived) * 0.5);
         waiting.latestStart = work.deadline - reserve;
         return waiting;
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -26,6 +26,8 @@
     uint64_t statement { 0 };
     Instant arrived;
     Instant deadline;
+    /// A later step of an open transaction: it holds a connection, so it is never refused and goes first in its urgency.
+    bool isContinuation { false };
 };
 
 /// Whether work was taken in; a refused one carries a hint when to come again.
