--- /dev/null
+++ b/src/daemon/Logging.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace parsleypaddle {
+
+/// Sends log4cxx's output to standard output, one line an event: time, level, logger, "key=value" fields.
+void setUpLogging(const std::string& level);
+
+}
--- /dev/null
+++ b/src/daemon/SignalWatch.cpp
@@ -0,0 +1,33 @@
+#include "daemon/SignalWatch.h"
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace parsleypaddle {
+
+SignalWatch::SignalWatch(PollLoop& loop, std::function<void()> onTerminate)
+    : m_loop(loop)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes its connection must not end the daemon.
+    std::signal(SIGPIPE, SIG_IGN);
+    m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    m_loop.watch(m_descriptor, Readiness::Read, [this, onTerminate = std::move(onTerminate)](Readiness) {
+        signalfd_siginfo info {};
+        while (read(m_descriptor, &info, sizeof(info)) == sizeof(info))
+            onTerminate();
+    });
+}
+
+SignalWatch::~SignalWatch()
+{
+    m_loop.unwatch(m_descriptor);
+    close(m_descriptor);
+}
+
+}
