--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -246,6 +246,8 @@
         m_internals->pollOnce();
         m_internals->runPosted();
         m_internals->runDueTimers();
+        // Timers without delay that those set are run before the next wait, which saves a call of the kernel.
+        m_internals->runDueTimers();
     }
 }
 
--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ResultCode.h"
 #include "statements/JsonText.h"
+#include "statements/JsonWriter.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -27,14 +28,14 @@
     }
 
     template <typename Enum>
-    Json::Value number(Enum value)
+    uint64_t numberOf(Enum value)
     {
-        return static_cast<unsigned>(value);
+        return static_cast<uint64_t>(value);
     }
 
-    Json::Value jsonOf(const SqlValue& value)
+    void write(JsonWriter& writer, const SqlValue& value)
     {
-        return value ? Json::Value(*value) : Json::Value();
+        value ? writer.text(*value) : writer.null();
     }
 
     SqlValue sqlValueOf(const Json::Value& value)
@@ -42,34 +43,30 @@
         return value.isNull() ? SqlValue() : SqlValue(value.asString());
     }
 
-    template <typename Ordinal>
-    Json::Value jsonOf(Ordinal value)
+    void write(JsonWriter& writer, const StatementRequest& request, Instant now)
     {
-        return Json::UInt64(value.value());
-    }
-
-    Json::Value jsonOf(const StatementRequest& request, Instant now)
-    {
-        Json::Value object(Json::objectValue);
-        object["shop"] = request.shop.value();
-        object["session"] = request.session.value();
-        object["id"] = request.id.value();
-        object["class"] = request.workload.value();
-        object["db"] = request.database.value();
-        object["sql"] = request.statement.text;
-        Json::Value& parameters = object["args"] = Json::Value(Json::arrayValue);
+        writer.beginObject();
+        writer.field("shop", request.shop.value());
+        writer.field("session", request.session.value());
+        writer.field("id", request.id.value());
+        writer.field("class", request.workload.value());
+        writer.field("db", request.database.value());
+        writer.field("sql", request.statement.text);
+        writer.key("args");
+        writer.beginArray();
         for (const auto& it : request.statement.parameters)
-            parameters.append(jsonOf(it));
-        object["mode"] = number(request.mode);
-        object["rep"] = number(request.repeatability);
+            write(writer, it);
+        writer.endArray();
+        writer.field("mode", numberOf(request.mode));
+        writer.field("rep", numberOf(request.repeatability));
         if (request.greatestAge)
-            object["age"] = request.greatestAge->count();
-        object["left"] = (request.deadline - now).count();
+            writer.field("age", request.greatestAge->count());
+        writer.field("left", (request.deadline - now).count());
         if (request.transaction) {
-            object["step"] = number(request.transaction->step);
-            object["tx"] = request.transaction->id.value();
+            writer.field("step", numberOf(request.transaction->step));
+            writer.field("tx", request.transaction->id.value());
         }
-        return object;
+        writer.endObject();
     }
 
     bool read(const Json::Value& object, Instant now, StatementRequest& request)
@@ -96,28 +93,38 @@
             && read(object["rep"], Repeatability::NotRepeatable, request.repeatability);
     }
 
-    Json::Value jsonOf(const StatementAnswer& answer)
+    void write(JsonWriter& writer, const Rows& rows)
     {
-        Json::Value object(Json::objectValue);
-        object["id"] = answer.id.value();
-        object["code"] = number(answer.code);
-        object["text"] = answer.message;
-        Json::Value& columns = object["cols"] = Json::Value(Json::arrayValue);
-        for (const auto& it : answer.rows.columns)
-            columns.append(it);
-        Json::Value& rows = object["rows"] = Json::Value(Json::arrayValue);
-        for (const auto& row : answer.rows.values) {
-            Json::Value& line = rows.append(Json::Value(Json::arrayValue));
+        writer.key("cols");
+        writer.beginArray();
+        for (const auto& it : rows.columns)
+            writer.text(it);
+        writer.endArray();
+        writer.key("rows");
+        writer.beginArray();
+        for (const auto& row : rows.values) {
+            writer.beginArray();
             for (const auto& value : row)
-                line.append(jsonOf(value));
+                write(writer, value);
+            writer.endArray();
         }
-        object["changed"] = Json::UInt64(answer.rows.changed);
-        object["ack"] = number(answer.ackLevel);
-        object["tx"] = answer.transaction.value();
-        object["target"] = answer.target.value();
-        object["age"] = answer.age.count();
-        object["retry"] = answer.retryAfter.count();
-        return object;
+        writer.endArray();
+        writer.field("changed", rows.changed);
+    }
+
+    void write(JsonWriter& writer, const StatementAnswer& answer)
+    {
+        writer.beginObject();
+        writer.field("id", answer.id.value());
+        writer.field("code", numberOf(answer.code));
+        writer.field("text", answer.message);
+        write(writer, answer.rows);
+        writer.field("ack", numberOf(answer.ackLevel));
+        writer.field("tx", answer.transaction.value());
+        writer.field("target", answer.target.value());
+        writer.field("age", answer.age.count());
+        writer.field("retry", answer.retryAfter.count());
+        writer.endObject();
     }
 
     bool read(const Json::Value& object, StatementAnswer& answer)
@@ -142,20 +149,22 @@
         return read(object["ack"], AckLevel::Replicated, answer.ackLevel);
     }
 
-    Json::Value jsonOf(const TargetView& view, Instant now)
+    void write(JsonWriter& writer, const TargetView& view, Instant now)
     {
-        Json::Value object(Json::objectValue);
-        object["target"] = view.target.value();
-        object["role"] = number(view.status.role);
-        object["term"] = jsonOf(view.status.term);
-        object["pos"] = jsonOf(view.status.position);
-        object["applied"] = jsonOf(view.status.applied);
-        object["age"] = view.status.age.count();
-        object["leaving"] = view.status.isLeaving;
-        object["suspect"] = view.isSuspect;
+        writer.beginObject();
+        writer.field("target", view.target.value());
+        writer.field("role", numberOf(view.status.role));
+        writer.field("term", view.status.term.value());
+        writer.field("pos", view.status.position.value());
+        writer.field("applied", view.status.applied.value());
+        writer.field("age", view.status.age.count());
+        writer.key("leaving");
+        writer.boolean(view.status.isLeaving);
+        writer.key("suspect");
+        writer.boolean(view.isSuspect);
         if (view.heardAt != Instant())
-            object["ago"] = (now - view.heardAt).count();
-        return object;
+            writer.field("ago", (now - view.heardAt).count());
+        writer.endObject();
     }
 
     bool read(const Json::Value& object, Instant now, TargetView& view)
@@ -172,16 +181,18 @@
         return read(object["role"], TargetRole::Replica, view.status.role);
     }
 
-    Json::Value jsonOf(const GroupView& view, Instant now)
+    void write(JsonWriter& writer, const GroupView& view, Instant now)
     {
-        Json::Value object(Json::objectValue);
-        object["db"] = view.database.value();
-        object["term"] = jsonOf(view.term);
-        object["primary"] = view.primary.value();
-        Json::Value& targets = object["targets"] = Json::Value(Json::arrayValue);
+        writer.beginObject();
+        writer.field("db", view.database.value());
+        writer.field("term", view.term.value());
+        writer.field("primary", view.primary.value());
+        writer.key("targets");
+        writer.beginArray();
         for (const auto& it : view.targets)
-            targets.append(jsonOf(it, now));
-        return object;
+            write(writer, it, now);
+        writer.endArray();
+        writer.endObject();
     }
 
     bool read(const Json::Value& object, Instant now, GroupView& view)
@@ -217,13 +228,16 @@
 
 std::string encodeHomeCall(const HomeCall& call, Instant now)
 {
-    Json::Value object(Json::objectValue);
-    object["op"] = number(call.operation);
-    object["target"] = call.target.value();
-    object["min"] = jsonOf(call.minimumPosition);
-    object["age"] = call.greatestAge.count();
-    object["req"] = jsonOf(call.request, now);
-    return writeJson(object);
+    JsonWriter writer;
+    writer.beginObject();
+    writer.field("op", numberOf(call.operation));
+    writer.field("target", call.target.value());
+    writer.field("min", call.minimumPosition.value());
+    writer.field("age", call.greatestAge.count());
+    writer.key("req");
+    write(writer, call.request, now);
+    writer.endObject();
+    return writer.take();
 }
 
 absl::StatusOr<HomeCall> decodeHomeCall(std::string_view text, Instant now)
@@ -239,12 +253,16 @@
 
 std::string encodeHomeReply(const HomeReply& reply, Instant now)
 {
-    Json::Value object(Json::objectValue);
-    object["ans"] = jsonOf(reply.answer);
-    object["term"] = jsonOf(reply.term);
-    object["pos"] = jsonOf(reply.position);
-    object["view"] = jsonOf(reply.view, now);
-    return writeJson(object);
+    JsonWriter writer;
+    writer.beginObject();
+    writer.key("ans");
+    write(writer, reply.answer);
+    writer.field("term", reply.term.value());
+    writer.field("pos", reply.position.value());
+    writer.key("view");
+    write(writer, reply.view, now);
+    writer.endObject();
+    return writer.take();
 }
 
 absl::StatusOr<HomeReply> decodeHomeReply(std::string_view text, Instant now)
--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -5,9 +5,7 @@
 #include <Poco/UTF8Encoding.h>
 #include <absl/strings/str_cat.h>
 #include <json/reader.h>
-#include <json/writer.h>
 #include <memory>
-#include <sstream>
 
 namespace parsleypaddle {
 
@@ -22,6 +20,7 @@
         builder["stackLimit"] = deepestNesting;
         builder["failIfExtra"] = true;
         builder["rejectDupKeys"] = true;
+        builder["collectComments"] = false;
         return std::unique_ptr<Json::CharReader>(builder.newCharReader());
     }
 
@@ -61,18 +60,4 @@
     return object;
 }
 
-std::string writeJson(const Json::Value& value)
-{
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder settings;
-        settings["indentation"] = "";
-        settings["emitUTF8"] = true;
-        return settings;
-    }();
-    thread_local const std::unique_ptr<Json::StreamWriter> writer(builder.newStreamWriter());
-    std::ostringstream stream;
-    writer->write(value, &stream);
-    return stream.str();
-}
-
 }
--- /dev/null
+++ b/src/statements/JsonWriter.cpp
@@ -0,0 +1,110 @@
+#include "statements/JsonWriter.h"
+
+#include <Poco/JSONString.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <cmath>
+
+namespace parsleypaddle {
+
+namespace {
+
+    bool needsEscape(char c)
+    {
+        constexpr unsigned char firstPrintable = 0x20;
+        constexpr unsigned char deleteCharacter = 0x7f;
+        const auto byte = static_cast<unsigned char>(c);
+        return byte < firstPrintable || byte == deleteCharacter || c == '"' || c == '\\';
+    }
+
+}
+
+void JsonWriter::key(std::string_view name)
+{
+    separate();
+    m_text += '"';
+    m_text += name;
+    m_text += "\":";
+    m_needsComma = false;
+}
+
+void JsonWriter::text(std::string_view value)
+{
+    separate();
+    // Escaping walks the text by character; most texts need none.
+    if (std::any_of(value.begin(), value.end(), needsEscape)) {
+        m_text += Poco::toJSON(std::string(value), Poco::JSON_WRAP_STRINGS);
+    } else {
+        m_text += '"';
+        m_text += value;
+        m_text += '"';
+    }
+    m_needsComma = true;
+}
+
+void JsonWriter::number(uint64_t value)
+{
+    separate();
+    absl::StrAppend(&m_text, value);
+    m_needsComma = true;
+}
+
+void JsonWriter::number(double value)
+{
+    separate();
+    absl::StrAppend(&m_text, std::isfinite(value) ? value : 0.0);
+    m_needsComma = true;
+}
+
+void JsonWriter::boolean(bool value)
+{
+    separate();
+    m_text += value ? "true" : "false";
+    m_needsComma = true;
+}
+
+void JsonWriter::null()
+{
+    separate();
+    m_text += "null";
+    m_needsComma = true;
+}
+
+void JsonWriter::field(std::string_view name, std::string_view value)
+{
+    key(name);
+    text(value);
+}
+
+void JsonWriter::field(std::string_view name, uint64_t value)
+{
+    key(name);
+    number(value);
+}
+
+void JsonWriter::field(std::string_view name, double value)
+{
+    key(name);
+    number(value);
+}
+
+void JsonWriter::begin(char bracket)
+{
+    separate();
+    m_text += bracket;
+    m_needsComma = false;
+}
+
+void JsonWriter::end(char bracket)
+{
+    m_text += bracket;
+    m_needsComma = true;
+}
+
+void JsonWriter::separate()
+{
+    if (m_needsComma)
+        m_text += ',';
+}
+
+}
--- a/src/statements/StatementFields.cpp
+++ b/src/statements/StatementFields.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <array>
+#include <bitset>
 #include <cmath>
 
 namespace parsleypaddle {
@@ -265,6 +266,13 @@
         { "token", false, decodeToken },
     } };
 
+    std::string_view memberName(const Json::Value::const_iterator& it)
+    {
+        const char* end = nullptr;
+        const char* begin = it.memberName(&end);
+        return { begin, static_cast<size_t>(end - begin) };
+    }
+
     const StatementField* findField(std::string_view name)
     {
         for (const auto& it : statementFields) {
@@ -292,20 +300,23 @@
 absl::Status decodeFields(const Json::Value& object, const FieldContext& context)
 {
     // The version first: a field unknown here may be known to another version.
-    if (object.isMember("version")) {
-        if (auto ec = decodeVersion("version", object["version"], context); !ec.ok())
+    if (const Json::Value& version = object["version"]; !version.isNull()) {
+        if (auto ec = decodeVersion("version", version, context); !ec.ok())
             return ec;
     }
+    std::bitset<statementFields.size()> present;
     for (auto it = object.begin(); it != object.end(); ++it) {
-        const StatementField* field = findField(it.name());
+        const std::string_view name = memberName(it);
+        const StatementField* field = findField(name);
         if (!field)
-            return makeError(ResultCode::UnknownField, absl::StrCat(it.name().substr(0, longestName), ": not a field of version ", statementVersion));
+            return makeError(ResultCode::UnknownField, absl::StrCat(std::string(name.substr(0, longestName)), ": not a field of version ", statementVersion));
         if (auto ec = field->decode(field->name, *it, context); !ec.ok())
             return ec;
+        present.set(static_cast<size_t>(field - statementFields.data()));
     }
-    for (const auto& it : statementFields) {
-        if (it.isRequired && !object.isMember(it.name))
-            return makeError(ResultCode::MissingField, absl::StrCat(it.name, ": absent, it is required"));
+    for (size_t n = 0; n < statementFields.size(); ++n) {
+        if (statementFields[n].isRequired && !present.test(n))
+            return makeError(ResultCode::MissingField, absl::StrCat(statementFields[n].name, ": absent, it is required"));
     }
     return checkTogether(context.request);
 }
--- a/src/statements/StatementJson.cpp
+++ b/src/statements/StatementJson.cpp
@@ -1,6 +1,7 @@
 #include "statements/StatementJson.h"
 
 #include "statements/JsonText.h"
+#include "statements/JsonWriter.h"
 #include "statements/StatementFields.h"
 
 #include <absl/strings/str_cat.h>
@@ -10,15 +11,23 @@
 
 namespace {
 
-    Json::Value jsonOf(const Rows& rows)
+    void write(JsonWriter& writer, const Rows& rows)
     {
-        Json::Value lines(Json::arrayValue);
+        writer.key("columns");
+        writer.beginArray();
+        for (const auto& it : rows.columns)
+            writer.text(it);
+        writer.endArray();
+        writer.key("rows");
+        writer.beginArray();
         for (const auto& row : rows.values) {
-            Json::Value& line = lines.append(Json::Value(Json::arrayValue));
+            writer.beginArray();
             for (const auto& value : row)
-                line.append(value ? Json::Value(*value) : Json::Value());
+                value ? writer.text(*value) : writer.null();
+            writer.endArray();
         }
-        return lines;
+        writer.endArray();
+        writer.field("changed", rows.changed);
     }
 
     Rows rowsOf(const Json::Value& object)
@@ -67,24 +76,22 @@
 
 std::string encodeStatementAnswer(const StatementAnswer& answer)
 {
-    Json::Value object(Json::objectValue);
-    object["request_id"] = answer.id.value();
-    object["outcome"] = std::string(nameOf(answer.outcome()));
-    object["code"] = static_cast<unsigned>(answer.code);
-    object["name"] = std::string(nameOf(answer.code));
-    object["message"] = answer.message;
-    Json::Value& columns = object["columns"] = Json::Value(Json::arrayValue);
-    for (const auto& it : answer.rows.columns)
-        columns.append(it);
-    object["rows"] = jsonOf(answer.rows);
-    object["changed"] = Json::UInt64(answer.rows.changed);
-    object["token"] = answer.token;
-    object["ack_level"] = nameOf(answer.ackLevel);
-    object["transaction"] = answer.transaction.value();
-    object["target"] = answer.target.value();
-    object["age_ms"] = answer.age.count();
-    object["retry_after_ms"] = answer.retryAfter.count();
-    return writeJson(object);
+    JsonWriter writer;
+    writer.beginObject();
+    writer.field("request_id", answer.id.value());
+    writer.field("outcome", nameOf(answer.outcome()));
+    writer.field("code", static_cast<uint64_t>(answer.code));
+    writer.field("name", nameOf(answer.code));
+    writer.field("message", answer.message);
+    write(writer, answer.rows);
+    writer.field("token", answer.token);
+    writer.field("ack_level", nameOf(answer.ackLevel));
+    writer.field("transaction", answer.transaction.value());
+    writer.field("target", answer.target.value());
+    writer.field("age_ms", answer.age.count());
+    writer.field("retry_after_ms", answer.retryAfter.count());
+    writer.endObject();
+    return writer.take();
 }
 
 absl::StatusOr<StatementAnswer> decodeStatementAnswer(std::string_view body)
