--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -155,6 +155,7 @@
         writer.field("target", view.target.value());
         writer.field("role", numberOf(view.status.role));
         writer.field("term", view.status.term.value());
+        writer.field("log", view.status.logTerm.value());
         writer.field("pos", view.status.position.value());
         writer.field("applied", view.status.applied.value());
         writer.field("age", view.status.age.count());
@@ -171,6 +172,7 @@
     {
         view.target = TargetId(object["target"].asString());
         view.status.term = Term(object["term"].asUInt64());
+        view.status.logTerm = Term(object["log"].asUInt64());
         view.status.position = LogPosition(object["pos"].asUInt64());
         view.status.applied = LogPosition(object["applied"].asUInt64());
         view.status.age = Milliseconds(object["age"].asDouble());
@@ -233,6 +235,7 @@
     writer.field("op", numberOf(call.operation));
     writer.field("target", call.target.value());
     writer.field("min", call.minimumPosition.value());
+    writer.field("term", call.minimumTerm.value());
     writer.field("age", call.greatestAge.count());
     writer.key("req");
     write(writer, call.request, now);
@@ -245,8 +248,9 @@
     return decode<HomeCall>(text, [now](const Json::Value& object, HomeCall& call) {
         call.target = TargetId(object["target"].asString());
         call.minimumPosition = LogPosition(object["min"].asUInt64());
+        call.minimumTerm = Term(object["term"].asUInt64());
         call.greatestAge = Milliseconds(object["age"].asDouble());
-        return read(object["op"], HomeOperation::PrimaryPosition, call.operation)
+        return read(object["op"], HomeOperation::Ping, call.operation)
             && read(object["req"], now, call.request);
     });
 }
--- a/src/peers/HomeCallJsonTests.cpp
+++ b/src/peers/HomeCallJsonTests.cpp
@@ -14,6 +14,7 @@
     call.operation = HomeOperation::Write;
     call.target = TargetId("db-1-a");
     call.minimumPosition = LogPosition(77);
+    call.minimumTerm = Term(3);
     call.greatestAge = Milliseconds(12.5);
     auto& request = call.request;
     request.shop = ShopId("yoff-3");
@@ -43,6 +44,7 @@
     CHECK(read->operation == call.operation);
     CHECK(read->target == call.target);
     CHECK(read->minimumPosition == call.minimumPosition);
+    CHECK(read->minimumTerm == call.minimumTerm);
     CHECK(read->request.statement.parameters == call.request.statement.parameters);
     CHECK(read->request.transaction->step == TransactionStep::Continue);
     CHECK(read->request.repeatability == Repeatability::NotRepeatable);
@@ -64,6 +66,7 @@
     reply.view.primary = TargetId("db-1-a");
     reply.view.targets.resize(2);
     reply.view.targets[0].status.role = TargetRole::Primary;
+    reply.view.targets[0].status.logTerm = Term(4);
     reply.view.targets[0].heardAt = here - Milliseconds(30);
 
     const auto read = decodeHomeReply(encodeHomeReply(reply, here), there);
