--- a/src/entry/ReadRun.cpp
+++ b/src/entry/ReadRun.cpp
@@ -54,7 +54,12 @@
     need.minimumPosition = m_position;
     need.greatestAge = m_request.greatestAge.value_or(m_policy.greatestAge);
     need.deadline = m_request.deadline;
-    m_candidates = m_context.router->order(m_group, view(), need, m_context.loop.now());
+    GroupView seen = view();
+    if (m_context.settings.brokenRules.has(BrokenRule::Leaving)) {
+        for (auto& it : seen.targets)
+            it.status.isLeaving = false;
+    }
+    m_candidates = m_context.router->order(m_group, seen, need, m_context.loop.now());
     askNextTarget();
 }
 
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -230,7 +230,8 @@
     if (!transaction.ok())
         return refuse(job, transaction.status());
     job->transaction = *transaction;
-    runBatch(job, *job->transaction->connection);
+    const bool sharesConnection = m_settings.brokenRules.has(BrokenRule::TransactionConnection);
+    runBatch(job, sharesConnection ? *m_transactions.first().connection : *job->transaction->connection);
 }
 
 void TargetHome::runPooled(const JobPointer& job)
--- a/src/homes/TransactionTable.h
+++ b/src/homes/TransactionTable.h
@@ -32,6 +32,9 @@
     /// while another statement of it runs.
     absl::StatusOr<std::shared_ptr<OpenTransaction>> use(const TransactionId&, const ShopId&);
 
+    /// Any open transaction; there must be one.
+    OpenTransaction& first() { return *m_transactions.begin()->second; }
+
     /// Ends the statement's use; the transaction stays open.
     void release(OpenTransaction&);
 
--- a/src/measure/Arrivals.cpp
+++ b/src/measure/Arrivals.cpp
@@ -11,6 +11,7 @@
     /// Writes that are transactions of several statements.
     constexpr double transactionShare = 0.1;
     constexpr double ownStatementShare = 0.5;
+    constexpr double followUpShare = 0.3;
     /// Run times spread from half to one and a half times their mean.
     constexpr double leastOfMean = 0.5;
 
@@ -37,6 +38,7 @@
             drawn.isWrite = unit() < traffic.writeShare;
             drawn.isTransaction = unit() < transactionShare && drawn.isWrite;
             drawn.runTime = traffic.runTime * (leastOfMean + unit());
+            drawn.isFollowUp = unit() < followUpShare;
             drawn.isStraggler = unit() < m_stragglers.share && !drawn.isTransaction;
             drawn.hasOwnStatement = unit() < ownStatementShare && drawn.isStraggler;
             if (drawn.isStraggler)
--- a/src/measure/Arrivals.h
+++ b/src/measure/Arrivals.h
@@ -27,6 +27,8 @@
     size_t daemon { 0 };
     bool isWrite { false };
     bool isTransaction { false };
+    /// Asked by a session that was served just before.
+    bool isFollowUp { false };
     bool isStraggler { false };
     /// A straggler whose statement is one that always runs long, not a short one that does so this once.
     bool hasOwnStatement { false };
--- a/src/measure/Callers.cpp
+++ b/src/measure/Callers.cpp
@@ -87,7 +87,7 @@
 void Callers::start(const Arrival& arrival, size_t n)
 {
     auto request = std::make_shared<Request>();
-    request->session = idleSession(arrival.shop);
+    request->session = idleSession(arrival);
     request->result.arrival = n;
     build(*request, arrival);
     send(request);
@@ -100,11 +100,13 @@
     return session;
 }
 
-std::shared_ptr<Callers::Session> Callers::idleSession(size_t shop)
+std::shared_ptr<Callers::Session> Callers::idleSession(const Arrival& arrival)
 {
-    auto& idle = m_idle[shop];
+    auto& idle = m_idle[arrival.shop];
     if (idle.empty())
         idle.push_back(newSession());
+    if (arrival.isFollowUp)
+        std::swap(idle.front(), idle.back());
     auto session = idle.front();
     idle.pop_front();
     return session;
--- a/src/measure/Callers.h
+++ b/src/measure/Callers.h
@@ -47,7 +47,7 @@
     void sendNext(const std::vector<Arrival>&, size_t n);
     void start(const Arrival&, size_t n);
     std::shared_ptr<Session> newSession();
-    std::shared_ptr<Session> idleSession(size_t shop);
+    std::shared_ptr<Session> idleSession(const Arrival&);
     void build(Request&, const Arrival&);
     void send(const RequestPointer&);
     void receive(const RequestPointer&, uint32_t sending, StatementAnswer);
--- a/src/measure/NaiveProxy.cpp
+++ b/src/measure/NaiveProxy.cpp
@@ -130,6 +130,7 @@
         }
         void kill(size_t daemon) override { m_daemons[daemon]->stop(); }
         bool isDead(size_t daemon) const override { return m_daemons[daemon]->isStopped(); }
+        void setCut(const FailureDomainId&, bool) override { }
         void publishList(const std::vector<TargetId>&) override { }
 
     private:
--- a/src/measure/ProductProxy.cpp
+++ b/src/measure/ProductProxy.cpp
@@ -9,16 +9,25 @@
     public:
         ProductProxy(VirtualLoop& loop, FakeTargets& targets, const FakeFleetSettings& settings, const Deployment& deployment)
             : m_fleet(loop, targets, settings, deployment.configuration)
+            , m_deployment(deployment)
         {
         }
 
         void handle(size_t daemon, const StatementRequest& request, Done done) override { m_fleet.handle(daemon, request, std::move(done)); }
         void kill(size_t daemon) override { m_fleet.kill(daemon); }
         bool isDead(size_t daemon) const override { return m_fleet.isDead(daemon); }
+        void setCut(const FailureDomainId& domain, bool isCut) override
+        {
+            for (const auto& it : m_deployment.domains) {
+                if (it != domain)
+                    m_fleet.setCut(domain, it, isCut);
+            }
+        }
         void publishList(const std::vector<TargetId>& leavingTargets) override { m_fleet.publishList(leavingTargets); }
 
     private:
         FakeFleet m_fleet;
+        const Deployment& m_deployment;
     };
 
 }
--- a/src/measure/Proxy.h
+++ b/src/measure/Proxy.h
@@ -20,6 +20,8 @@
     virtual void handle(size_t daemon, const StatementRequest&, Done) = 0;
     virtual void kill(size_t daemon) = 0;
     virtual bool isDead(size_t daemon) const = 0;
+    /// Nothing passes between a failure domain's daemons and the others.
+    virtual void setCut(const FailureDomainId&, bool isCut) = 0;
     /// The platform's list catches up with the daemons that died and the targets that leave.
     virtual void publishList(const std::vector<TargetId>& leavingTargets) = 0;
 };
