The log's term goes over the wire, and a read needs a target that follows its session's term

Cause: a target fenced at a later term may still hold a longer log of an older one. It met a session's term and position though it lacked the session's write. The read guard now asks which primary's log the target follows, not the term it was fenced at. log_term joins the status row, the status page of the stand-in and the view that daemons hand on; without it a replica would never count as holding a commit.

--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -148,6 +148,7 @@
         object["target"] = view.target.value();
         object["role"] = number(view.status.role);
         object["term"] = jsonOf(view.status.term);
+        object["log_term"] = jsonOf(view.status.logTerm);
         object["pos"] = jsonOf(view.status.position);
         object["applied"] = jsonOf(view.status.applied);
         object["age"] = view.status.age.count();
@@ -162,6 +163,7 @@
     {
         view.target = TargetId(object["target"].asString());
         view.status.term = Term(object["term"].asUInt64());
+        view.status.logTerm = Term(object["log_term"].asUInt64());
         view.status.position = LogPosition(object["pos"].asUInt64());
         view.status.applied = LogPosition(object["applied"].asUInt64());
         view.status.age = Milliseconds(object["age"].asDouble());
--- a/src/pq/ResultRows.cpp
+++ b/src/pq/ResultRows.cpp
@@ -63,16 +63,18 @@
         return std::nullopt;
     const auto role = fieldOf(result, "role");
     const auto term = countOf(result, "term");
+    const auto logTerm = countOf(result, "log_term");
     const auto position = countOf(result, "position");
     const auto applied = countOf(result, "applied");
     const auto age = fieldOf(result, "age_ms");
     const auto leaving = fieldOf(result, "leaving");
     double ageCount = 0;
-    if (!role || !term || !position || !applied || !age || !leaving || !absl::SimpleAtod(*age, &ageCount))
+    if (!role || !term || !logTerm || !position || !applied || !age || !leaving || !absl::SimpleAtod(*age, &ageCount))
         return std::nullopt;
     TargetStatus status;
     status.role = *role == "primary" ? TargetRole::Primary : TargetRole::Replica;
     status.term = Term(*term);
+    status.logTerm = Term(*logTerm);
     status.position = LogPosition(*position);
     status.applied = LogPosition(*applied);
     status.age = Milliseconds(ageCount);
--- a/src/standin_program/GroupStandin.cpp
+++ b/src/standin_program/GroupStandin.cpp
@@ -106,6 +106,7 @@
         state["connections"] = Json::UInt64(target.openConnections());
         state["role"] = status.role == TargetRole::Primary ? "primary" : "replica";
         state["term"] = Json::UInt64(status.term.value());
+        state["log_term"] = Json::UInt64(status.logTerm.value());
         state["position"] = Json::UInt64(status.position.value());
         state["applied"] = Json::UInt64(status.applied.value());
         state["age_ms"] = status.age.count();
--- a/src/standin_program/PipelineBatch.cpp
+++ b/src/standin_program/PipelineBatch.cpp
@@ -149,8 +149,8 @@
     Rows statusRows(const TargetStatus& status)
     {
         Rows rows;
-        rows.columns = { "role", "term", "position", "applied", "age_ms", "leaving" };
-        rows.values.push_back({ status.role == TargetRole::Primary ? "primary" : "replica", std::to_string(status.term.value()),
+        rows.columns = { "role", "term", "log_term", "position", "applied", "age_ms", "leaving" };
+        rows.values.push_back({ status.role == TargetRole::Primary ? "primary" : "replica", std::to_string(status.term.value()), std::to_string(status.logTerm.value()),
             std::to_string(status.position.value()), std::to_string(status.applied.value()), absl::StrCat(status.age.count()),
             status.isLeaving ? "t" : "f" });
         return rows;
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -14,6 +14,8 @@
     Term term;
     /// The term it is or was primary at; 0 when it never was.
     Term ledTerm;
+    /// The latest term whose primary's log its own is the beginning of.
+    Term followedTerm;
     /// The term last fenced here and not yet promoted by anyone.
     bool isFenced { false };
     std::vector<std::shared_ptr<const ModelCommit>> log;
@@ -47,6 +49,7 @@
         auto target = std::make_shared<ModelTarget>();
         target->id = it;
         target->term = firstTerm;
+        target->followedTerm = firstTerm;
         target->freshAt = loop.now();
         m_targets.push_back(std::move(target));
     }
@@ -198,6 +201,7 @@
         ++common;
     replica.log.resize(common);
     replica.term = primary.ledTerm;
+    replica.followedTerm = primary.ledTerm;
     replica.isFenced = false;
     if (replica.applied <= common)
         return;
@@ -258,6 +262,7 @@
         return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
     target.role = TargetRole::Primary;
     target.ledTerm = batch.term;
+    target.followedTerm = batch.term;
     target.isFenced = false;
     apply(target, target.log.size());
     record(target, batch, LogPosition(target.log.size()));
@@ -267,8 +272,8 @@
 absl::StatusOr<TargetReply> GroupModel::read(ModelTarget& target, const TargetBatch& batch)
 {
     const TargetStatus status = statusOf(target);
-    if (target.term < batch.term)
-        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " is at term ", target.term.value()));
+    if (target.followedTerm < batch.term)
+        return makeError(ResultCode::TermChanged, absl::StrCat(target.id.value(), " follows term ", target.followedTerm.value()));
     if (status.applied < batch.minimumPosition)
         return makeError(ResultCode::TargetBehind, absl::StrCat(target.id.value(), " has applied ", status.applied.value()));
     if (batch.greatestAge && status.age > *batch.greatestAge)
--- a/src/standins/GroupModelTests.cpp
+++ b/src/standins/GroupModelTests.cpp
@@ -63,6 +63,35 @@
     CHECK(model.survivingLog().size() == 2);
 }
 
+TEST_CASE("a fenced target's old log does not serve a read of a later term, and is cut back when it follows", "[standins]")
+{
+    VirtualLoop loop;
+    GroupModel model(loop, DatabaseId("db"), { first, second, third });
+    ModelTransaction connection;
+    model.setIsolated(first, true);
+    for (const char* it : { "r1", "r2", "r3" })
+        REQUIRE(model.execute(first, writeBatch(it, Term(1)), connection).ok());
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Fence, Term(2)), connection).ok());
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Promote, Term(2)), connection).ok());
+    REQUIRE(model.execute(second, writeBatch("r4", Term(2)), connection).ok());
+    REQUIRE(model.execute(first, termBatch(TargetOperation::Fence, Term(3)), connection).ok());
+    CHECK(model.statusOf(first).logTerm == Term(1));
+    CHECK(model.statusOf(second).logTerm == Term(2));
+
+    auto read = termBatch(TargetOperation::Read, Term(2));
+    read.minimumPosition = LogPosition(1);
+    read.statement = { "SELECT value FROM records WHERE key = $1", { "key" } };
+    CHECK(resultCodeOf(model.execute(first, read, connection).status()) == ResultCode::TermChanged);
+    CHECK(model.execute(second, read, connection).ok());
+
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Fence, Term(3)), connection).ok());
+    REQUIRE(model.execute(second, termBatch(TargetOperation::Promote, Term(3)), connection).ok());
+    model.setIsolated(first, false);
+    loop.advance(Milliseconds(10));
+    CHECK(model.statusOf(first).position == LogPosition(1));
+    CHECK(model.execute(first, read, connection)->rows.values[0][0] == "r4");
+}
+
 TEST_CASE("a fenced target grants a term once and refuses its old primary's log", "[standins]")
 {
     VirtualLoop loop;
--- a/src/targets/TargetPort.h
+++ b/src/targets/TargetPort.h
@@ -18,7 +18,8 @@
     Fence,
     /// Become primary at `term`, which it was fenced at.
     Promote,
-    /// One read, if the target is on `term` or later, has applied `minimumPosition` and is at most `greatestAge` old.
+    /// One read, if the target's log follows the primary of `term` or of a later one, and the target has applied
+    /// `minimumPosition` and is at most `greatestAge` old.
     Read,
     /// One write in a transaction of its own, together with its ledger entry, if it is primary at `term`.
     Write,
