--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -5,6 +5,7 @@
 #include <Poco/UTF8Encoding.h>
 #include <absl/strings/str_cat.h>
 #include <json/reader.h>
+#include <json/writer.h>
 #include <memory>
 
 namespace parsleypaddle {
@@ -26,6 +27,13 @@
 
 }
 
+std::string writeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
 bool isUtf8(std::string_view text)
 {
     const Poco::UTF8Encoding encoding;
