--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -7,7 +7,6 @@
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
-#include <sstream>
 
 namespace parsleypaddle {
 
@@ -22,11 +21,19 @@
         builder["stackLimit"] = deepestNesting;
         builder["failIfExtra"] = true;
         builder["rejectDupKeys"] = true;
+        builder["collectComments"] = false;
         return std::unique_ptr<Json::CharReader>(builder.newCharReader());
     }
 
 }
 
+std::string writeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
 bool isUtf8(std::string_view text)
 {
     const Poco::UTF8Encoding encoding;
@@ -61,18 +68,4 @@
     return object;
 }
 
-std::string writeJson(const Json::Value& value)
-{
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder settings;
-        settings["indentation"] = "";
-        settings["emitUTF8"] = true;
-        return settings;
-    }();
-    thread_local const std::unique_ptr<Json::StreamWriter> writer(builder.newStreamWriter());
-    std::ostringstream stream;
-    writer->write(value, &stream);
-    return stream.str();
-}
-
 }
