--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -8,6 +8,10 @@
 fleet_standin=$fleet_bin/standin_program/parsleypaddle-standin
 fleet_key=fleet-peer-key-0123456789
 fleet_domains=(sof-a sof-b plv-a pern-a)
+# How the stand-in's targets serve, and how many slots and connections the daemons are told that a target has.
+fleet_service=${FLEET_SERVICE:-"{ slots: 3, connections: 40, connect_time_ms: 10, service_time_ms: 0.2 }"}
+fleet_slots=${FLEET_SLOTS:-3}
+fleet_connections=${FLEET_CONNECTIONS:-40}
 declare -A fleet_pids=()
 
 fleet_stop() {
@@ -61,7 +65,7 @@
     cat >"$fleet_dir/group.yaml" <<EOF
 database: orders-1
 control_port: $fleet_group_control
-service: { slots: 3, connections: 40, connect_time_ms: 10, service_time_ms: 0.2 }
+service: $fleet_service
 targets:
   - { id: orders-1-a, port: ${fleet_targets[0]}, delay_ms: 0.5, apply_lag_ms: 5 }
   - { id: orders-1-b, port: ${fleet_targets[1]}, delay_ms: 0.5, apply_lag_ms: 5 }
@@ -79,8 +83,8 @@
   - { name: proofs, urgency: deferrable, greatest-age: 10s, deadline: 5s }
 groups:
   - database: orders-1
-    slots: 3
-    connections: 40
+    slots: $fleet_slots
+    connections: $fleet_connections
     targets:
       - { id: orders-1-a, host: 127.0.0.1, port: ${fleet_targets[0]}, failure-domain: sof-a }
       - { id: orders-1-b, host: 127.0.0.1, port: ${fleet_targets[1]}, failure-domain: sof-b }
--- a/src/overhead/DaemonClients.cpp
+++ b/src/overhead/DaemonClients.cpp
@@ -77,7 +77,7 @@
             const char* work = m_plan.statement == LoadStatement::Read
                 ? R"json("mode":"read","statement":"SELECT value FROM records WHERE key = $1","parameters":["key"])json"
                 : R"json("mode":"write","statement":"INSERT INTO records (key, value) VALUES ($1, $2)","parameters":["key","value"])json";
-            return absl::StrCat(R"({"version":1,"shop":"overhead","deadline_ms":5000,"request_id":")", id, R"(","class":"fitting","database":"orders-db",)", work, "}");
+            return absl::StrCat(R"({"version":1,"shop":"overhead","deadline_ms":5000,"request_id":")", id, R"(","class":"counter","database":"orders-1",)", work, "}");
         }
 
         void finish(CURL* transfer, CURLcode code)
--- a/tests/end-to-end/kill-a-daemon.sh
+++ b/tests/end-to-end/kill-a-daemon.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # A daemon is killed while callers write through it: nothing is lost, doubled or falsely refused, and service goes on.
-. "$(dirname "$0")/fleet.sh"
-start_fleet 3
-start_callers 6 i1 i2 i3
+source "$(dirname "$0")/callers.sh"
+start_fleet
+start_callers 6
 wait_for_more 60
-end i2 KILL
+kill -KILL "${fleet_pids[i2]}"
+wait "${fleet_pids[i2]}" 2>/dev/null
+unset 'fleet_pids[i2]'
 wait_for_more 60
 stop_callers
 check_calls
