--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -5,6 +5,7 @@
 #include <Poco/UTF8Encoding.h>
 #include <absl/strings/str_cat.h>
 #include <json/reader.h>
+#include <json/writer.h>
 #include <memory>
 
 namespace parsleypaddle {
@@ -60,4 +61,15 @@
     return object;
 }
 
+std::string writeJson(const Json::Value& value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder settings;
+        settings["indentation"] = "";
+        settings["emitUTF8"] = true;
+        return settings;
+    }();
+    return Json::writeString(builder, value);
+}
+
 }
