--- a/src/statements/StatementFields.cpp
+++ b/src/statements/StatementFields.cpp
@@ -18,7 +18,7 @@
     constexpr size_t timestampDigits = 13;
     constexpr size_t longestRequestSuffix = 64;
     constexpr double longestDeadlineMilliseconds = 600'000;
-    constexpr double mostAttempts = 1000;
+    constexpr unsigned mostAttempts = 1000;
     constexpr double greatestAgeLimitMilliseconds = 86'400'000;
 
     const char* typeName(const Json::Value& value)
@@ -196,10 +196,11 @@
 
     absl::Status decodeAttempt(const char* name, const Json::Value& value, const FieldContext& context)
     {
-        double attempt = 0;
-        if (auto ec = decodeNumber(name, value, 1, mostAttempts, attempt); !ec.ok())
-            return ec;
-        context.request.attempt = static_cast<uint32_t>(attempt);
+        if (!value.isUInt())
+            return wrongType(name, value, "a whole number");
+        if (value.asUInt() < 1 || value.asUInt() > mostAttempts)
+            return outOfRange(name, absl::StrCat(value.asUInt()), absl::StrCat("1 to ", mostAttempts));
+        context.request.attempt = value.asUInt();
         return absl::OkStatus();
     }
 
--- a/src/statements/StatementJsonTests.cpp
+++ b/src/statements/StatementJsonTests.cpp
@@ -42,7 +42,7 @@
 TEST_CASE("a request is decoded whole", "[statements]")
 {
     const auto request = decodeStatementRequest(
-        requestWith(R"("session":"s-1","parameters":["a\u00e9",12345678901234567890123,0.10,true,null,-7],"greatest_age_ms":1500,"repeatable":true,"token":"t")"), decodeTime);
+        requestWith(R"("session":"s-1","parameters":["a\u00e9",12345678901234567890123,0.10,true,null,-7],"greatest_age_ms":1500,"repeatable":true,"attempt":3,"token":"t")"), decodeTime);
     INFO(request.status());
     REQUIRE(request.ok());
     CHECK(request->shop == ShopId("plateau-12"));
@@ -57,6 +57,7 @@
     CHECK(request->greatestAge == Milliseconds(1500));
     CHECK(request->deadline == decodeTime + Milliseconds(250));
     CHECK(request->token == "t");
+    CHECK(request->attempt == 3);
     CHECK_FALSE(request->transaction);
 }
 
@@ -107,6 +108,8 @@
         { requestWith(R"("mode":"write","greatest_age_ms":5)"), ResultCode::ValueOutOfRange, "greatest_age_ms: found one with mode \"write\"" },
         { requestWith(R"("greatest_age_ms":-1)"), ResultCode::ValueOutOfRange, "greatest_age_ms: found -1, expected 0 to" },
         { requestWith(R"("greatest_age_ms":null)"), ResultCode::WrongType, "greatest_age_ms: found null" },
+        { requestWith(R"("attempt":0)"), ResultCode::ValueOutOfRange, "attempt: found 0, expected 1 to 1000" },
+        { requestWith(R"("attempt":1.5)"), ResultCode::WrongType, "attempt: found a number, expected a whole number" },
         { requestWith(R"("repeatable":1)"), ResultCode::WrongType, "repeatable: found a number, expected a boolean" },
         { requestWith(R"("deadline_ms":0)"), ResultCode::ValueOutOfRange, "deadline_ms: found 0, expected 1 to 600000" },
         { requestWith(R"("deadline_ms":1e9)"), ResultCode::ValueOutOfRange, "deadline_ms: found 1e+09" },
