Take the configuration's deadline when a caller gives none

deadline_ms was required, so that the deadline that operators declare for classes and defaults never held, and the load program, which gives none, was refused. It may be absent now; the entry then puts the configuration's in place.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -58,7 +58,7 @@
         return makeError(ResultCode::UnknownDatabase, absl::StrCat("no database ", request.database.value(), " is configured"));
     if (!m_context.configuration->findClass(request.workload))
         return makeError(ResultCode::UnknownClass, absl::StrCat("no class ", request.workload.value(), " is configured"));
-    if (request.deadline <= m_context.loop.now())
+    if (request.deadline != Instant() && request.deadline <= m_context.loop.now())
         return makeError(ResultCode::DeadlinePassed, "the deadline had passed on arrival");
     if (!request.token.empty() && request.session.isEmpty())
         return makeError(ResultCode::TokenInvalid, "a token needs its session");
@@ -81,7 +81,10 @@
 
 void Entry::run(StatementRequest request, SessionState session, const GroupConfiguration& group, Done done)
 {
-    const Policy policy = resolvePolicy(*m_context.configuration, request.shop, request.database, request.workload, m_context.loop.now());
+    const Instant now = m_context.loop.now();
+    const Policy policy = resolvePolicy(*m_context.configuration, request.shop, request.database, request.workload, now);
+    if (request.deadline == Instant())
+        request.deadline = now + policy.deadline;
     ++m_inFlight;
     auto counted = [this, done = std::move(done)](StatementAnswer answer) {
         --m_inFlight;
--- a/src/fleet/FakeFleetTests.cpp
+++ b/src/fleet/FakeFleetTests.cpp
@@ -168,3 +168,20 @@
         CHECK(example.targets.model(orders).survivingRecords().empty());
     }
 }
+
+TEST_CASE("a request without a deadline has the configuration's", "[fleet]")
+{
+    ExampleFleet example;
+    for (const char* it : { "orders-1-a", "orders-1-b", "orders-1-c" })
+        example.targets.setFrozen(TargetId(it), true);
+    StatementRequest write = example.write("w");
+    write.deadline = Instant();
+    const Instant sent = example.loop.now();
+    CHECK(example.ask(0, write).outcome() != Outcome::Done);
+    CHECK(example.loop.now() - sent <= Milliseconds(2000));
+    for (const char* it : { "orders-1-a", "orders-1-b", "orders-1-c" })
+        example.targets.setFrozen(TargetId(it), false);
+    example.loop.advance(Milliseconds(5000));
+    write.attempt = 2;
+    CHECK(example.ask(0, write).outcome() == Outcome::Done);
+}
--- a/src/statements/StatementFields.cpp
+++ b/src/statements/StatementFields.cpp
@@ -273,7 +273,7 @@
         { "greatest_age_ms", false, decodeGreatestAge },
         { "attempt", false, decodeAttempt },
         { "repeatable", false, decodeRepeatable },
-        { "deadline_ms", true, decodeDeadline },
+        { "deadline_ms", false, decodeDeadline },
         { "transaction", false, decodeTransaction },
         { "token", false, decodeToken },
     } };
--- a/src/statements/StatementJsonTests.cpp
+++ b/src/statements/StatementJsonTests.cpp
@@ -61,6 +61,13 @@
     CHECK_FALSE(request->transaction);
 }
 
+TEST_CASE("a request without a deadline leaves it to the configuration", "[statements]")
+{
+    const auto request = decodeStatementRequest(requestWith("", "deadline_ms"), decodeTime);
+    REQUIRE(request.ok());
+    CHECK(request->deadline == Instant());
+}
+
 TEST_CASE("steps of a transaction carry its id, and its end no statement", "[statements]")
 {
     const auto begin = decodeStatementRequest(requestWith(R"("mode":"write","transaction":{"step":"begin"})"), decodeTime);
@@ -93,7 +100,7 @@
         { requestWith("", "version"), ResultCode::MissingField, "version: absent" },
         { requestWith("", "shop"), ResultCode::MissingField, "shop: absent" },
         { requestWith("", "statement"), ResultCode::MissingField, "statement: absent" },
-        { requestWith("", "deadline_ms"), ResultCode::MissingField, "deadline_ms: absent" },
+        { requestWith("", "mode"), ResultCode::MissingField, "mode: absent" },
         { requestWith(R"("shop":7)"), ResultCode::WrongType, "shop: found a number, expected a string" },
         { requestWith(R"("shop":"")"), ResultCode::ValueOutOfRange, "shop: found 0 bytes, expected 1 to 128 bytes" },
         { requestWith("\"shop\":\"" + longName + "\""), ResultCode::ValueOutOfRange, "shop: found 129 bytes" },
--- a/src/statements/StatementRequest.h
+++ b/src/statements/StatementRequest.h
@@ -49,7 +49,7 @@
     Repeatability repeatability { Repeatability::NotRepeatable };
     /// Greatest age of the data that a read accepts; the configuration's when absent.
     std::optional<Milliseconds> greatestAge;
-    /// When the caller stops waiting.
+    /// When the caller stops waiting; zero until the entry has put the configuration's in place.
     Instant deadline;
     std::optional<TransactionPart> transaction;
     /// The session token of an earlier answer, as it was given out; empty when there is none.
