Ledger fingerprints that every process computes alike; timers cancelled during a pause stay cancelled

Cause: the ledger's fingerprint of a statement came from absl::Hash, whose seed differs from process to process (seen: the same text gave two values in two runs of one program). A request asked again at another daemon would have been refused as a reused id. Jobs at a target are kept in order, so that equal seeds give equal runs.

--- a/src/fleet/NodeLoop.h
+++ b/src/fleet/NodeLoop.h
@@ -2,8 +2,8 @@
 
 #include "base/EventLoop.h"
 
+#include <deque>
 #include <memory>
-#include <vector>
 
 namespace parsleypaddle {
 
@@ -26,10 +26,17 @@
     bool isPaused() const { return m_isPaused; }
 
 private:
+    struct Held {
+        TimerId timer { TimerId::None };
+        std::function<void()> task;
+    };
+
+    void run(TimerId, std::function<void()> task);
+
     EventLoop& m_shared;
     bool m_isPaused { false };
     bool m_isStopped { false };
-    std::vector<std::function<void()>> m_held;
+    std::deque<Held> m_held;
 };
 
 }
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -2,8 +2,8 @@
 
 #include "base/ResultCode.h"
 #include "configuration/PolicySettings.h"
+#include "statements/StatementFingerprint.h"
 
-#include <absl/hash/hash.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -11,11 +11,6 @@
 
 namespace {
 
-    uint64_t hashOf(const std::string& text)
-    {
-        return absl::Hash<std::string> {}(text);
-    }
-
     bool isStep(const StatementRequest& request, TransactionStep step)
     {
         return request.transaction && request.transaction->step == step;
@@ -177,7 +172,7 @@
     work.id = WorkId(++m_lastWork);
     work.shop = call.request.shop;
     work.workload = call.request.workload;
-    work.statement = hashOf(call.request.statement.text);
+    work.statement = fingerprintOfText(call.request.statement);
     work.arrived = m_loop.now();
     work.deadline = call.request.deadline;
     work.shopWeight = policyOf(call).shopWeight;
@@ -263,9 +258,7 @@
     TargetBatch batch;
     batch.operation = operationOf(call);
     batch.statement = call.request.statement;
-    batch.ledgerKey = { call.request.shop, call.request.id, hashOf(call.request.statement.text) };
-    for (const auto& it : call.request.statement.parameters)
-        batch.ledgerKey.fingerprint = absl::HashOf(batch.ledgerKey.fingerprint, it.value_or(std::string()), it.has_value());
+    batch.ledgerKey = { call.request.shop, call.request.id, fingerprintOf(call.request.statement) };
     if (call.operation == HomeOperation::Read) {
         batch.term = call.minimumTerm;
         batch.minimumPosition = m_settings.brokenRules.has(BrokenRule::SessionPosition) ? LogPosition() : call.minimumPosition;
--- a/src/homes/TargetHome.h
+++ b/src/homes/TargetHome.h
@@ -8,7 +8,7 @@
 #include "homes/TransactionTable.h"
 #include "scheduling/WorkQueue.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <map>
 
 namespace parsleypaddle {
 
@@ -81,9 +81,9 @@
     std::unique_ptr<ConnectionPool> m_pool;
     std::unique_ptr<WorkQueue> m_queue;
     TransactionTable m_transactions;
-    absl::flat_hash_map<WorkId, JobPointer> m_waiting;
+    std::map<WorkId, JobPointer> m_waiting;
     /// Jobs whose batch is at the target.
-    absl::flat_hash_map<WorkId, JobPointer> m_atTarget;
+    std::map<WorkId, JobPointer> m_atTarget;
     uint64_t m_lastWork { 0 };
     size_t m_underWay { 0 };
     Observer m_observer;
