A commit that is being settled at its deadline is unknown, not refused

TransactionRun's own deadline timer came before the settling WriteRun's and answered deadline_passed, since nothing was marked as under way. Ruled out: the checker; the model's history shows the commit. settleCommit() now marks it as under way.

--- a/src/entry/TransactionRun.cpp
+++ b/src/entry/TransactionRun.cpp
@@ -68,6 +68,8 @@
 void TransactionRun::settleCommit()
 {
     decide("settle the commit", "its outcome is unknown");
+    // Until then the deadline finds it unknown, not refused.
+    m_isUnderWay = true;
     auto self = shared_from_this();
     auto settled = [this, self](StatementAnswer answer) {
         if (isFinished())
--- a/src/measure/NaiveProxy.cpp
+++ b/src/measure/NaiveProxy.cpp
@@ -60,7 +60,7 @@
             auto node = m_transactions.extract(request.transaction->id);
             if (node.empty())
                 return answer(request, makeError(ResultCode::TransactionUnknown, "no such transaction"), done);
-            run(request, std::move(node.mapped()), done);
+            run(request, node.mapped(), done);
         }
 
         void run(const StatementRequest& request, const ConnectionPointer& connection, const Proxy::Done& done)
