--- a/src/configuration/ConfigurationSpreadTests.cpp
+++ b/src/configuration/ConfigurationSpreadTests.cpp
@@ -4,6 +4,7 @@
 #include "configuration/StoreFleet.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <iostream>
 
 using namespace parsleypaddle;
@@ -60,6 +61,45 @@
               << worst.platformReads << " reads/s in all, " << worst.platformWrites << " writes a change\n";
 }
 
+// A configuration of that many groups of three targets.
+std::string documentOf(size_t groups)
+{
+    Configuration configuration;
+    for (size_t n = 0; n < groups; ++n) {
+        GroupConfiguration group { DatabaseId("fitting-" + std::to_string(n)), 5, 35, {} };
+        for (const char* it : { "a", "b", "c" }) {
+            const std::string host = "10." + std::to_string(n / 250) + "." + std::to_string(n % 250) + "." + std::to_string(it[0]);
+            group.targets.push_back({ TargetId(group.database.value() + it), { host, 5432 }, FailureDomainId("plateau") });
+        }
+        configuration.groups.push_back(group);
+    }
+    return writeConfiguration(configuration);
+}
+
+}
+
+TEST_CASE("the configuration of 570 groups spreads within a daemon's bytes for control", "[configuration]")
+{
+    const size_t groups = GENERATE(9, 114, 570);
+    StoreFleet fleet(1);
+    fleet.add(1);
+    bool isAccepted = false;
+    fleet.store(0).apply({}, documentOf(groups), "operator", [&isAccepted](const auto& version) { isAccepted = version.ok(); });
+    fleet.loop.advance(Milliseconds(100));
+    REQUIRE(isAccepted);
+    const size_t bytes = fleet.store(0).answerFetch(ConfigurationVersion(1)).value().size();
+    fleet.add(1);
+    const auto start = std::chrono::steady_clock::now();
+    REQUIRE(fleet.loop.runUntil([&fleet] { return fleet.isEverywhere(ConfigurationVersion(1)); }, Milliseconds(9000)));
+    const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - start;
+
+    // Each daemon takes a body and gives one on, on average, for each of the day's changes, besides its digests.
+    const double changesPerSecond = 1200.0 / 86'400;
+    const double bodies = 2 * static_cast<double>(bytes) * changesPerSecond;
+    std::cout << "configuration of " << groups << " groups: body " << bytes << " bytes, " << bodies
+              << " B/s a daemon at 1,200 changes a day, taken into force in " << took.count() << " ms of processor time\n";
+    const double bytesForControl = 11'000;
+    CHECK(bodies < bytesForControl);
 }
 
 TEST_CASE("a change is in force on every daemon within nine seconds, at each size of the fleet", "[configuration]")
