--- a/src/standin_program/PlatformState.cpp
+++ b/src/standin_program/PlatformState.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+    constexpr const char* tableFolder = "/table/";
     constexpr int statusBadRequest = 400;
     constexpr int statusNotFound = 404;
     constexpr int statusNotAllowed = 405;
@@ -65,15 +66,18 @@
         --m_answersToLose;
         answer.isSilent = true;
     }
+    if (isWrite && m_rowAnswersToLose && isUnder(request.path, tableFolder)) {
+        --m_rowAnswersToLose;
+        answer.isSilent = true;
+    }
     return answer;
 }
 
 PlatformStandinAnswer PlatformState::answerService(const PlatformStandinRequest& request)
 {
-    const std::string table = "/table/";
     const std::string objects = "/objects/";
-    if (isUnder(request.path, table))
-        return answerRow(request.path.substr(table.size()), request);
+    if (isUnder(request.path, tableFolder))
+        return answerRow(request.path.substr(std::string(tableFolder).size()), request);
     if (isUnder(request.path, objects))
         return answerObject(request.path.substr(objects.size()), request);
     if (request.path == "/instances" && request.method == "GET")
@@ -132,7 +136,7 @@
 {
     Json::Value value;
     if (!parse(json, value))
-        return refusal(statusBadRequest, "an object with down, slow_ms, lose_answers or list_lag_ms");
+        return refusal(statusBadRequest, "an object with down, slow_ms, lose_answers, lose_row_answers or list_lag_ms");
     for (const auto& it : value.getMemberNames()) {
         const Json::Value& field = value[it];
         if (it == "down" && field.isBool())
@@ -141,6 +145,8 @@
             m_delay = Milliseconds(field.asDouble());
         else if (it == "lose_answers" && field.isUInt())
             m_answersToLose = field.asUInt();
+        else if (it == "lose_row_answers" && field.isUInt())
+            m_rowAnswersToLose = field.asUInt();
         else if (it == "list_lag_ms" && field.isNumeric())
             m_listLag = Milliseconds(field.asDouble());
         else
--- a/src/standin_program/PlatformState.h
+++ b/src/standin_program/PlatformState.h
@@ -66,6 +66,7 @@
     uint64_t m_writes { 0 };
     bool m_isDown { false };
     uint64_t m_answersToLose { 0 };
+    uint64_t m_rowAnswersToLose { 0 };
     Milliseconds m_delay;
     Milliseconds m_listLag;
 };
