--- a/src/tool/ToolTests.cpp
+++ b/src/tool/ToolTests.cpp
@@ -307,3 +307,18 @@
     std::remove(path.c_str());
     CHECK_FALSE(loadKey("no-such-file").ok());
 }
+
+TEST_CASE("the operators' page lists each exit code and names each kind of command", "[tool]")
+{
+    std::ifstream file(std::string(PARSLEYPADDLE_SOURCE_DIR) + "/docs/OPERATORS.md");
+    std::stringstream buf;
+    buf << file.rdbuf();
+    const std::string page = buf.str();
+    for (int n = 0; n <= static_cast<int>(ExitCode::PlatformUnavailable); ++n)
+        CHECK(page.find("\n| " + std::to_string(n) + " | ") != std::string::npos);
+    for (const auto& it : toolCommands()) {
+        INFO(it.name);
+        const std::string group = std::string(it.name).substr(0, std::string(it.name).find(' '));
+        CHECK(page.find(group) != std::string::npos);
+    }
+}
