--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -138,7 +138,9 @@
 {
     m_platform = std::make_unique<HttpPlatform>(*m_loop, *m_workers, HttpPlatformSettings { m_settings.platform.host, m_settings.platform.port, m_settings.platformTimeout });
     m_platform->onFailure([this] { m_metrics.count(MetricCounter::PlatformErrors); });
-    m_targets = PqConnector::create(*m_loop, {});
+    PqSettings targetSettings;
+    targetSettings.applicationName = m_settings.failureDomain.value() + "/" + m_settings.instance.value();
+    m_targets = PqConnector::create(*m_loop, std::move(targetSettings));
     PeerClientSettings peerSettings;
     peerSettings.key = keys.peer.front();
     auto peers = PeerClient::create(*m_loop, peerSettings);
