--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -27,13 +27,6 @@
 
 }
 
-std::string writeJson(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 bool isUtf8(std::string_view text)
 {
     const Poco::UTF8Encoding encoding;
