--- a/src/base/BrokenRules.h
+++ b/src/base/BrokenRules.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
+#include <string_view>
 
 namespace parsleypaddle {
 
@@ -21,6 +23,9 @@
     Leaving,
 };
 
+/// The rule of that name, such as "session-position"; nullopt for any other name.
+std::optional<BrokenRule> brokenRuleNamed(std::string_view name);
+
 /// The rules broken in this run; none, ever, in builds without test hooks.
 class BrokenRules {
 public:
--- a/src/measure/FaultCounts.cpp
+++ b/src/checking/FaultCounts.cpp
@@ -1,7 +1,7 @@
-#include "measure/FaultCounts.h"
+#include "checking/FaultCounts.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 namespace parsleypaddle {
 
@@ -46,7 +46,7 @@
             }
         }
 
-        void checkResult(const CallerResult& result, FaultCounts& counts) const
+        void checkResult(const ToldOutcome& result, FaultCounts& counts) const
         {
             const Outcome outcome = outcomeOf(result.code);
             if (!result.isWrite) {
@@ -71,7 +71,7 @@
 
     private:
         // A later term had committed before the write did, at another target.
-        bool wasReplaced(const CallerResult& result) const
+        bool wasReplaced(const ToldOutcome& result) const
         {
             auto found = m_commits.find(baseOf(result.request));
             if (found == m_commits.end())
@@ -112,7 +112,7 @@
     return *this;
 }
 
-FaultCounts countFaults(FakeTargets& targets, const Configuration& configuration, const std::vector<CallerResult>& results, const std::vector<Leaving>& leaving)
+FaultCounts countFaults(FakeTargets& targets, const Configuration& configuration, const std::vector<ToldOutcome>& results, const std::vector<Leaving>& leaving)
 {
     FaultCounts counts;
     for (const auto& group : configuration.groups) {
--- a/src/measure/Callers.h
+++ b/src/measure/Callers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/VirtualLoop.h"
+#include "checking/FaultCounts.h"
 #include "measure/Arrivals.h"
 #include "measure/Proxy.h"
 
@@ -8,18 +10,8 @@
 namespace parsleypaddle {
 
 /// What became of one arrival, as its caller saw it.
-struct CallerResult {
+struct CallerResult : ToldOutcome {
     size_t arrival { 0 };
-    DatabaseId database;
-    std::string key;
-    bool isWrite { false };
-    /// Number of this write within its session; for reads the greatest one acknowledged before it was asked.
-    uint64_t write { 0 };
-    /// For reads, the write that was seen.
-    uint64_t seen { 0 };
-    /// The request that commits, for writes.
-    RequestId request;
-    ResultCode code { ResultCode::OutcomeUnknown };
     Instant sentAt;
     Instant answeredAt;
     TargetId target;
--- a/src/measure/Deployment.cpp
+++ b/src/measure/Deployment.cpp
@@ -9,19 +9,7 @@
     constexpr size_t databases = 3;
     constexpr size_t targetsPerDatabase = 3;
     constexpr double millisecondsPerSecond = 1000;
-
-    Traffic trafficOf(const char* name, Urgency urgency, double greatestAge, double deadline, double weight, double writeShare, double runTime)
-    {
-        Traffic traffic;
-        traffic.workload.name = ClassName(name);
-        traffic.workload.urgency = urgency;
-        traffic.workload.greatestAge = Milliseconds(greatestAge);
-        traffic.workload.deadline = Milliseconds(deadline);
-        traffic.weight = weight;
-        traffic.writeShare = writeShare;
-        traffic.runTime = Milliseconds(runTime);
-        return traffic;
-    }
+    using ms = Milliseconds;
 
     std::shared_ptr<const Configuration> configurationOf(const Deployment& deployment, const std::string& service)
     {
@@ -46,16 +34,15 @@
     {
         Deployment made;
         made.name = "teranga";
-        for (const char* it : { "plateau", "almadies", "yoff", "hann" })
-            made.domains.emplace_back(it);
-        made.domainDelay = Milliseconds(1.5);
-        made.callerDelay = Milliseconds(1);
+        made.domains = { FailureDomainId("plateau"), FailureDomainId("almadies"), FailureDomainId("yoff"), FailureDomainId("hann") };
+        made.domainDelay = ms(1.5);
+        made.callerDelay = ms(1);
         made.targets.slots = 5;
         made.targets.connections = 35;
         made.traffic = {
-            trafficOf("fitting", Urgency::Urgent, 500, 1000, 1, 0.4, 2),
-            trafficOf("stock", Urgency::Normal, 1000, 2000, 1, 0.3, 2),
-            trafficOf("history", Urgency::Deferrable, 5000, 3000, 3, 0, 3),
+            { { ClassName("fitting"), Urgency::Urgent, 1, ms(500), ms(1000) }, 1, 0.4, ms(2) },
+            { { ClassName("stock"), Urgency::Normal, 1, ms(1000), ms(2000) }, 1, 0.3, ms(2) },
+            { { ClassName("history"), Urgency::Deferrable, 1, ms(5000), ms(3000) }, 3, 0, ms(3) },
         };
         made.configuration = configurationOf(made, "fitting-db");
         return made;
@@ -65,17 +52,16 @@
     {
         Deployment made;
         made.name = "vizitka";
-        for (const char* it : { "sof-a", "sof-b", "plv-a", "pern-a" })
-            made.domains.emplace_back(it);
-        made.domainDelay = Milliseconds(0.5);
-        made.callerDelay = Milliseconds(3);
+        made.domains = { FailureDomainId("sof-a"), FailureDomainId("sof-b"), FailureDomainId("plv-a"), FailureDomainId("pern-a") };
+        made.domainDelay = ms(0.5);
+        made.callerDelay = ms(3);
         made.targets.slots = 3;
         made.targets.connections = 40;
         made.traffic = {
-            trafficOf("counter", Urgency::Urgent, 500, 1000, 1, 0.4, 2),
-            trafficOf("reorder", Urgency::Normal, 1000, 2000, 1, 0.5, 2),
-            trafficOf("price", Urgency::Normal, 2000, 2000, 3, 0, 2),
-            trafficOf("proof", Urgency::Deferrable, 10'000, 3000, 1, 0, 5),
+            { { ClassName("counter"), Urgency::Urgent, 1, ms(500), ms(1000) }, 1, 0.4, ms(2) },
+            { { ClassName("reorder"), Urgency::Normal, 1, ms(1000), ms(2000) }, 1, 0.5, ms(2) },
+            { { ClassName("price"), Urgency::Normal, 1, ms(2000), ms(2000) }, 3, 0, ms(2) },
+            { { ClassName("proof"), Urgency::Deferrable, 1, ms(10'000), ms(3000) }, 1, 0, ms(5) },
         };
         made.configuration = configurationOf(made, "orders-db");
         return made;
--- a/src/measure/Scenarios.cpp
+++ b/src/measure/Scenarios.cpp
@@ -27,9 +27,9 @@
                     model.setReplication(it.id, deployment.domainDelay + replicationTime, applyTime);
             }
             if (settings.side == Side::Naive)
-                proxy = createNaive(loop, targets, deployment);
+                proxy = Proxy::createNaive(loop, targets, deployment);
             else
-                proxy = createProduct(loop, targets, deployment, settings.brokenRules, settings.seed);
+                proxy = Proxy::createProduct(loop, targets, deployment, settings.brokenRules, settings.seed);
             loop.advance(warmUp);
             callers = std::make_unique<Callers>(loop, targets, deployment, *proxy);
             start = loop.now();
@@ -57,14 +57,14 @@
             return outcomeOf(result.code) == Outcome::Done && result.answeredAt - result.sentAt <= trafficOf(result).workload.deadline;
         }
 
-        FaultCounts faults() { return countFaults(targets, *deployment.configuration, results(), leaving); }
+        FaultCounts faults() { return countFaults(targets, *deployment.configuration, { results().begin(), results().end() }, leaving); }
 
-        uint64_t mostConnections() const
+        double mostConnections() const
         {
-            uint64_t most = 0;
+            double most = 0;
             for (const auto& group : deployment.configuration->groups) {
                 for (const auto& it : group.targets)
-                    most = std::max<uint64_t>(most, targets.mostConnections(it.id));
+                    most = std::max<double>(most, targets.mostConnections(it.id));
             }
             return most;
         }
@@ -204,19 +204,23 @@
             close(world);
         }
 
+        /// Parts a target from the daemons of all failure domains but `friendly`, and from its group.
+        static void setCut(World& world, const GroupConfiguration& group, const TargetId& target, const FailureDomainId& friendly, bool isCut)
+        {
+            for (const auto& it : world.deployment.domains) {
+                if (it != friendly)
+                    world.targets.setCut(it, target, isCut);
+            }
+            world.targets.model(group.database).setIsolated(target, isCut);
+        }
+
         // A primary is cut off from daemons and replicas for six seconds, and goes on believing that it leads.
         void failover()
         {
             World world(m_deployment, m_settings);
             const GroupConfiguration& group = world.group(0);
-            auto setCut = [&world, &group](bool isCut) {
-                const TargetId& primary = group.targets.front().id;
-                for (const auto& it : world.deployment.domains)
-                    world.targets.setCut(it, primary, isCut);
-                world.targets.model(group.database).setIsolated(primary, isCut);
-            };
-            world.at(3, [setCut] { setCut(true); });
-            world.at(9, [setCut] { setCut(false); });
+            for (const bool isCut : { true, false })
+                world.at(isCut ? 3 : 9, [&world, &group, isCut] { setCut(world, group, group.targets.front().id, {}, isCut); });
             world.run(draw({ phaseOf(m_deployment, 12, 0.15, 0.15) }));
             m_measures.failoverGap = longestGap(world, group.database, Milliseconds(2000), Milliseconds(12'000));
             close(world);
@@ -244,14 +248,8 @@
         {
             for (Milliseconds from; from < Milliseconds(8000); from = from + seriesSpan) {
                 auto isWithin = [&world, from](const CallerResult& it) { return world.sinceStart(it) >= from && world.sinceStart(it) < from + seriesSpan; };
-                SeriesPoint point;
-                point.at = from;
-                for (const auto& it : world.results()) {
-                    point.asked += isWithin(it) ? 1 : 0;
-                    point.answered += isWithin(it) && world.isInTime(it) ? 1 : 0;
-                }
-                point.p99 = p99(world, isWithin);
-                m_series->push_back(point);
+                const auto asked = std::count_if(world.results().begin(), world.results().end(), isWithin);
+                m_series->push_back({ from, static_cast<uint64_t>(asked), inTimeShare(world, isWithin), p99(world, isWithin) });
             }
         }
 
@@ -276,47 +274,41 @@
             world.at(2, [&world] { world.proxy->kill(0); });
             world.at(3, [&world] { world.proxy->publishList({}); });
             world.at(4, [&world] { world.targets.silenceConnections(world.group(1).targets.front().id); });
-            world.at(5, [&world] { leave(world, { world.group(1).targets[1].id, world.group(2).targets[0].id }); });
+            world.at(5, [&world] { leave(world, 1, 1); });
+            world.at(5, [&world] { leave(world, 2, 0); });
+            world.at(6, [&world] { world.proxy->publishList({ world.group(1).targets[1].id, world.group(2).targets[0].id }); });
             world.run(draw({ phaseOf(m_deployment, 10, 0.15, 0.15) }));
             close(world);
         }
 
-        // The failure domain of a primary is parted from all others: its daemons reach that primary and nothing else.
+        // The failure domain of a primary is parted from all others: its daemons reach its targets and nothing else.
         void partition()
         {
             World world(m_deployment, m_settings);
-            auto setCut = [&world](bool isCut) {
-                const GroupConfiguration& group = world.group(0);
-                const FailureDomainId& parted = group.targets.front().failureDomain;
-                world.proxy->setCut(parted, isCut);
-                for (const auto& each : world.deployment.configuration->groups) {
-                    for (const auto& target : each.targets) {
-                        for (const auto& domain : world.deployment.domains) {
-                            if ((domain == parted) != (target.failureDomain == parted))
-                                world.targets.setCut(domain, target.id, isCut);
-                        }
-                        if (target.failureDomain == parted)
-                            world.targets.model(each.database).setIsolated(target.id, isCut);
-                    }
-                }
-            };
-            world.at(2, [setCut] { setCut(true); });
-            world.at(6, [setCut] { setCut(false); });
+            for (const bool isCut : { true, false })
+                world.at(isCut ? 2 : 6, [&world, isCut] { part(world, world.group(0).targets.front().failureDomain, isCut); });
             world.run(draw({ phaseOf(m_deployment, 9, 0.15, 0.15) }));
             close(world);
         }
 
-        static void leave(World& world, const std::vector<TargetId>& ids)
+        static void part(World& world, const FailureDomainId& parted, bool isCut)
         {
-            for (const auto& id : ids) {
-                for (const auto& group : world.deployment.configuration->groups) {
-                    const bool isIn = std::any_of(group.targets.begin(), group.targets.end(), [&id](const TargetConfiguration& it) { return it.id == id; });
-                    if (isIn)
-                        world.targets.model(group.database).setLeaving(id, true);
+            world.proxy->setCut(parted, isCut);
+            for (const auto& group : world.deployment.configuration->groups) {
+                for (const auto& it : group.targets) {
+                    if (it.failureDomain == parted)
+                        setCut(world, group, it.id, parted, isCut);
+                    else
+                        world.targets.setCut(parted, it.id, isCut);
                 }
-                world.leaving.push_back({ id, world.loop.now() });
             }
-            world.at(1, [&world, ids] { world.proxy->publishList(ids); });
+        }
+
+        static void leave(World& world, size_t group, size_t target)
+        {
+            const TargetId& id = world.group(group).targets[target].id;
+            world.targets.model(world.group(group).database).setLeaving(id, true);
+            world.leaving.push_back({ id, world.loop.now() });
         }
 
         // Both daemons of a primary's failure domain die, one after the other; the platform's list lags by a second.
--- a/src/measure/Scenarios.h
+++ b/src/measure/Scenarios.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "measure/FaultCounts.h"
+#include "measure/Callers.h"
 
 namespace parsleypaddle {
 
@@ -32,7 +32,7 @@
     double oneDaemonP99 { 0 };
     double oneDaemonAnsweredShare { 0 };
     double daemonDeathGap { 0 };
-    uint64_t mostConnections { 0 };
+    double mostConnections { 0 };
     FaultCounts faults;
 };
 
@@ -40,7 +40,7 @@
 struct SeriesPoint {
     Milliseconds at;
     uint64_t asked { 0 };
-    uint64_t answered { 0 };
+    double answeredShare { 0 };
     double p99 { 0 };
 };
 
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -12,45 +12,23 @@
 constexpr char usage[] = "usage: parsleypaddle-measure --workload teranga|vizitka [--seed N] [--json|--csv] [--break RULE]\n"
                          "rules: session-position, ledger, confirmation, unknown-outcome, transaction-connection, leaving\n";
 
-enum class Format : uint8_t {
-    Table,
-    Json,
-    Csv,
-};
-
 struct Options {
     std::string workload;
     uint64_t seed { 1 };
-    Format format { Format::Table };
+    bool isJson { false };
+    bool isCsv { false };
     std::set<BrokenRule> brokenRules;
 };
 
-std::optional<BrokenRule> ruleNamed(std::string_view name)
-{
-    constexpr std::pair<std::string_view, BrokenRule> rules[] = {
-        { "session-position", BrokenRule::SessionPosition },
-        { "ledger", BrokenRule::Ledger },
-        { "confirmation", BrokenRule::Confirmation },
-        { "unknown-outcome", BrokenRule::UnknownOutcome },
-        { "transaction-connection", BrokenRule::TransactionConnection },
-        { "leaving", BrokenRule::Leaving },
-    };
-    for (const auto& [key, rule] : rules) {
-        if (key == name)
-            return rule;
-    }
-    return std::nullopt;
-}
-
-bool breakRule(Options& options, std::string_view name)
+bool breakRule([[maybe_unused]] Options& options, const std::string& name)
 {
 #ifdef PARSLEYPADDLE_TEST_HOOKS
-    const auto rule = ruleNamed(name);
+    const auto rule = brokenRuleNamed(name);
     if (rule)
         options.brokenRules.insert(*rule);
     return rule.has_value();
 #else
-    std::cerr << "this build has no test hooks: rules cannot be broken\n";
+    std::cerr << "this build has no test hooks: rule " << name << " cannot be broken\n";
     return false;
 #endif
 }
@@ -74,9 +52,9 @@
         if (found == 's')
             isValid = absl::SimpleAtoi(optarg, &options.seed);
         if (found == 'j')
-            options.format = Format::Json;
+            options.isJson = true;
         if (found == 'c')
-            options.format = Format::Csv;
+            options.isCsv = true;
         if (found == 'b')
             isValid = breakRule(options, optarg);
         if (!isValid)
@@ -102,9 +80,9 @@
     comparison.seed = options->seed;
     comparison.naive = measure(*deployment, { Side::Naive, options->seed, {} }, &naiveSeries);
     comparison.product = measure(*deployment, { Side::Product, options->seed, BrokenRules(options->brokenRules) }, &productSeries);
-    if (options->format == Format::Json)
+    if (options->isJson)
         std::cout << toJson(comparison);
-    else if (options->format == Format::Csv)
+    else if (options->isCsv)
         std::cout << toCsv(naiveSeries, productSeries);
     else
         std::cout << toTable(comparison);
