--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -68,4 +68,15 @@
     return object;
 }
 
+std::string writeJson(const Json::Value& value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder settings;
+        settings["indentation"] = "";
+        settings["emitUTF8"] = true;
+        return settings;
+    }();
+    return Json::writeString(builder, value);
+}
+
 }
