Metrics are fed: work at homes, retries, silent connections, refused keys, open connections

Several metrics on the page had no source: wait and run were always zero, since they pass at the home and not at the daemon that the caller asked. They are now noted apart (noteWork), retries by a mark on the entry's decisions, silent connections by the code of the work that ended. Counters for forwarded and shed requests are gone: nothing fed them, and answers by code tell of shedding. The page says which daemon counts what.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -69,6 +69,7 @@
 
     void handleStatement(StatementRequest, std::function<void(StatementAnswer)>);
     std::optional<Page> page(const std::string& path);
+    void setPresentMetrics();
 
     void readList();
     void haveList(const absl::StatusOr<PlatformList>&);
@@ -154,7 +155,16 @@
     if (!node.ok())
         return node.status();
     m_node = std::move(*node);
-    m_node->onDecision([this](const EntryDecision& it) { m_journal.note({ m_loop->now(), it.request, it.database, it.what, it.why }); });
+    m_node->onDecision([this](const EntryDecision& it) {
+        m_journal.note({ m_loop->now(), it.request, it.database, it.what, it.why });
+        if (it.isRetry)
+            m_metrics.count(MetricCounter::Retries);
+    });
+    m_node->homes().onWorkDone([this](const HomeCall& call, const WorkTimes& times) {
+        m_metrics.noteWork({ call.request.shop, call.request.workload, times.waited, times.ran });
+        if (times.code == ResultCode::TargetSilent)
+            m_metrics.count(MetricCounter::SilentConnections);
+    });
     m_node->homes().onPromoted([this](const PromotionReport& report) {
         m_metrics.count(MetricCounter::Promotions);
         const std::string what = "promoted " + report.primary.value() + " at term " + std::to_string(report.term.value());
@@ -255,7 +265,7 @@
 {
     Page page;
     if (path == "/metrics") {
-        m_metrics.set(MetricGauge::RequestsInFlight, static_cast<double>(m_gateway->requestsInFlight()));
+        setPresentMetrics();
         page.body = m_metrics.text();
         return page;
     }
@@ -268,6 +278,18 @@
     return page;
 }
 
+void Daemon::Parts::setPresentMetrics()
+{
+    m_metrics.set(MetricGauge::RequestsInFlight, static_cast<double>(m_gateway->requestsInFlight()));
+    // While draining, the control server is taken down on another thread.
+    if (!m_node->isDraining())
+        m_metrics.raiseTo(MetricCounter::KeysRefused, static_cast<double>(m_gateway->counts().keysRefused + m_control->refusedKeys()));
+    uint32_t connections = 0;
+    for (const auto& it : m_node->homes().targetHomes())
+        connections += it.second->pool().openConnections();
+    m_metrics.set(MetricGauge::TargetConnections, connections);
+}
+
 void Daemon::Parts::readList()
 {
     m_platform->list([this](const absl::StatusOr<PlatformList>& list) {
@@ -284,7 +306,7 @@
     m_hasList = true;
     m_node->setList(*list);
     m_peers->setPeers(m_node->membership().instances());
-    m_metrics.set(MetricGauge::PeersInReach, static_cast<double>(list->instances.size()));
+    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list->instances.size()));
 }
 
 void Daemon::Parts::startDrain()
--- a/src/entry/EntryContext.h
+++ b/src/entry/EntryContext.h
@@ -37,6 +37,8 @@
     DatabaseId database;
     std::string what;
     std::string why;
+    /// A further attempt follows.
+    bool isRetry { false };
 };
 
 /// What the runs of an entry daemon share.
--- a/src/entry/ReadRun.cpp
+++ b/src/entry/ReadRun.cpp
@@ -98,7 +98,7 @@
         return refuse(ResultCode::RetryBudgetSpent, answer.message);
     if (answer.outcome() == Outcome::NotRun && !mayServeElsewhere(answer.code))
         return finish(answer);
-    decide("ask another target than " + target.value(), std::string(nameOf(answer.code)));
+    decideRetry("ask another target than " + target.value(), std::string(nameOf(answer.code)));
     askNextTarget();
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -152,6 +152,12 @@
         m_context.onDecision({ m_request.id, m_request.database, std::move(what), std::move(why) });
 }
 
+void RequestRun::decideRetry(std::string what, std::string why) const
+{
+    if (m_context.onDecision)
+        m_context.onDecision({ m_request.id, m_request.database, std::move(what), std::move(why), true });
+}
+
 TargetId RequestRun::primaryToAsk()
 {
     const TargetId& primary = view().primary;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -52,6 +52,8 @@
     void finish(StatementAnswer);
     void refuse(ResultCode, std::string message);
     void decide(std::string what, std::string why) const;
+    /// The same, when a further attempt follows.
+    void decideRetry(std::string what, std::string why) const;
 
     const GroupView& view() { return m_context.views.find(m_group.database); }
 
--- a/src/entry/WriteRun.cpp
+++ b/src/entry/WriteRun.cpp
@@ -51,7 +51,7 @@
         return refuse(ResultCode::TargetUnreachable, answer.message);
     m_isUncertain = true;
     noteRefusal(answer);
-    decide("ask again", std::string(nameOf(answer.code)));
+    decideRetry("ask again", std::string(nameOf(answer.code)));
     if (!takeRetry())
         m_isSettling = true;
     attemptLater();
@@ -68,7 +68,7 @@
     }
     if (m_isUncertain && operation == HomeOperation::Write && !mayServeElsewhere(answer.code))
         m_isSettling = true;
-    decide("try again", std::string(nameOf(answer.code)));
+    decideRetry("try again", std::string(nameOf(answer.code)));
     attemptLater();
 }
 
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -287,7 +287,7 @@
 void TargetHome::finishBatch(const JobPointer& job, absl::StatusOr<TargetReply> reply)
 {
     if (m_observer)
-        m_observer(job->call, { job->startedAt - job->arrivedAt, m_loop.now() - job->startedAt });
+        m_observer(job->call, { job->startedAt - job->arrivedAt, m_loop.now() - job->startedAt, resultCodeOf(reply.status()) });
     keepTransaction(job, reply);
     job->connection.reset();
     if (reply.ok())
--- a/src/homes/TargetHome.h
+++ b/src/homes/TargetHome.h
@@ -16,6 +16,8 @@
 struct WorkTimes {
     Milliseconds waited;
     Milliseconds ran;
+    /// How its batch ended at the target.
+    ResultCode code { ResultCode::Done };
 };
 
 /// One daemon's use of one target: the queue before its slots, the connections, and the open transactions.
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/LabelLimit.h"
 
+#include <algorithm>
 #include <array>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -20,12 +21,10 @@
     };
 
     // In the order of their enumerations.
-    constexpr std::array<MetricInfo, 10> counterInfos { {
+    constexpr std::array<MetricInfo, 8> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
-        { "parsleypaddle_forwarded_total", "Statements sent to the home at another daemon" },
-        { "parsleypaddle_shed_total", "Requests refused unrun to protect more urgent ones" },
         { "parsleypaddle_keys_refused_total", "Requests of operators or daemons with a missing or wrong key" },
         { "parsleypaddle_configuration_changes_total", "Versions of the configuration that came into force here" },
         { "parsleypaddle_platform_errors_total", "Requests to the platform that failed or went unanswered" },
@@ -37,66 +36,56 @@
         { "parsleypaddle_configuration_version", "Version of the configuration in force here" },
         { "parsleypaddle_requests_in_flight", "Requests of callers without an answer yet" },
         { "parsleypaddle_target_connections", "Open connections to targets" },
-        { "parsleypaddle_peers_in_reach", "Other daemons that answer" },
+        { "parsleypaddle_instances_listed", "Daemons on the platform's list" },
         { "parsleypaddle_is_draining", "1 while this daemon is leaving" },
     } };
 
-    struct HistogramInfo {
-        const char* name;
-        const char* help;
-        Milliseconds RequestMeasure::*part;
-    };
-
-    constexpr std::array<HistogramInfo, 3> partInfos { {
-        { "wait_milliseconds", "Time that requests waited for a slot of a target", &RequestMeasure::wait },
-        { "run_milliseconds", "Time that requests ran at a target", &RequestMeasure::run },
-        { "total_milliseconds", "Time from a request's arrival to its answer", &RequestMeasure::total },
-    } };
-
     const prometheus::Histogram::BucketBoundaries& boundaries()
     {
         static const prometheus::Histogram::BucketBoundaries milliseconds { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10'000 };
         return milliseconds;
     }
 
-    using HistogramFamily = prometheus::Family<prometheus::Histogram>;
-
-    // The histograms of all parts of a request, for each value of one label.
-    class PartHistograms {
+    // One histogram for each value of a label.
+    class LabelledHistograms {
     public:
-        PartHistograms(prometheus::Registry& registry, const char* label, size_t limit)
+        LabelledHistograms(prometheus::Registry& registry, const std::string& label, const std::string& part, const std::string& help, LabelLimit& limit)
             : m_label(label)
             , m_limit(limit)
+            , m_family(prometheus::BuildHistogram().Name("parsleypaddle_" + label + "_" + part + "_milliseconds").Help(help + ", by " + label).Register(registry))
         {
-            for (size_t n = 0; n < partInfos.size(); ++n)
-                m_families[n] = &prometheus::BuildHistogram().Name(std::string("parsleypaddle_") + label + "_" + partInfos[n].name).Help(std::string(partInfos[n].help) + ", by " + label).Register(registry);
         }
 
-        void observe(const std::string& value, const RequestMeasure& measure)
+        void observe(const std::string& value, Milliseconds duration)
         {
-            const auto& histograms = histogramsOf(m_limit.labelOf(value));
-            for (size_t n = 0; n < partInfos.size(); ++n)
-                histograms[n]->Observe((measure.*partInfos[n].part).count());
+            const std::string& label = m_limit.labelOf(value);
+            auto& histogram = m_histograms[label];
+            if (!histogram)
+                histogram = &m_family.Add({ { m_label, label } }, boundaries());
+            histogram->Observe(duration.count());
         }
 
     private:
-        using Histograms = std::array<prometheus::Histogram*, partInfos.size()>;
+        std::string m_label;
+        LabelLimit& m_limit;
+        prometheus::Family<prometheus::Histogram>& m_family;
+        std::unordered_map<std::string, prometheus::Histogram*> m_histograms;
+    };
 
-        const Histograms& histogramsOf(const std::string& label)
+    // The histograms of all parts of a request, by one label.
+    struct PartHistograms {
+        PartHistograms(prometheus::Registry& registry, const std::string& label, size_t labels)
+            : limit(labels)
+            , wait(registry, label, "wait", "Time that work waited for a slot of a target at home here", limit)
+            , run(registry, label, "run", "Time that work ran at a target at home here", limit)
+            , total(registry, label, "total", "Time from a caller's request to its answer", limit)
         {
-            auto it = m_histograms.find(label);
-            if (it != m_histograms.end())
-                return it->second;
-            Histograms histograms {};
-            for (size_t n = 0; n < partInfos.size(); ++n)
-                histograms[n] = &m_families[n]->Add({ { m_label, label } }, boundaries());
-            return m_histograms.emplace(label, histograms).first->second;
         }
 
-        std::string m_label;
-        LabelLimit m_limit;
-        std::array<HistogramFamily*, partInfos.size()> m_families {};
-        std::unordered_map<std::string, Histograms> m_histograms;
+        LabelLimit limit;
+        LabelledHistograms wait;
+        LabelledHistograms run;
+        LabelledHistograms total;
     };
 
 }
@@ -132,8 +121,8 @@
 
 void Metrics::noteRequest(const RequestMeasure& measure)
 {
-    m_internals->byShop.observe(measure.shop.value(), measure);
-    m_internals->byClass.observe(measure.workload.value(), measure);
+    m_internals->byShop.total.observe(measure.shop.value(), measure.total);
+    m_internals->byClass.total.observe(measure.workload.value(), measure.total);
     auto& counter = m_internals->byCode[static_cast<uint16_t>(measure.code)];
     if (!counter)
         counter = &m_internals->answers.Add({ { "code", std::string(nameOf(measure.code)) }, { "outcome", std::string(nameOf(outcomeOf(measure.code))) } });
@@ -142,9 +131,23 @@
         count(measure.wasReplicaRead ? MetricCounter::ReadsAtReplica : MetricCounter::ReadsAtPrimary);
 }
 
-void Metrics::count(MetricCounter counter, double amount)
+void Metrics::noteWork(const WorkMeasure& measure)
+{
+    m_internals->byShop.wait.observe(measure.shop.value(), measure.wait);
+    m_internals->byShop.run.observe(measure.shop.value(), measure.run);
+    m_internals->byClass.wait.observe(measure.workload.value(), measure.wait);
+    m_internals->byClass.run.observe(measure.workload.value(), measure.run);
+}
+
+void Metrics::count(MetricCounter counter)
+{
+    m_internals->counters[static_cast<size_t>(counter)]->Increment();
+}
+
+void Metrics::raiseTo(MetricCounter counter, double total)
 {
-    m_internals->counters[static_cast<size_t>(counter)]->Increment(amount);
+    auto& present = *m_internals->counters[static_cast<size_t>(counter)];
+    present.Increment(std::max(0.0, total - present.Value()));
 }
 
 void Metrics::set(MetricGauge gauge, double value)
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -10,15 +10,11 @@
 
 namespace parsleypaddle {
 
-/// What became of one request, and how long its parts took.
+/// What became of one caller's request.
 struct RequestMeasure {
     ShopId shop;
     ClassName workload;
     ResultCode code { ResultCode::Done };
-    /// Waiting for a slot.
-    Milliseconds wait;
-    /// Running at a target.
-    Milliseconds run;
     /// From arrival to answer.
     Milliseconds total;
     /// Whether a replica served it.
@@ -26,13 +22,21 @@
     bool wasRead { false };
 };
 
+/// One piece of work at a target of which this daemon is the home; it may come from another daemon.
+struct WorkMeasure {
+    ShopId shop;
+    ClassName workload;
+    /// Waiting for a slot.
+    Milliseconds wait;
+    /// Running at the target.
+    Milliseconds run;
+};
+
 /// What is counted besides requests.
 enum class MetricCounter : uint8_t {
     Promotions,
     Retries,
     SilentConnections,
-    Forwarded,
-    Shed,
     KeysRefused,
     ConfigurationChanges,
     PlatformErrors,
@@ -45,7 +49,7 @@
     ConfigurationVersion,
     RequestsInFlight,
     TargetConnections,
-    PeersInReach,
+    InstancesListed,
     IsDraining,
 };
 
@@ -62,7 +66,10 @@
     ~Metrics();
 
     void noteRequest(const RequestMeasure&);
-    void count(MetricCounter, double amount = 1);
+    void noteWork(const WorkMeasure&);
+    void count(MetricCounter);
+    /// Raises a counter to a total that is counted elsewhere.
+    void raiseTo(MetricCounter, double total);
     void set(MetricGauge, double value);
 
     /// The present values in Prometheus' text form.
--- a/src/telemetry/MetricsTests.cpp
+++ b/src/telemetry/MetricsTests.cpp
@@ -11,7 +11,7 @@
 
 RequestMeasure measureOf(const std::string& shop, ResultCode code = ResultCode::Done)
 {
-    return { ShopId(shop), ClassName("fitting"), code, Milliseconds(1), Milliseconds(3), Milliseconds(7), true, true };
+    return { ShopId(shop), ClassName("fitting"), code, Milliseconds(7), true, true };
 }
 
 bool hasLine(const std::string& text, const std::string& line)
@@ -26,7 +26,11 @@
     Metrics metrics({});
     metrics.noteRequest(measureOf("shop-1"));
     metrics.noteRequest(measureOf("shop-1", ResultCode::Overloaded));
+    for (int n = 0; n < 2; ++n)
+        metrics.noteWork({ ShopId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
     metrics.count(MetricCounter::Promotions);
+    for (const double it : { 2.0, 5.0, 5.0 })
+        metrics.raiseTo(MetricCounter::KeysRefused, it);
     metrics.set(MetricGauge::ConfigurationVersion, 7);
     const auto text = metrics.text();
     CHECK(hasLine(text, R"(parsleypaddle_shop_total_milliseconds_bucket{shop="shop-1",le="10"} 2)"));
@@ -35,6 +39,7 @@
     CHECK(hasLine(text, R"(parsleypaddle_class_run_milliseconds_sum{class="fitting"} 6)"));
     CHECK(hasLine(text, R"(parsleypaddle_answers_total{code="overloaded",outcome="not_run"} 1)"));
     CHECK(hasLine(text, "parsleypaddle_promotions_total 1"));
+    CHECK(hasLine(text, "parsleypaddle_keys_refused_total 5"));
     CHECK(hasLine(text, "parsleypaddle_reads_at_replica_total 1"));
     CHECK(hasLine(text, "parsleypaddle_configuration_version 7"));
 }
@@ -60,6 +65,7 @@
     }
     Metrics metrics({});
     metrics.noteRequest(measureOf("shop-1"));
+    metrics.noteWork({ ShopId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
     std::set<std::string> exposed;
     std::istringstream text(metrics.text());
     for (std::string line; std::getline(text, line);) {
--- a/tests/operators/commands.sh
+++ b/tests/operators/commands.sh
@@ -74,6 +74,11 @@
 echo "access"
 PARSLEYPADDLE_KEY=guess expect 7 status
 grep -q guess "$WORK/out.txt" "$WORK/err.txt" && fail "the key was printed"
+metric() { curl -sf -m 5 "${LISTEN[i1]}/metrics" | awk -v name="$1" '$1 == name { print $2 }'; }
+[ "$(metric parsleypaddle_keys_refused_total)" -ge 1 ] || fail "the refused key was not counted"
+[ "$(metric parsleypaddle_configuration_version)" = 6 ] || fail "the version is not in the metrics"
+curl -sf -m 5 "${LISTEN[i2]}/metrics" | grep -q '^parsleypaddle_class_total_milliseconds_count{class="fitting"} [1-9]' || fail "no histogram of the class"
+for it in i1 i2 i3; do curl -sf -m 5 "${LISTEN[$it]}/metrics"; done | grep -q '^parsleypaddle_shop_run_milliseconds_count{shop="shop-1"} [1-9]' || fail "no run time of the shop"
 echo 'peer operators-peer-key' >"$WORK/key.txt"
 PARSLEYPADDLE_KEY='' expect 0 status --key-file "$WORK/key.txt"
 expect 2 status --colour
