--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -27,13 +27,6 @@
 
 }
 
-std::string writeJson(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 bool isUtf8(std::string_view text)
 {
     const Poco::UTF8Encoding encoding;
@@ -68,4 +61,15 @@
     return object;
 }
 
+std::string writeJson(const Json::Value& value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder settings;
+        settings["indentation"] = "";
+        settings["emitUTF8"] = true;
+        return settings;
+    }();
+    return Json::writeString(builder, value);
+}
+
 }
