Prepare the fixed statements of a batch once a connection

Guards, ledger and status went to the target as texts with every batch, to be parsed and planned each time. They are now prepared right before their first use, in the same pipeline; preparing them all at the front was ruled out, because a failed transaction prepares nothing until its rollback. A caller's statement that drops them (DEALLOCATE, DISCARD) ends the connection, as one that ends its transaction does.

--- a/src/pq/PipelineStep.cpp
+++ b/src/pq/PipelineStep.cpp
@@ -6,36 +6,36 @@
 
 namespace {
 
-    PipelineStep check(std::string text, std::vector<SqlValue> parameters = {})
+    PipelineStep check(const char* name, std::string text, std::vector<SqlValue> parameters = {})
     {
-        return { StepKind::Check, { std::move(text), std::move(parameters) } };
+        return { StepKind::Check, { std::move(text), std::move(parameters) }, name };
     }
 
     PipelineStep status()
     {
-        return { StepKind::Status, { "SELECT * FROM parsleypaddle.status()", {} } };
+        return { StepKind::Status, { "SELECT * FROM parsleypaddle.status()", {} }, "status" };
     }
 
     PipelineStep commit()
     {
-        return { StepKind::Commit, { "COMMIT", {} } };
+        return { StepKind::Commit, { "COMMIT", {} }, "commit" };
     }
 
     PipelineStep changeTerm(const char* text, Term term)
     {
-        return { StepKind::Status, { text, { std::to_string(term.value()) } } };
+        return { StepKind::Status, { text, { std::to_string(term.value()) } }, "" };
     }
 
     PipelineStep guardRead(const TargetBatch& batch)
     {
-        return check("SELECT parsleypaddle.guard_read($1, $2, $3)",
+        return check("guard_read", "SELECT parsleypaddle.guard_read($1, $2, $3)",
             { std::to_string(batch.term.value()), std::to_string(batch.minimumPosition.value()),
                 batch.greatestAge ? absl::StrCat(batch.greatestAge->count()) : std::string() });
     }
 
     PipelineStep guardWrite(const TargetBatch& batch)
     {
-        return check("SELECT parsleypaddle.guard_write($1)", { std::to_string(batch.term.value()) });
+        return check("guard_write", "SELECT parsleypaddle.guard_write($1)", { std::to_string(batch.term.value()) });
     }
 
     std::vector<SqlValue> ledgerParameters(const LedgerKey& key)
@@ -45,22 +45,22 @@
 
     PipelineStep ledgerEnter(const TargetBatch& batch)
     {
-        return check("SELECT parsleypaddle.ledger_enter($1, $2, $3)", ledgerParameters(batch.ledgerKey));
+        return check("ledger_enter", "SELECT parsleypaddle.ledger_enter($1, $2, $3)", ledgerParameters(batch.ledgerKey));
     }
 
     PipelineStep ledgerSettle(const TargetBatch& batch)
     {
-        return { StepKind::Settle, { "SELECT parsleypaddle.ledger_settle($1, $2, $3)", ledgerParameters(batch.ledgerKey) } };
+        return { StepKind::Settle, { "SELECT parsleypaddle.ledger_settle($1, $2, $3)", ledgerParameters(batch.ledgerKey) }, "ledger_settle" };
     }
 
     PipelineStep work(const TargetBatch& batch)
     {
-        return { StepKind::Statement, batch.statement };
+        return { StepKind::Statement, batch.statement, "" };
     }
 
     std::vector<PipelineStep> beginPipeline(const TargetBatch& batch)
     {
-        std::vector<PipelineStep> steps { check("BEGIN"), guardWrite(batch) };
+        std::vector<PipelineStep> steps { check("begin", "BEGIN"), guardWrite(batch) };
         if (!batch.statement.text.empty())
             steps.push_back(work(batch));
         steps.push_back(status());
@@ -81,7 +81,7 @@
     case TargetOperation::Read:
         return { guardRead(batch), work(batch), status() };
     case TargetOperation::Write:
-        return { check("BEGIN"), guardWrite(batch), ledgerEnter(batch), work(batch), commit(), status() };
+        return { check("begin", "BEGIN"), guardWrite(batch), ledgerEnter(batch), work(batch), commit(), status() };
     case TargetOperation::Begin:
         return beginPipeline(batch);
     case TargetOperation::Continue:
@@ -91,14 +91,14 @@
     case TargetOperation::Rollback:
         return recoveryPipeline();
     case TargetOperation::Settle:
-        return { check("BEGIN"), guardWrite(batch), ledgerSettle(batch), commit(), status() };
+        return { check("begin", "BEGIN"), guardWrite(batch), ledgerSettle(batch), commit(), status() };
     }
     return {};
 }
 
 std::vector<PipelineStep> recoveryPipeline()
 {
-    return { check("ROLLBACK"), status() };
+    return { check("rollback", "ROLLBACK"), status() };
 }
 
 }
--- a/src/pq/PipelineStep.h
+++ b/src/pq/PipelineStep.h
@@ -8,6 +8,8 @@
 
 /// What the result of a pipelined statement is good for.
 enum class StepKind : uint8_t {
+    /// The target has prepared a text; it returns no rows.
+    Prepare,
     /// Nothing but its success.
     Check,
     Commit,
@@ -23,6 +25,8 @@
 struct PipelineStep {
     StepKind kind { StepKind::Check };
     SqlStatement statement;
+    /// The name under which a connection prepares the text once; empty for texts that differ from batch to batch.
+    const char* preparedName { "" };
 };
 
 /// The statements that carry out a batch, in one round trip.
--- a/src/pq/PqConnection.cpp
+++ b/src/pq/PqConnection.cpp
@@ -33,19 +33,25 @@
         return isCut(statement.text) || std::any_of(statement.parameters.begin(), statement.parameters.end(), [&](const SqlValue& it) { return it && isCut(*it); });
     }
 
-    bool sendStep(PGconn* connection, const SqlStatement& statement)
+    bool sendStep(PGconn* connection, const PipelineStep& step)
     {
+        const auto& parameters = step.statement.parameters;
         std::vector<const char*> values;
-        values.reserve(statement.parameters.size());
-        for (const auto& it : statement.parameters)
+        values.reserve(parameters.size());
+        for (const auto& it : parameters)
             values.push_back(it ? it->c_str() : nullptr);
-        return PQsendQueryParams(connection, statement.text.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0) == 1;
+        const int count = static_cast<int>(values.size());
+        if (*step.preparedName)
+            return PQsendQueryPrepared(connection, step.preparedName, count, values.data(), nullptr, nullptr, 0) == 1;
+        return PQsendQueryParams(connection, step.statement.text.c_str(), count, nullptr, values.data(), nullptr, nullptr, 0) == 1;
     }
 
-    /// Whether the caller's own statement opened or ended a transaction, by the tag that the server gave it.
-    bool isTransactionControl(const PGresult* result)
+    /// Whether the caller's own statement opened or ended a transaction, or dropped what this connection has prepared, by
+    /// the tag that the server gave it.
+    bool interferes(const PGresult* result)
     {
-        constexpr std::array<std::string_view, 7> tags { "BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", "SAVEPOINT", "RELEASE", "PREPARE TRANSACTION" };
+        constexpr std::array<std::string_view, 10> tags { "BEGIN", "START TRANSACTION", "COMMIT", "ROLLBACK", "SAVEPOINT", "RELEASE", "PREPARE TRANSACTION",
+            "DEALLOCATE", "DEALLOCATE ALL", "DISCARD ALL" };
         const std::string_view tag = PQcmdStatus(const_cast<PGresult*>(result));
         return std::find(tags.begin(), tags.end(), tag) != tags.end();
     }
@@ -119,14 +125,20 @@
     m_timer = m_loop.after(Milliseconds(0), [this, status] { answer(status); });
 }
 
+// A text is prepared right before its first use: in a failed transaction the server prepares nothing until the rollback.
 bool PqConnection::send(const std::vector<PipelineStep>& steps)
 {
     m_steps.clear();
     m_nextStep = 0;
     for (const auto& it : steps) {
-        if (!sendStep(m_handle.get(), it.statement))
+        if (*it.preparedName && m_prepared.count(it.preparedName) == 0) {
+            if (PQsendPrepare(m_handle.get(), it.preparedName, it.statement.text.c_str(), 0, nullptr) != 1)
+                return false;
+            m_steps.push_back({ StepKind::Prepare, it.preparedName });
+        }
+        if (!sendStep(m_handle.get(), it))
             return false;
-        m_steps.push_back(it.kind);
+        m_steps.push_back({ it.kind, it.preparedName });
     }
     return PQpipelineSync(m_handle.get()) == 1;
 }
@@ -176,12 +188,12 @@
         m_isInDoubt = true;
         return;
     }
-    const StepKind kind = m_steps[m_nextStep++];
+    const SentStep step = m_steps[m_nextStep++];
     switch (PQresultStatus(result)) {
     case PGRES_TUPLES_OK:
     case PGRES_COMMAND_OK:
     case PGRES_EMPTY_QUERY:
-        takeSuccess(kind, result);
+        takeSuccess(step, result);
         break;
     case PGRES_FATAL_ERROR:
         takeError(result);
@@ -202,16 +214,19 @@
         m_error = errorOf(result);
 }
 
-void PqConnection::takeSuccess(StepKind kind, const PGresult* result)
+void PqConnection::takeSuccess(const SentStep& step, const PGresult* result)
 {
-    switch (kind) {
+    switch (step.kind) {
+    case StepKind::Prepare:
+        m_prepared.insert(step.preparedName);
+        break;
     case StepKind::Check:
         break;
     case StepKind::Commit:
         m_isCommitted = true;
         break;
     case StepKind::Statement:
-        m_isInDoubt = m_isInDoubt || isTransactionControl(result);
+        m_isInDoubt = m_isInDoubt || interferes(result);
         m_reply.rows = rowsOf(result);
         break;
     case StepKind::Settle:
--- a/src/pq/PqConnection.h
+++ b/src/pq/PqConnection.h
@@ -5,7 +5,9 @@
 #include "pq/PqHandle.h"
 #include "pq/WatchedSocket.h"
 
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace parsleypaddle {
 
@@ -28,6 +30,12 @@
         Dead,
     };
 
+    /// What the next result belongs to.
+    struct SentStep {
+        StepKind kind { StepKind::Check };
+        const char* preparedName { "" };
+    };
+
     PqConnection(PollLoop&, std::string name, PqHandle, std::unique_ptr<WatchedSocket>);
 
     absl::Status checkRunnable(const TargetBatch&) const;
@@ -38,7 +46,7 @@
     bool takeResults();
     void takeResult(const PGresult*);
     void takeError(const PGresult*);
-    void takeSuccess(StepKind, const PGresult*);
+    void takeSuccess(const SentStep&, const PGresult*);
     bool endPipeline();
     bool isReplyConsistent() const;
     void finish();
@@ -53,8 +61,10 @@
     TargetOperation m_operation { TargetOperation::Status };
     /// The term of the batch, or of the transaction it belongs to.
     Term m_term;
-    std::vector<StepKind> m_steps;
+    std::vector<SentStep> m_steps;
     size_t m_nextStep { 0 };
+    /// The names of the texts that the target has prepared for this connection.
+    std::set<std::string_view> m_prepared;
     TargetReply m_reply;
     absl::Status m_error;
     bool m_hasStatus { false };
