--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -17,13 +17,16 @@
 fleet_stop() {
     local name
     for name in "${!fleet_pids[@]}"; do
-        kill -CONT "${fleet_pids[$name]}" 2>/dev/null
-        kill "${fleet_pids[$name]}" 2>/dev/null
+        kill -CONT "${fleet_pids[$name]}" 2>/dev/null || true
+        kill "${fleet_pids[$name]}" 2>/dev/null || true
     done
     for name in "${!fleet_pids[@]}"; do
-        wait "${fleet_pids[$name]}" 2>/dev/null
+        wait "${fleet_pids[$name]}" 2>/dev/null || true
     done
-    [ -n "${fleet_dir:-}" ] && [ -z "${FLEET_KEEP:-}" ] && rm -rf "$fleet_dir"
+    fleet_pids=()
+    if [ -n "${fleet_dir:-}" ] && [ -z "${FLEET_KEEP:-}" ]; then
+        rm -rf "$fleet_dir"
+    fi
 }
 
 # Prints N free ports: each is bound once to see that nobody has it.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "control/ControlServer.h"
 #include "daemon/ControlPeers.h"
 #include "daemon/LoopBridge.h"
+#include "daemon/MembershipFeed.h"
 #include "daemon/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
@@ -29,8 +30,6 @@
 
     constexpr unsigned workerThreads = 4;
     constexpr size_t workerQueue = 256;
-    constexpr Milliseconds listInterval { 3000 };
-    constexpr Milliseconds firstListInterval { 250 };
     constexpr Milliseconds drainCheck { 20 };
     constexpr Milliseconds controlLimit { 25'000 };
     constexpr unsigned unavailable = 503;
@@ -71,8 +70,7 @@
     std::optional<Page> page(const std::string& path);
     void setPresentMetrics();
 
-    void readList();
-    void haveList(const absl::StatusOr<PlatformList>&);
+    void haveList(const PlatformList&);
     void startDrain();
     void checkDrained(Instant giveUpAt);
 
@@ -86,13 +84,13 @@
     std::unique_ptr<TargetConnector> m_targets;
     std::unique_ptr<PeerClient> m_peers;
     std::unique_ptr<Node> m_node;
+    std::unique_ptr<MembershipFeed> m_members;
     std::unique_ptr<ControlPeers> m_controlPeers;
     std::unique_ptr<ConfigurationStore> m_store;
     std::unique_ptr<Operations> m_operations;
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<ControlServer> m_control;
     std::mt19937_64 m_random { std::random_device {}() };
-    bool m_hasList { false };
     std::thread m_closer;
 };
 
@@ -174,6 +172,8 @@
         logInfo("event=promoted database=" + report.database.value() + " primary=" + report.primary.value() + " term=" + std::to_string(report.term.value()));
     });
 
+    MembershipFeedSettings members { m_settings.seeds, keys.peer.front(), m_random() };
+    m_members = std::make_unique<MembershipFeed>(*m_loop, *m_platform, *m_workers, std::move(members), [this](const PlatformList& list) { haveList(list); });
     m_controlPeers = std::make_unique<ControlPeers>(m_node->membership(), *m_workers, keys.peer.front());
     ConfigurationStoreSettings store;
     store.instance = m_settings.instance;
@@ -240,7 +240,7 @@
 {
     logInfo("event=started instance=" + m_settings.instance.value() + " port=" + std::to_string(m_gateway->port()) + " control_port=" + std::to_string(m_control->port()));
     m_store->start();
-    readList();
+    m_members->start();
     m_loop->run();
     m_closer.join();
     logInfo("event=stopped instance=" + m_settings.instance.value());
@@ -273,7 +273,7 @@
     }
     if (path != "/health")
         return std::nullopt;
-    const bool isReady = m_hasList && m_store->current()->version.value() > 0;
+    const bool isReady = m_members->hasList() && m_store->current()->version.value() > 0;
     page.body = m_node->isDraining() ? "leaving\n" : isReady ? "ready\n"
                                                              : "starting\n";
     page.status = isReady && !m_node->isDraining() ? page.status : unavailable;
@@ -292,23 +292,11 @@
     m_metrics.set(MetricGauge::TargetConnections, connections);
 }
 
-void Daemon::Parts::readList()
+void Daemon::Parts::haveList(const PlatformList& list)
 {
-    m_platform->list([this](const absl::StatusOr<PlatformList>& list) {
-        haveList(list);
-        const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
-        m_loop->after((m_hasList ? listInterval : firstListInterval) * jitter, [this] { readList(); });
-    });
-}
-
-void Daemon::Parts::haveList(const absl::StatusOr<PlatformList>& list)
-{
-    if (!list.ok())
-        return;
-    m_hasList = true;
-    m_node->setList(*list);
+    m_node->setList(list);
     m_peers->setPeers(m_node->membership().instances());
-    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list->instances.size()));
+    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list.instances.size()));
 }
 
 void Daemon::Parts::startDrain()
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -49,14 +49,14 @@
         return std::nullopt;
     }
 
-    Endpoint readEndpoint(const YamlMap& map, const std::string& key, YamlFaults& faults)
+    Endpoint readEndpoint(const YamlItem& item, YamlFaults& faults)
     {
         Endpoint endpoint;
-        if (!map.has(key)) {
-            faults.add(map.item(key), "nothing", "host and port");
+        if (!item.node.IsDefined()) {
+            faults.add(item, "nothing", "host and port");
             return endpoint;
         }
-        const YamlMap values(map.item(key), { "host", "port" }, faults);
+        const YamlMap values(item, { "host", "port" }, faults);
         endpoint.host = values.value<std::string>("host", "an IP number", parseHost, "");
         endpoint.port = static_cast<uint16_t>(values.value<uint32_t>("port", "a whole number from 0 to 65535", numberBetween(0, UINT16_MAX), 0));
         return endpoint;
@@ -118,13 +118,15 @@
     }
     YamlFaults faults;
     const YamlMap map({ root, "" },
-        { "instance", "failure-domain", "listen", "control", "platform", "platform-timeout", "key-file", "log-level", "drain-grace", "drain-limit", "caller-limit", "largest-body" }, faults);
+        { "instance", "failure-domain", "listen", "control", "platform", "platform-timeout", "seeds", "key-file", "log-level", "drain-grace", "drain-limit", "caller-limit", "largest-body" }, faults);
     DaemonSettings settings;
     settings.instance = InstanceId(map.text("instance", "this daemon's name"));
     settings.failureDomain = FailureDomainId(map.text("failure-domain", "the failure domain's name"));
-    settings.listen = readEndpoint(map, "listen", faults);
-    settings.control = readEndpoint(map, "control", faults);
-    settings.platform = readEndpoint(map, "platform", faults);
+    settings.listen = readEndpoint(map.item("listen"), faults);
+    settings.control = readEndpoint(map.item("control"), faults);
+    settings.platform = readEndpoint(map.item("platform"), faults);
+    for (const auto& it : map.list("seeds"))
+        settings.seeds.push_back(readEndpoint(it, faults));
     readOptionals(map, settings);
     const auto found = faults.take();
     if (!found.empty())
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -27,6 +27,8 @@
     Endpoint control;
     Endpoint platform;
     Milliseconds platformTimeout { 1000 };
+    /// Control interfaces of some daemons, asked for the members while the platform does not answer at the start.
+    std::vector<Endpoint> seeds;
     /// The file with the fleet's keys; the environment's PARSLEYPADDLE_KEYS when empty.
     std::string keyFile;
     std::string logLevel { "info" };
--- a/src/daemon/DaemonSettingsTests.cpp
+++ b/src/daemon/DaemonSettingsTests.cpp
@@ -13,6 +13,7 @@
 listen: { host: 127.0.0.1, port: 7001 }
 control: { host: 127.0.0.1, port: 7101 }
 platform: { host: 127.0.0.1, port: 7900 }
+seeds: [{ host: 127.0.0.1, port: 7102 }]
 drain-grace: 2s
 )";
 
@@ -25,6 +26,8 @@
     CHECK(settings->instance == InstanceId("i1"));
     CHECK(settings->control.port == 7101);
     CHECK(settings->drainGrace == Milliseconds(2000));
+    REQUIRE(settings->seeds.size() == 1);
+    CHECK(settings->seeds[0].port == 7102);
     CHECK(settings->platformTimeout == Milliseconds(1000));
 }
 
