--- a/src/entry/ReadRun.cpp
+++ b/src/entry/ReadRun.cpp
@@ -15,16 +15,15 @@
     return m_lastRefusal.outcome() == Outcome::NotRun ? m_lastRefusal.code : ResultCode::DeadlinePassed;
 }
 
-// A position counts while its term lasts. After a change of primary, or an uncertain write, or without a token,
-// the primary's confirmed position covers every write that has survived.
+// A position counts while its term lasts. After a change of primary, or an uncertain write, or when the token does not
+// speak of this database (it may descend from a request that came without one), the primary's confirmed position covers
+// every write that has survived.
 bool ReadRun::mustAskPosition()
 {
     if (m_request.session.isEmpty())
         return false;
     const SessionPosition* known = m_session.find(m_request.database);
-    if (!known)
-        return m_request.token.empty();
-    if (known->isUncertain || view().term > known->term)
+    if (!known || known->isUncertain || view().term > known->term)
         return true;
     m_position = known->position;
     m_term = known->term;
