A daemon that starts while the platform is away learns the fleet from seed peers

It knew no peers then, since it learns them from the platform's list, and so had no configuration until the platform came back. The new setting seed-peers names control addresses that it asks for the daemons there are. configuration-faults.sh starts such a daemon with the platform down: it is ready, has the version in force, and does a write.

--- a/src/configuration/ConfigurationYaml.cpp
+++ b/src/configuration/ConfigurationYaml.cpp
@@ -91,7 +91,7 @@
         for (const auto& it : map.list("targets"))
             group.targets.push_back(readTarget(it, faults));
         if (group.targets.empty())
-            faults.add(map.has("targets") ? map.item("targets") : YamlItem { item.node, item.path + ".targets" }, "no target", "a list of one or more targets");
+            faults.add(map.item("targets"), "no target", "a list of one or more targets");
         return group;
     }
 
--- a/src/configuration/YamlReader.cpp
+++ b/src/configuration/YamlReader.cpp
@@ -67,7 +67,7 @@
 {
     // The const operator leaves the mapping as it is when the key is absent.
     const YAML::Node& node = m_item.node;
-    return { node[key], childPath(m_item.path, key) };
+    return { has(key) ? node[key] : node, childPath(m_item.path, key) };
 }
 
 std::optional<std::string> YamlMap::scalar(const std::string& key, const std::string& expected) const
@@ -76,7 +76,7 @@
     if (!m_isMap)
         return std::nullopt;
     if (!has(key)) {
-        m_faults.add({ m_item.node, childPath(m_item.path, key) }, "missing", expected);
+        m_faults.add(item(key), "missing", expected);
         return std::nullopt;
     }
     const YamlItem child = item(key);
--- a/src/configuration/YamlReader.h
+++ b/src/configuration/YamlReader.h
@@ -34,7 +34,7 @@
 
     bool has(const std::string& key) const;
 
-    /// The item under `key`; its node is undefined when there is none.
+    /// The item under `key`; when there is none, the mapping's node stands for it, so that a fault has a line.
     YamlItem item(const std::string& key) const;
 
     /// A required, non-empty text.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "control/ControlServer.h"
 #include "daemon/ControlPeers.h"
 #include "daemon/LoopBridge.h"
+#include "daemon/SeedPeer.h"
 #include "daemon/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
@@ -73,6 +74,7 @@
 
     void readList();
     void haveList(const absl::StatusOr<PlatformList>&);
+    void askSeedPeers();
     void startDrain();
     void checkDrained(Instant giveUpAt);
 
@@ -92,6 +94,7 @@
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<ControlServer> m_control;
     std::mt19937_64 m_random { std::random_device {}() };
+    std::string m_peerKey;
     bool m_hasList { false };
     std::thread m_closer;
 };
@@ -141,7 +144,8 @@
     m_platform->onFailure([this] { m_metrics.count(MetricCounter::PlatformErrors); });
     m_targets = PqConnector::create(*m_loop, {});
     PeerClientSettings peerSettings;
-    peerSettings.key = keys.peer.front();
+    m_peerKey = keys.peer.front();
+    peerSettings.key = m_peerKey;
     auto peers = PeerClient::create(*m_loop, peerSettings);
     if (!peers.ok())
         return peers.status();
@@ -294,6 +298,8 @@
 {
     m_platform->list([this](const absl::StatusOr<PlatformList>& list) {
         haveList(list);
+        if (!m_hasList)
+            askSeedPeers();
         const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
         m_loop->after((m_hasList ? listInterval : firstListInterval) * jitter, [this] { readList(); });
     });
@@ -309,6 +315,23 @@
     m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list->instances.size()));
 }
 
+// The platform may be away when an instance starts; other daemons then tell which ones there are.
+void Daemon::Parts::askSeedPeers()
+{
+    if (m_settings.seedPeers.empty())
+        return;
+    const Endpoint peer = m_settings.seedPeers[m_random() % m_settings.seedPeers.size()];
+    const bool isTaken = m_workers->submit([this, peer, key = m_peerKey]() -> std::function<void()> {
+        auto list = askSeedPeer(peer, key);
+        return [this, list = std::move(list)] {
+            if (!m_hasList)
+                haveList(list);
+        };
+    });
+    if (!isTaken)
+        logInfo("event=seed_peer_not_asked");
+}
+
 void Daemon::Parts::startDrain()
 {
     if (m_node->isDraining())
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -49,19 +49,23 @@
         return std::nullopt;
     }
 
-    Endpoint readEndpoint(const YamlMap& map, const std::string& key, YamlFaults& faults)
+    Endpoint readEndpoint(const YamlItem& item, YamlFaults& faults)
     {
         Endpoint endpoint;
-        if (!map.has(key)) {
-            faults.add(map.item(key), "nothing", "host and port");
-            return endpoint;
-        }
-        const YamlMap values(map.item(key), { "host", "port" }, faults);
+        const YamlMap values(item, { "host", "port" }, faults);
         endpoint.host = values.value<std::string>("host", "an IP number", parseHost, "");
         endpoint.port = static_cast<uint16_t>(values.value<uint32_t>("port", "a whole number from 0 to 65535", numberBetween(0, UINT16_MAX), 0));
         return endpoint;
     }
 
+    Endpoint readEndpoint(const YamlMap& map, const std::string& key, YamlFaults& faults)
+    {
+        if (map.has(key))
+            return readEndpoint(map.item(key), faults);
+        faults.add(map.item(key), "missing", "host and port");
+        return {};
+    }
+
     template <typename T>
     void readOptional(const YamlMap& map, const std::string& key, const std::string& expected, const std::function<std::optional<T>(const std::string&)>& parse, T& value)
     {
@@ -118,13 +122,15 @@
     }
     YamlFaults faults;
     const YamlMap map({ root, "" },
-        { "instance", "failure-domain", "listen", "control", "platform", "platform-timeout", "key-file", "log-level", "drain-grace", "drain-limit", "caller-limit", "largest-body" }, faults);
+        { "instance", "failure-domain", "listen", "control", "platform", "seed-peers", "platform-timeout", "key-file", "log-level", "drain-grace", "drain-limit", "caller-limit", "largest-body" }, faults);
     DaemonSettings settings;
     settings.instance = InstanceId(map.text("instance", "this daemon's name"));
     settings.failureDomain = FailureDomainId(map.text("failure-domain", "the failure domain's name"));
     settings.listen = readEndpoint(map, "listen", faults);
     settings.control = readEndpoint(map, "control", faults);
     settings.platform = readEndpoint(map, "platform", faults);
+    for (const auto& it : map.list("seed-peers"))
+        settings.seedPeers.push_back(readEndpoint(it, faults));
     readOptionals(map, settings);
     const auto found = faults.take();
     if (!found.empty())
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -26,6 +26,8 @@
     /// For operators and the control traffic between daemons.
     Endpoint control;
     Endpoint platform;
+    /// Control addresses of other daemons, or of a balancer before them, to learn the fleet from while the platform is away.
+    std::vector<Endpoint> seedPeers;
     Milliseconds platformTimeout { 1000 };
     /// The file with the fleet's keys; the environment's PARSLEYPADDLE_KEYS when empty.
     std::string keyFile;
--- a/src/daemon/DaemonSettingsTests.cpp
+++ b/src/daemon/DaemonSettingsTests.cpp
@@ -13,6 +13,7 @@
 listen: { host: 127.0.0.1, port: 7001 }
 control: { host: 127.0.0.1, port: 7101 }
 platform: { host: 127.0.0.1, port: 7900 }
+seed-peers: [{ host: 10.0.1.5, port: 7101 }]
 drain-grace: 2s
 )";
 
@@ -24,6 +25,8 @@
     REQUIRE(settings.ok());
     CHECK(settings->instance == InstanceId("i1"));
     CHECK(settings->control.port == 7101);
+    REQUIRE(settings->seedPeers.size() == 1);
+    CHECK(settings->seedPeers[0].host == "10.0.1.5");
     CHECK(settings->drainGrace == Milliseconds(2000));
     CHECK(settings->platformTimeout == Milliseconds(1000));
 }
@@ -39,6 +42,16 @@
         CHECK(message.find(it) != std::string::npos);
 }
 
+TEST_CASE("settings that lack an address are told so", "[daemon]")
+{
+    const auto settings = parseDaemonSettings("instance: i1\nfailure-domain: plateau\nseed-peers: [{ host: nowhere, port: 1 }]\n", "i1.yaml");
+    REQUIRE_FALSE(settings.ok());
+    const std::string message(settings.status().message());
+    INFO(message);
+    for (const char* it : { "i1.yaml:1: listen: missing", "i1.yaml:1: control: missing", "i1.yaml:1: platform: missing", "i1.yaml:3: seed-peers[0].host" })
+        CHECK(message.find(it) != std::string::npos);
+}
+
 TEST_CASE("keys are read by line and a wrong line is told without its secret", "[daemon]")
 {
     const auto keys = parseDaemonKeys("# fleet\npeer 0123456789abcdef\ntoken k1 0123456789abcdef\n", "keys");
