Merge h5: one way to learn the members from seed peers

Both sides had mended the same fault. Kept: the setting and its checks from h5, and the feed that goes on asking seeds until the platform itself has answered once. The end-to-end test of h5 covers it; the twin script is gone.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -172,7 +172,7 @@
         logInfo("event=promoted database=" + report.database.value() + " primary=" + report.primary.value() + " term=" + std::to_string(report.term.value()));
     });
 
-    MembershipFeedSettings members { m_settings.seeds, keys.peer.front(), m_random() };
+    MembershipFeedSettings members { m_settings.seedPeers, keys.peer.front(), m_random() };
     m_members = std::make_unique<MembershipFeed>(*m_loop, *m_platform, *m_workers, std::move(members), [this](const PlatformList& list) { haveList(list); });
     m_controlPeers = std::make_unique<ControlPeers>(m_node->membership(), *m_workers, keys.peer.front());
     ConfigurationStoreSettings store;
--- a/src/daemon/MembershipFeed.cpp
+++ b/src/daemon/MembershipFeed.cpp
@@ -1,8 +1,6 @@
 #include "daemon/MembershipFeed.h"
 
-#include "control/ControlClient.h"
-#include "operations/DaemonStatus.h"
-#include "statements/JsonText.h"
+#include "daemon/SeedPeer.h"
 
 namespace parsleypaddle {
 
@@ -10,23 +8,9 @@
 
     constexpr Milliseconds listInterval { 3000 };
     constexpr Milliseconds firstListInterval { 250 };
-    constexpr double seedTimeoutMilliseconds = 1000;
     constexpr double leastJitter = 0.5;
     constexpr double mostJitter = 1.5;
 
-    absl::StatusOr<PlatformList> listFromStatus(const std::string& json)
-    {
-        auto object = parseJsonObject(json);
-        if (!object.ok())
-            return object.status();
-        auto status = daemonStatusFrom(*object);
-        if (!status.ok())
-            return status.status();
-        PlatformList list;
-        list.instances = std::move(status->instances);
-        return list;
-    }
-
 }
 
 MembershipFeed::MembershipFeed(PollLoop& loop, PlatformInstanceList& platform, WorkerPool& workers, MembershipFeedSettings settings, ListHeard heard)
@@ -67,11 +51,9 @@
 
 void MembershipFeed::askSeed()
 {
-    const Endpoint& seed = m_settings.seeds[m_random() % m_settings.seeds.size()];
-    const ControlAddress address { seed.host, seed.port };
-    const bool isTaken = m_workers.submit([this, address, key = m_settings.key]() -> std::function<void()> {
-        const ControlResult result = ControlClient::call(address, key, "status", "{}", seedTimeoutMilliseconds);
-        auto list = result.isOk ? listFromStatus(result.body) : absl::StatusOr<PlatformList>(absl::UnavailableError(result.error));
+    const Endpoint seed = m_settings.seeds[m_random() % m_settings.seeds.size()];
+    const bool isTaken = m_workers.submit([this, seed, key = m_settings.key]() -> std::function<void()> {
+        auto list = askSeedPeer(seed, key);
         return [this, list = std::move(list)] {
             if (list.ok() && !m_hasPlatformList) {
                 m_hasList = true;
