Decode and encode large messages off the loop

Messages from 256 KiB on are now decoded and encoded by two worker threads of the gateway and of the peer client; texts are searched block by block. Small messages stay on the loop.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -40,16 +40,23 @@
     Route route { Route::Unknown };
     std::string path;
     std::string body;
+    /// Its share of the bytes that all bodies may take.
+    size_t bufferedBytes { 0 };
     Instant arrived;
     RequestId id;
 
     unsigned status { 0 };
     std::string answer;
     std::string contentType { "application/json" };
+    /// A handler has answered; the answer may still be on its way into `answer`.
+    bool isSettled { false };
+    /// `answer` is whole.
     bool isAnswered { false };
     bool isSuspended { false };
     bool isDeparted { false };
 
+    std::weak_ptr<Exchange> weak() const { return *place; }
+
     using List = std::list<std::shared_ptr<Exchange>>;
     /// Its place in the list that owns it.
     List::iterator place;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,6 +28,8 @@
     Milliseconds requestTimeout { 10'000 };
     /// A connection that is silent for so long between requests is closed.
     Milliseconds idleTimeout { 600'000 };
+    /// Threads that decode and encode large bodies.
+    unsigned workerThreads { 2 };
     /// The keys that peers may show; several while they are being replaced.
     std::vector<std::string> peerKeys;
 };
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -2,12 +2,14 @@
 
 #include "gateway/HttpStatus.h"
 #include "net/KeyCheck.h"
+#include "net/SizedWork.h"
 #include "peers/HomeCallJson.h"
 #include "peers/PeerPaths.h"
 #include "statements/StatementJson.h"
 
 #include <absl/strings/str_cat.h>
 #include <cstring>
+#include <utility>
 
 // The way of one request: head, body, handler, answer.
 
@@ -39,6 +41,16 @@
         return text ? std::strtoull(text, nullptr, 10) : 0;
     }
 
+    size_t sizeOf(const Rows& rows)
+    {
+        size_t bytes = 0;
+        for (const auto& row : rows.values) {
+            for (const auto& value : row)
+                bytes += value ? value->size() : 0;
+        }
+        return bytes;
+    }
+
     std::string tooLargeMessage(size_t limit)
     {
         return absl::StrCat("body: larger than ", limit, " bytes");
@@ -78,6 +90,7 @@
         return;
     }
     m_bufferedBytes += size;
+    exchange.bufferedBytes += size;
     exchange.body.append(data, size);
 }
 
@@ -104,7 +117,16 @@
 
 void Gateway::Server::handleStatement(Exchange& exchange)
 {
-    auto request = decodeStatementRequest(exchange.body, exchange.arrived);
+    const auto body = takeBody(exchange);
+    const auto decode = [body, arrived = exchange.arrived] { return decodeStatementRequest(*body, arrived); };
+    runBySize(*m_workers, body->size(), decode, [this, weak = exchange.weak()](absl::StatusOr<StatementRequest> request) {
+        if (const auto waiting = weak.lock())
+            runStatement(*waiting, std::move(request));
+    });
+}
+
+void Gateway::Server::runStatement(Exchange& exchange, absl::StatusOr<StatementRequest> request)
+{
     releaseBody(exchange);
     if (!request.ok()) {
         refuse(exchange, resultCodeOf(request.status()), std::string(request.status().message()));
@@ -112,31 +134,35 @@
     }
     ++m_counts.statements;
     exchange.id = request->id;
-    m_handlers.onStatement(*std::move(request), [this, weak = std::weak_ptr<Exchange>(*exchange.place)](const StatementAnswer& given) {
+    m_handlers.onStatement(*std::move(request), [this, weak = exchange.weak()](StatementAnswer given) {
         const auto waiting = weak.lock();
-        if (!waiting || waiting->isAnswered)
-            return;
-        answer(*waiting, given);
-        complete(*waiting);
+        if (waiting && !waiting->isSettled)
+            settle(*waiting, std::move(given));
     });
 }
 
 void Gateway::Server::handleHomeCall(Exchange& exchange)
 {
-    auto call = decodeHomeCall(exchange.body, exchange.arrived);
+    const auto body = takeBody(exchange);
+    const auto decode = [body, arrived = exchange.arrived] { return decodeHomeCall(*body, arrived); };
+    runBySize(*m_workers, body->size(), decode, [this, weak = exchange.weak()](absl::StatusOr<HomeCall> call) {
+        if (const auto waiting = weak.lock())
+            runHomeCall(*waiting, std::move(call));
+    });
+}
+
+void Gateway::Server::runHomeCall(Exchange& exchange, absl::StatusOr<HomeCall> call)
+{
     releaseBody(exchange);
     if (!call.ok()) {
         refuse(exchange, resultCodeOf(call.status()), std::string(call.status().message()));
         return;
     }
     ++m_counts.homeCalls;
-    m_handlers.onHomeCall(*std::move(call), [this, weak = std::weak_ptr<Exchange>(*exchange.place)](const HomeReply& reply) {
+    m_handlers.onHomeCall(*std::move(call), [this, weak = exchange.weak()](HomeReply reply) {
         const auto waiting = weak.lock();
-        if (!waiting || waiting->isAnswered)
-            return;
-        waiting->status = MHD_HTTP_OK;
-        waiting->answer = encodeHomeReply(reply, m_loop.now());
-        complete(*waiting);
+        if (waiting && !waiting->isSettled)
+            settle(*waiting, std::move(reply));
     });
 }
 
@@ -157,20 +183,43 @@
 {
     ++m_counts.refused;
     releaseBody(exchange);
+    if (exchange.phase == ExchangePhase::Body)
+        exchange.phase = ExchangePhase::Discarding;
     StatementAnswer refusal;
     refusal.id = exchange.id;
     refusal.code = code;
     refusal.message = message;
-    answer(exchange, refusal);
-    if (exchange.phase == ExchangePhase::Body)
-        exchange.phase = ExchangePhase::Discarding;
-    exchange.isAnswered = true;
+    settle(exchange, std::move(refusal));
 }
 
-void Gateway::Server::answer(Exchange& exchange, const StatementAnswer& given)
+void Gateway::Server::settle(Exchange& exchange, StatementAnswer given)
 {
+    exchange.isSettled = true;
     exchange.status = httpStatusOf(given.code);
-    exchange.answer = encodeStatementAnswer(given);
+    const size_t bytes = sizeOf(given.rows);
+    const auto encode = [given = std::move(given)] { return encodeStatementAnswer(given); };
+    runBySize(*m_workers, bytes, encode, [this, weak = exchange.weak()](std::string text) {
+        const auto waiting = weak.lock();
+        if (!waiting)
+            return;
+        waiting->answer = std::move(text);
+        complete(*waiting);
+    });
+}
+
+void Gateway::Server::settle(Exchange& exchange, HomeReply reply)
+{
+    exchange.isSettled = true;
+    exchange.status = MHD_HTTP_OK;
+    const size_t bytes = sizeOf(reply.answer.rows);
+    const auto encode = [reply = std::move(reply), now = m_loop.now()] { return encodeHomeReply(reply, now); };
+    runBySize(*m_workers, bytes, encode, [this, weak = exchange.weak()](std::string text) {
+        const auto waiting = weak.lock();
+        if (!waiting)
+            return;
+        waiting->answer = std::move(text);
+        complete(*waiting);
+    });
 }
 
 void Gateway::Server::complete(Exchange& exchange)
@@ -199,9 +248,14 @@
     return isQueued;
 }
 
+std::shared_ptr<const std::string> Gateway::Server::takeBody(Exchange& exchange)
+{
+    return std::make_shared<const std::string>(std::exchange(exchange.body, {}));
+}
+
 void Gateway::Server::releaseBody(Exchange& exchange)
 {
-    m_bufferedBytes -= exchange.body.size();
+    m_bufferedBytes -= std::exchange(exchange.bufferedBytes, 0);
     std::string().swap(exchange.body);
 }
 
--- a/src/gateway/GatewayServer.cpp
+++ b/src/gateway/GatewayServer.cpp
@@ -58,6 +58,10 @@
     const auto address = addressOf(m_settings);
     if (!address.ok())
         return address.status();
+    auto workers = WorkerPool::create(m_loop, m_settings.workerThreads, m_settings.connectionLimit);
+    if (!workers.ok())
+        return workers.status();
+    m_workers = *std::move(workers);
     unsigned flags = MHD_USE_EPOLL | MHD_USE_TURBO | MHD_ALLOW_SUSPEND_RESUME;
     if (address->af() == AF_INET6)
         flags |= MHD_USE_IPv6;
--- a/src/gateway/GatewayServer.h
+++ b/src/gateway/GatewayServer.h
@@ -2,6 +2,7 @@
 
 #include "gateway/Exchange.h"
 #include "gateway/Gateway.h"
+#include "net/WorkerPool.h"
 
 #include <microhttpd.h>
 
@@ -35,14 +36,19 @@
     void receiveBody(Exchange&, const char* data, size_t size);
     MHD_Result dispatch(Exchange&);
     void handleStatement(Exchange&);
+    void runStatement(Exchange&, absl::StatusOr<StatementRequest>);
     void handleHomeCall(Exchange&);
+    void runHomeCall(Exchange&, absl::StatusOr<HomeCall>);
     void handlePage(Exchange&);
 
     void refuse(Exchange&, ResultCode, const std::string& message);
-    void answer(Exchange&, const StatementAnswer&);
+    void settle(Exchange&, StatementAnswer);
+    void settle(Exchange&, HomeReply);
     /// The answer is whole: it is sent as soon as the connection can.
     void complete(Exchange&);
     MHD_Result sendAnswer(Exchange&);
+    /// The body, which is no longer kept in the exchange.
+    std::shared_ptr<const std::string> takeBody(Exchange&);
     void releaseBody(Exchange&);
 
     /// Ends requests that take too long to arrive, and notices callers that left.
@@ -55,6 +61,7 @@
     GatewaySettings m_settings;
     GatewayHandlers m_handlers;
     GatewayCounts m_counts;
+    std::unique_ptr<WorkerPool> m_workers;
     MHD_Daemon* m_daemon { nullptr };
     int m_pollDescriptor { -1 };
     uint16_t m_port { 0 };
--- a/src/gateway/GatewayTests.cpp
+++ b/src/gateway/GatewayTests.cpp
@@ -96,6 +96,34 @@
     CHECK(answer->rows.values[0][0] == large);
 }
 
+TEST_CASE("a large body with a fault is refused, and dropped when the gateway ends meanwhile", "[gateway]")
+{
+    const std::string large(size_t { 2 } * 1024 * 1024, 'x');
+    GatewayFixture fixture;
+    HttpResult result;
+    SECTION("refused")
+    {
+        fixture.run({ [&] { result = sendRequest(fixture.gateway->port(), "POST", "/v1/statements", R"({"version":1,"shop":7,"statement":")" + large + "\"}"); } });
+        const auto answer = decodeStatementAnswer(result.body);
+        REQUIRE(answer.ok());
+        CHECK(answer->code == ResultCode::WrongType);
+        CHECK(fixture.gateway->requestsInFlight() == 0);
+    }
+    SECTION("dropped")
+    {
+        const uint16_t port = fixture.gateway->port();
+        const std::function<void()> endWhenDecoding = [&] {
+            if (fixture.gateway->requestsInFlight() == 0 || fixture.gateway->counts().statements == 0)
+                fixture.loop->after(Milliseconds(0), endWhenDecoding);
+            else
+                fixture.gateway.reset();
+        };
+        endWhenDecoding();
+        fixture.run({ [&] { result = sendRequest(port, "POST", "/v1/statements", statementBody("a", large)); } });
+        CHECK(result.status == 0);
+    }
+}
+
 TEST_CASE("faulty input gets a numbered refusal and the gateway lives on", "[gateway]")
 {
     const std::string path = "/v1/statements";
--- a/src/gateway_load/LoadRun.cpp
+++ b/src/gateway_load/LoadRun.cpp
@@ -1,5 +1,6 @@
 #include "gateway_load/LoadRun.h"
 
+#include "peers/PeerClient.h"
 #include "statements/StatementJson.h"
 
 #include <Poco/Net/SocketAddress.h>
@@ -19,6 +20,7 @@
 
     constexpr double millisecondsPerSecond = 1e3;
     constexpr double nanosecondsPerMillisecond = 1e6;
+    constexpr const char* peerKey = "peer-key";
 
     /// The processor time that the calling thread has used.
     Milliseconds threadTime()
@@ -95,6 +97,102 @@
         return failed;
     }
 
+    /// Runs the callers on threads of their own, and the loop until they are done.
+    LoadResult runCallers(PollLoop& loop, uint16_t port, const LoadPlan& plan)
+    {
+        std::atomic<uint64_t> failed { 0 };
+        std::atomic<unsigned> left { plan.connections };
+        std::vector<std::thread> callers;
+        callers.reserve(plan.connections);
+        const Instant start = loop.now();
+        const Milliseconds processorStart = threadTime();
+        for (unsigned n = 0; n < plan.connections; ++n) {
+            callers.emplace_back([&, n] {
+                failed += runCaller(port, n, plan);
+                if (--left == 0)
+                    loop.stop();
+            });
+        }
+        loop.run();
+        LoadResult result;
+        result.took = loop.now() - start;
+        result.processorTime = threadTime() - processorStart;
+        for (auto& it : callers)
+            it.join();
+        result.requests = uint64_t { plan.connections } * plan.requestsEach;
+        result.failed = failed;
+        return result;
+    }
+
+    /// A peer daemon's gateway on a thread of its own, whose handler answers at the loop's next turn.
+    class RunningPeer {
+    public:
+        static absl::StatusOr<std::unique_ptr<RunningPeer>> create()
+        {
+            std::unique_ptr<RunningPeer> peer(new RunningPeer);
+            auto loop = PollLoop::create();
+            if (!loop.ok())
+                return loop.status();
+            peer->m_loop = *std::move(loop);
+            GatewaySettings settings;
+            settings.peerKeys = { peerKey };
+            GatewayHandlers handlers;
+            handlers.onHomeCall = [loop = peer->m_loop.get()](const HomeCall& call, const std::function<void(HomeReply)>& done) {
+                HomeReply reply;
+                reply.answer = echoOf(call.request);
+                loop->after(Milliseconds(0), [reply, done] { done(reply); });
+            };
+            auto gateway = Gateway::create(*peer->m_loop, settings, handlers);
+            if (!gateway.ok())
+                return gateway.status();
+            peer->m_gateway = *std::move(gateway);
+            peer->m_thread = std::thread([self = peer.get()] {
+                self->m_loop->run();
+                self->m_processorTime = threadTime();
+            });
+            return peer;
+        }
+
+        ~RunningPeer()
+        {
+            if (m_thread.joinable())
+                stop();
+        }
+
+        RunningPeer(const RunningPeer&) = delete;
+        RunningPeer& operator=(const RunningPeer&) = delete;
+
+        uint16_t port() const { return m_gateway->port(); }
+
+        /// Ends its thread and tells the processor time that this used.
+        Milliseconds stop()
+        {
+            m_loop->stop();
+            m_thread.join();
+            return m_processorTime;
+        }
+
+    private:
+        RunningPeer() = default;
+
+        std::unique_ptr<PollLoop> m_loop;
+        std::unique_ptr<Gateway> m_gateway;
+        std::thread m_thread;
+        Milliseconds m_processorTime;
+    };
+
+    GatewayHandlers forwardingHandlers(PeerClient& client, const InstanceId& peer)
+    {
+        GatewayHandlers handlers;
+        handlers.onStatement = [&client, peer](const StatementRequest& request, const std::function<void(StatementAnswer)>& answer) {
+            HomeCall call;
+            call.target = TargetId("t");
+            call.request = request;
+            client.call(peer, call, [answer](const HomeReply& reply) { answer(reply.answer); });
+        };
+        return handlers;
+    }
+
     /// Whether a caller on `socket` had its request answered.
     bool exchangeOnce(Poco::Net::StreamSocket& socket)
     {
@@ -130,27 +228,30 @@
     auto gateway = Gateway::create(**loop, {}, echoHandlers(**loop));
     if (!gateway.ok())
         return gateway.status();
-    const uint16_t port = (*gateway)->port();
-    std::atomic<uint64_t> failed { 0 };
-    std::atomic<unsigned> left { plan.connections };
-    std::vector<std::thread> callers;
-    const Instant start = (*loop)->now();
-    const Milliseconds processorStart = threadTime();
-    for (unsigned n = 0; n < plan.connections; ++n) {
-        callers.emplace_back([&, n] {
-            failed += runCaller(port, n, plan);
-            if (--left == 0)
-                (*loop)->stop();
-        });
-    }
-    (*loop)->run();
-    LoadResult result;
-    result.took = (*loop)->now() - start;
-    result.processorTime = threadTime() - processorStart;
-    for (auto& it : callers)
-        it.join();
-    result.requests = uint64_t { plan.connections } * plan.requestsEach;
-    result.failed = failed;
+    return runCallers(**loop, (*gateway)->port(), plan);
+}
+
+absl::StatusOr<LoadResult> runForwarded(const LoadPlan& plan)
+{
+    auto peer = RunningPeer::create();
+    if (!peer.ok())
+        return peer.status();
+    auto loop = PollLoop::create();
+    if (!loop.ok())
+        return loop.status();
+    auto client = PeerClient::create(**loop, { peerKey });
+    if (!client.ok())
+        return client.status();
+    InstanceEntry entry;
+    entry.instance = InstanceId("peer");
+    entry.host = "127.0.0.1";
+    entry.port = (*peer)->port();
+    (*client)->setPeers({ entry });
+    auto gateway = Gateway::create(**loop, {}, forwardingHandlers(**client, entry.instance));
+    if (!gateway.ok())
+        return gateway.status();
+    auto result = runCallers(**loop, (*gateway)->port(), plan);
+    result.peerProcessorTime = (*peer)->stop();
     return result;
 }
 
--- a/src/gateway_load/LoadRun.h
+++ b/src/gateway_load/LoadRun.h
@@ -23,6 +23,8 @@
     Milliseconds took;
     /// Processor time of the gateway's thread.
     Milliseconds processorTime;
+    /// Processor time of the peer's thread, of forwarded requests.
+    Milliseconds peerProcessorTime;
 };
 
 /// What idle connections cost.
@@ -36,6 +38,9 @@
 /// Callers on threads of their own, one connection each, sending one request after the other.
 absl::StatusOr<LoadResult> runLoad(const LoadPlan&);
 
+/// The same, but the gateway's daemon forwards each request to a peer, which answers at its loop's next turn.
+absl::StatusOr<LoadResult> runForwarded(const LoadPlan&);
+
 /// Opens connections, has each answered once, and leaves them idle.
 absl::StatusOr<IdleResult> runIdle(unsigned connections);
 
--- a/src/gateway_load/main.cpp
+++ b/src/gateway_load/main.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr const char* usage = "usage: parsleypaddle-gateway-load load|idle|serve [--connections N] [--requests N] [--bytes N] [--port N]\n";
+constexpr const char* usage = "usage: parsleypaddle-gateway-load load|forward|idle|serve [--connections N] [--requests N] [--bytes N] [--port N]\n";
 
 struct Arguments {
     LoadPlan plan;
@@ -47,16 +47,15 @@
     return EXIT_FAILURE;
 }
 
-int printLoad(const LoadPlan& plan)
+int printLoad(const LoadPlan& plan, const absl::StatusOr<LoadResult>& result)
 {
-    const auto result = runLoad(plan);
     if (!result.ok())
         return fail(result.status());
     constexpr double microseconds = 1000;
     const auto requests = static_cast<double>(result->requests);
-    std::printf("{\"connections\":%u,\"requests\":%llu,\"failed\":%llu,\"requests_per_second\":%.0f,\"processor_us_per_request\":%.2f}\n",
+    std::printf("{\"connections\":%u,\"requests\":%llu,\"failed\":%llu,\"requests_per_second\":%.0f,\"processor_us_per_request\":%.2f,\"peer_processor_us_per_request\":%.2f}\n",
         plan.connections, static_cast<unsigned long long>(result->requests), static_cast<unsigned long long>(result->failed),
-        requests / result->took.count() * 1000, result->processorTime.count() * microseconds / requests);
+        requests / result->took.count() * 1000, result->processorTime.count() * microseconds / requests, result->peerProcessorTime.count() * microseconds / requests);
     return result->failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -82,7 +81,9 @@
     }
     const std::string command = values[optind];
     if (command == "load")
-        return printLoad(arguments.plan);
+        return printLoad(arguments.plan, runLoad(arguments.plan));
+    if (command == "forward")
+        return printLoad(arguments.plan, runForwarded(arguments.plan));
     if (command == "idle")
         return printIdle(arguments.plan.connections);
     if (command == "serve")
--- a/src/peers/PeerCall.cpp
+++ b/src/peers/PeerCall.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -29,6 +30,31 @@
         return mayBeDelivered ? "the call may have been delivered" : "the call was not delivered";
     }
 
+    HomeReply failureReply(const RequestId& request, ResultCode code, const std::string& message)
+    {
+        HomeReply reply;
+        reply.answer.id = request;
+        reply.answer.code = code;
+        reply.answer.message = message;
+        return reply;
+    }
+
+    /// The reply that a peer sent, or its gateway's refusal.
+    HomeReply readReply(const InstanceId& peer, const RequestId& request, long status, const std::string& text, Instant now)
+    {
+        constexpr long success = 200;
+        if (status == success) {
+            if (auto reply = decodeHomeReply(text, now); reply.ok())
+                return *std::move(reply);
+        } else if (auto refusal = decodeStatementAnswer(text); refusal.ok()) {
+            HomeReply reply;
+            reply.answer = *std::move(refusal);
+            reply.answer.id = request;
+            return reply;
+        }
+        return failureReply(request, ResultCode::PeerSilent, absl::StrCat(peer.value(), ": unreadable answer with HTTP status ", status));
+    }
+
 }
 
 std::unique_ptr<PeerCall> PeerCall::create(const PeerClientSettings& settings)
@@ -75,12 +101,17 @@
     curl_easy_setopt(m_handle, CURLOPT_SOCKOPTDATA, &m_unconfirmedMilliseconds);
 }
 
-void PeerCall::prepare(const Target& target, const HomeCall& call, Instant now, HomePort::Done done)
+std::string PeerCall::encode(const HomeCall& call, Instant now)
+{
+    return encodeHomeCall(call, now + marginOf(call.request.deadline - now));
+}
+
+void PeerCall::prepare(const Target& target, const HomeCall& call, std::string body, HomePort::Done done)
 {
     m_peer = target.peer;
     m_request = call.request.id;
     m_done = std::move(done);
-    m_body = encodeHomeCall(call, now + marginOf(call.request.deadline - now));
+    m_body = std::move(body);
     m_mayRepeat = call.operation != HomeOperation::Write;
     m_isSending = false;
     curl_easy_setopt(m_handle, CURLOPT_URL, target.url.c_str());
@@ -113,31 +144,24 @@
     return CURL_SOCKOPT_OK;
 }
 
-HomeReply PeerCall::replyOf(CURLcode result, Instant now) const
+std::function<HomeReply()> PeerCall::takeReply(CURLcode result, Instant now)
 {
     if (result != CURLE_OK) {
         const ResultCode code = m_isSending ? ResultCode::PeerSilent : ResultCode::PeerUnreachable;
-        return failureReply(code, absl::StrCat(m_peer.value(), ": ", curl_easy_strerror(result), "; ", deliveryText(m_isSending)));
+        const std::string message = absl::StrCat(m_peer.value(), ": ", curl_easy_strerror(result), "; ", deliveryText(m_isSending));
+        return [request = m_request, code, message] { return failureReply(request, code, message); };
     }
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
-    constexpr long success = 200;
-    if (status == success) {
-        if (auto reply = decodeHomeReply(m_received, now); reply.ok())
-            return *std::move(reply);
-    } else if (auto refusal = decodeStatementAnswer(m_received); refusal.ok()) {
-        HomeReply reply;
-        reply.answer = *std::move(refusal);
-        reply.answer.id = m_request;
-        return reply;
-    }
-    return failureReply(ResultCode::PeerSilent, absl::StrCat(m_peer.value(), ": unreadable answer with HTTP status ", status));
+    return [peer = m_peer, request = m_request, status, now, text = std::exchange(m_received, {})] {
+        return readReply(peer, request, status, text, now);
+    };
 }
 
 HomeReply PeerCall::replyOfDeadline() const
 {
     const ResultCode code = m_isSending ? ResultCode::PeerSilent : ResultCode::PeerUnreachable;
-    return failureReply(code, absl::StrCat(m_peer.value(), ": no answer by the deadline; ", deliveryText(m_isSending)));
+    return failureReply(m_request, code, absl::StrCat(m_peer.value(), ": no answer by the deadline; ", deliveryText(m_isSending)));
 }
 
 HomePort::Done PeerCall::finish()
@@ -149,13 +173,4 @@
     return done;
 }
 
-HomeReply PeerCall::failureReply(ResultCode code, const std::string& message) const
-{
-    HomeReply reply;
-    reply.answer.id = m_request;
-    reply.answer.code = code;
-    reply.answer.message = message;
-    return reply;
-}
-
 }
--- a/src/peers/PeerCall.h
+++ b/src/peers/PeerCall.h
@@ -4,6 +4,7 @@
 #include "net/PollLoop.h"
 
 #include <curl/curl.h>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,10 +29,15 @@
         long oldestConnection { 0 };
     };
 
-    void prepare(const Target&, const HomeCall&, Instant now, HomePort::Done);
+    /// The call as it goes out. The home gets a little less time than the asker has.
+    static std::string encode(const HomeCall&, Instant now);
 
-    /// What to tell the asker about a transfer that ended with `result`.
-    HomeReply replyOf(CURLcode result, Instant now) const;
+    void prepare(const Target&, const HomeCall&, std::string body, HomePort::Done);
+
+    /// Makes the reply to a transfer that ended with `result`. Runs on any thread, and takes what was received with it.
+    std::function<HomeReply()> takeReply(CURLcode result, Instant now);
+
+    size_t receivedBytes() const { return m_received.size(); }
 
     /// What to tell the asker when the deadline comes first.
     HomeReply replyOfDeadline() const;
@@ -52,7 +58,6 @@
     static size_t onReceived(char* data, size_t size, size_t count, void* call);
     static int onSocket(void* unconfirmedMilliseconds, curl_socket_t, curlsocktype);
     void setOptions(const PeerClientSettings&);
-    HomeReply failureReply(ResultCode, const std::string& message) const;
 
     CURL* m_handle;
     curl_slist* m_headers { nullptr };
--- a/src/peers/PeerClient.cpp
+++ b/src/peers/PeerClient.cpp
@@ -1,5 +1,6 @@
 #include "peers/PeerClient.h"
 
+#include "net/SizedWork.h"
 #include "peers/PeerCall.h"
 #include "peers/PeerPaths.h"
 
@@ -17,6 +18,15 @@
     constexpr size_t idleCallLimit = 256;
     constexpr long oldestIdleSeconds = 100;
     constexpr double millisecondsPerSecond = 1000;
+    constexpr size_t workerQueue = 1024;
+
+    size_t sizeOf(const SqlStatement& statement)
+    {
+        size_t bytes = statement.text.size();
+        for (const auto& it : statement.parameters)
+            bytes += it ? it->size() : 0;
+        return bytes;
+    }
 
     HomeReply refusal(const HomeCall& call, ResultCode code, const std::string& message)
     {
@@ -39,7 +49,7 @@
 
     ~Internals();
 
-    bool start();
+    absl::Status start();
     void setPeers(const std::vector<InstanceEntry>&);
     void call(const InstanceId&, const HomeCall&, Done);
     size_t callsInFlight() const { return m_calls.size(); }
@@ -57,7 +67,10 @@
     /// Lets curl work on a descriptor, or on its timers, and answers the calls that ended.
     void act(curl_socket_t, int ready);
     void collect();
-    void end(CURL*, const HomeReply&);
+    void send(const InstanceId&, const HomeCall&, std::string body, Done);
+    /// Ends a transfer; `read`, which has to look through so many bytes, gives the reply.
+    void end(CURL*, size_t bytes, std::function<HomeReply()> read);
+    void answer(const InstanceId&, const HomeReply&, const Done&);
     void expire(CURL*);
     void answerLater(HomeReply, Done);
     long oldestConnection(const Peer&) const;
@@ -65,6 +78,7 @@
 
     PollLoop& m_loop;
     PeerClientSettings m_settings;
+    std::unique_ptr<WorkerPool> m_workers;
     CURLM* m_multi { nullptr };
     TimerId m_timer { TimerId::None };
     absl::flat_hash_map<InstanceId, Peer> m_peers;
@@ -84,17 +98,21 @@
     m_loop.cancel(m_timer);
 }
 
-bool PeerClient::Internals::start()
+absl::Status PeerClient::Internals::start()
 {
+    auto workers = WorkerPool::create(m_loop, m_settings.workerThreads, workerQueue);
+    if (!workers.ok())
+        return workers.status();
+    m_workers = *std::move(workers);
     m_multi = curl_multi_init();
     if (!m_multi)
-        return false;
+        return absl::ResourceExhaustedError("libcurl cannot start");
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Internals::onSocket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Internals::onTimer);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(m_settings.connectionsPerPeer));
-    return true;
+    return absl::OkStatus();
 }
 
 void PeerClient::Internals::setPeers(const std::vector<InstanceEntry>& entries)
@@ -112,6 +130,21 @@
 }
 
 void PeerClient::Internals::call(const InstanceId& instance, const HomeCall& call, Done done)
+{
+    const size_t bytes = sizeOf(call.request.statement);
+    if (bytes < largeMessageBytes) {
+        send(instance, call, PeerCall::encode(call, m_loop.now()), std::move(done));
+        return;
+    }
+    auto shared = std::make_shared<const HomeCall>(call);
+    const auto encode = [shared, now = m_loop.now()] { return PeerCall::encode(*shared, now); };
+    runBySize(*m_workers, bytes, encode, [this, alive = std::weak_ptr<bool>(m_isAlive), instance, shared, done = std::move(done)](std::string body) {
+        if (!alive.expired())
+            send(instance, *shared, std::move(body), done);
+    });
+}
+
+void PeerClient::Internals::send(const InstanceId& instance, const HomeCall& call, std::string body, Done done)
 {
     const Instant now = m_loop.now();
     if (call.request.deadline <= now) {
@@ -124,7 +157,7 @@
         answerLater(refusal(call, ResultCode::PeerUnreachable, absl::StrCat(instance.value(), ": no address known")), std::move(done));
         return;
     }
-    made->prepare({ instance, peer->second.url, oldestConnection(peer->second) }, call, now, std::move(done));
+    made->prepare({ instance, peer->second.url, oldestConnection(peer->second) }, call, std::move(body), std::move(done));
     CURL* handle = made->handle();
     made->timer = m_loop.after(call.request.deadline - now, [this, handle] { expire(handle); });
     m_calls.emplace(handle, std::move(made));
@@ -187,24 +220,33 @@
             continue;
         auto it = m_calls.find(message->easy_handle);
         if (it != m_calls.end())
-            end(it->first, it->second->replyOf(message->data.result, m_loop.now()));
+            end(it->first, it->second->receivedBytes(), it->second->takeReply(message->data.result, m_loop.now()));
         if (alive.expired())
             return;
     }
 }
 
-void PeerClient::Internals::end(CURL* handle, const HomeReply& reply)
+void PeerClient::Internals::end(CURL* handle, size_t bytes, std::function<HomeReply()> read)
 {
     auto node = m_calls.extract(handle);
     std::unique_ptr<PeerCall> call = std::move(node.mapped());
     m_loop.cancel(call->timer);
     curl_multi_remove_handle(m_multi, handle);
-    auto peer = m_peers.find(call->peer());
-    if (peer != m_peers.end() && reply.answer.code == ResultCode::PeerSilent)
-        peer->second.silentAt = m_loop.now();
+    const InstanceId peer = call->peer();
     const Done done = call->finish();
     if (m_idleCalls.size() < idleCallLimit)
         m_idleCalls.push_back(std::move(call));
+    runBySize(*m_workers, bytes, std::move(read), [this, alive = std::weak_ptr<bool>(m_isAlive), peer, done](const HomeReply& reply) {
+        if (!alive.expired())
+            answer(peer, reply, done);
+    });
+}
+
+void PeerClient::Internals::answer(const InstanceId& instance, const HomeReply& reply, const Done& done)
+{
+    auto peer = m_peers.find(instance);
+    if (peer != m_peers.end() && reply.answer.code == ResultCode::PeerSilent)
+        peer->second.silentAt = m_loop.now();
     done(reply);
 }
 
@@ -212,7 +254,7 @@
 {
     auto it = m_calls.find(handle);
     if (it != m_calls.end())
-        end(handle, it->second->replyOfDeadline());
+        end(handle, 0, [reply = it->second->replyOfDeadline()] { return reply; });
 }
 
 void PeerClient::Internals::answerLater(HomeReply reply, Done done)
@@ -245,8 +287,8 @@
 {
     std::unique_ptr<PeerClient> client(new PeerClient);
     client->m_internals = std::make_unique<Internals>(loop, std::move(settings));
-    if (!client->m_internals->start())
-        return absl::ResourceExhaustedError("libcurl cannot start");
+    if (auto status = client->m_internals->start(); !status.ok())
+        return status;
     return client;
 }
 
--- a/src/peers/PeerClient.h
+++ b/src/peers/PeerClient.h
@@ -20,6 +20,8 @@
     Milliseconds connectTimeout { 500 };
     /// Sent bytes that the peer's host leaves unconfirmed for so long end the call.
     Milliseconds unconfirmedTimeout { 1500 };
+    /// Threads that encode and decode large messages.
+    unsigned workerThreads { 2 };
 };
 
 /// Calls homes on other daemons over kept-alive HTTP connections, on the loop's thread.
--- a/src/peers/PeerClientTests.cpp
+++ b/src/peers/PeerClientTests.cpp
@@ -168,6 +168,22 @@
     CHECK(pair.client->callsInFlight() == 0);
 }
 
+TEST_CASE("a call and a reply of several megabytes pass whole", "[peers]")
+{
+    PeerPair pair;
+    pair.onHomeCall = [&](const HomeCall& call, const std::function<void(HomeReply)>& done) {
+        HomeReply reply = doneReply(call);
+        reply.answer.rows.values = { call.request.statement.parameters };
+        done(reply);
+    };
+    HomeCall call = pair.callWith("a", Milliseconds(60'000));
+    call.request.statement.parameters = { std::string(size_t { 3 } * 1024 * 1024, 'x'), std::nullopt, "y" };
+    const auto reply = pair.callAndWait(call);
+    CHECK(reply.answer.code == ResultCode::Done);
+    REQUIRE(reply.answer.rows.values.size() == 1);
+    CHECK(reply.answer.rows.values[0] == call.request.statement.parameters);
+}
+
 TEST_CASE("a call that was not delivered is told apart from one that may have been", "[peers]")
 {
     PeerPair pair;
--- a/src/statements/JsonText.cpp
+++ b/src/statements/JsonText.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/UTF8Encoding.h>
 #include <absl/strings/str_cat.h>
+#include <cstring>
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -25,6 +26,25 @@
         return std::unique_ptr<Json::CharReader>(builder.newCharReader());
     }
 
+    constexpr unsigned char firstMultibyte = 0x80;
+
+    /// How many ASCII characters the text begins with, counted by machine words.
+    size_t asciiRun(std::string_view text)
+    {
+        constexpr uint64_t highBits = 0x8080808080808080;
+        size_t n = 0;
+        uint64_t word = 0;
+        while (n + sizeof(word) <= text.size()) {
+            std::memcpy(&word, text.data() + n, sizeof(word));
+            if (word & highBits)
+                break;
+            n += sizeof(word);
+        }
+        while (n < text.size() && static_cast<unsigned char>(text[n]) < firstMultibyte)
+            ++n;
+        return n;
+    }
+
 }
 
 bool isUtf8(std::string_view text)
@@ -33,8 +53,8 @@
     const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
     size_t n = 0;
     while (n < text.size()) {
-        if (bytes[n] < 0x80) {
-            ++n;
+        if (bytes[n] < firstMultibyte) {
+            n += asciiRun(text.substr(n));
             continue;
         }
         const int length = encoding.sequenceLength(bytes + n, 1);
--- a/src/statements/JsonWriter.cpp
+++ b/src/statements/JsonWriter.cpp
@@ -17,6 +17,22 @@
         return byte < firstPrintable || byte == deleteCharacter || c == '"' || c == '\\';
     }
 
+    // Block by block without an early end, so that the compiler uses vector instructions.
+    bool needsEscape(std::string_view text)
+    {
+        constexpr size_t blockBytes = 64;
+        size_t n = 0;
+        while (n + blockBytes <= text.size()) {
+            bool isFound = false;
+            for (size_t i = 0; i < blockBytes; ++i)
+                isFound |= needsEscape(text[n + i]);
+            if (isFound)
+                return true;
+            n += blockBytes;
+        }
+        return std::any_of(text.begin() + n, text.end(), [](char c) { return needsEscape(c); });
+    }
+
 }
 
 void JsonWriter::key(std::string_view name)
@@ -32,7 +48,7 @@
 {
     separate();
     // Escaping walks the text by character; most texts need none.
-    if (std::any_of(value.begin(), value.end(), needsEscape)) {
+    if (needsEscape(value)) {
         m_text += Poco::toJSON(std::string(value), Poco::JSON_WRAP_STRINGS);
     } else {
         m_text += '"';
