--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "control/ControlServer.h"
 #include "daemon/ControlPeers.h"
 #include "daemon/LoopBridge.h"
+#include "daemon/MembershipFeed.h"
 #include "daemon/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
@@ -29,8 +30,6 @@
 
     constexpr unsigned workerThreads = 4;
     constexpr size_t workerQueue = 256;
-    constexpr Milliseconds listInterval { 3000 };
-    constexpr Milliseconds firstListInterval { 250 };
     constexpr Milliseconds drainCheck { 20 };
     constexpr Milliseconds controlLimit { 25'000 };
     constexpr unsigned unavailable = 503;
@@ -69,9 +68,9 @@
 
     void handleStatement(StatementRequest, std::function<void(StatementAnswer)>);
     std::optional<Page> page(const std::string& path);
+    void setPresentMetrics();
 
-    void readList();
-    void haveList(const absl::StatusOr<PlatformList>&);
+    void haveList(const PlatformList&);
     void startDrain();
     void checkDrained(Instant giveUpAt);
 
@@ -85,13 +84,13 @@
     std::unique_ptr<TargetConnector> m_targets;
     std::unique_ptr<PeerClient> m_peers;
     std::unique_ptr<Node> m_node;
+    std::unique_ptr<MembershipFeed> m_members;
     std::unique_ptr<ControlPeers> m_controlPeers;
     std::unique_ptr<ConfigurationStore> m_store;
     std::unique_ptr<Operations> m_operations;
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<ControlServer> m_control;
     std::mt19937_64 m_random { std::random_device {}() };
-    bool m_hasList { false };
     std::thread m_closer;
 };
 
@@ -138,7 +137,9 @@
 {
     m_platform = std::make_unique<HttpPlatform>(*m_loop, *m_workers, HttpPlatformSettings { m_settings.platform.host, m_settings.platform.port, m_settings.platformTimeout });
     m_platform->onFailure([this] { m_metrics.count(MetricCounter::PlatformErrors); });
-    m_targets = PqConnector::create(*m_loop, {});
+    PqSettings targetSettings;
+    targetSettings.applicationName = m_settings.failureDomain.value() + "/" + m_settings.instance.value();
+    m_targets = PqConnector::create(*m_loop, std::move(targetSettings));
     PeerClientSettings peerSettings;
     peerSettings.key = keys.peer.front();
     auto peers = PeerClient::create(*m_loop, peerSettings);
@@ -154,7 +155,16 @@
     if (!node.ok())
         return node.status();
     m_node = std::move(*node);
-    m_node->onDecision([this](const EntryDecision& it) { m_journal.note({ m_loop->now(), it.request, it.database, it.what, it.why }); });
+    m_node->onDecision([this](const EntryDecision& it) {
+        m_journal.note({ m_loop->now(), it.request, it.database, it.what, it.why });
+        if (it.isRetry)
+            m_metrics.count(MetricCounter::Retries);
+    });
+    m_node->homes().onWorkDone([this](const HomeCall& call, const WorkTimes& times) {
+        m_metrics.noteWork({ call.request.shop, call.request.workload, times.waited, times.ran });
+        if (times.code == ResultCode::TargetSilent)
+            m_metrics.count(MetricCounter::SilentConnections);
+    });
     m_node->homes().onPromoted([this](const PromotionReport& report) {
         m_metrics.count(MetricCounter::Promotions);
         const std::string what = "promoted " + report.primary.value() + " at term " + std::to_string(report.term.value());
@@ -162,6 +172,8 @@
         logInfo("event=promoted database=" + report.database.value() + " primary=" + report.primary.value() + " term=" + std::to_string(report.term.value()));
     });
 
+    MembershipFeedSettings members { m_settings.seedPeers, keys.peer.front(), m_random() };
+    m_members = std::make_unique<MembershipFeed>(*m_loop, *m_platform, *m_workers, std::move(members), [this](const PlatformList& list) { haveList(list); });
     m_controlPeers = std::make_unique<ControlPeers>(m_node->membership(), *m_workers, keys.peer.front());
     ConfigurationStoreSettings store;
     store.instance = m_settings.instance;
@@ -228,7 +240,7 @@
 {
     logInfo("event=started instance=" + m_settings.instance.value() + " port=" + std::to_string(m_gateway->port()) + " control_port=" + std::to_string(m_control->port()));
     m_store->start();
-    readList();
+    m_members->start();
     m_loop->run();
     m_closer.join();
     logInfo("event=stopped instance=" + m_settings.instance.value());
@@ -255,36 +267,36 @@
 {
     Page page;
     if (path == "/metrics") {
-        m_metrics.set(MetricGauge::RequestsInFlight, static_cast<double>(m_gateway->requestsInFlight()));
+        setPresentMetrics();
         page.body = m_metrics.text();
         return page;
     }
     if (path != "/health")
         return std::nullopt;
-    const bool isReady = m_hasList && m_store->current()->version.value() > 0;
+    const bool isReady = m_members->hasList() && m_store->current()->version.value() > 0;
     page.body = m_node->isDraining() ? "leaving\n" : isReady ? "ready\n"
                                                              : "starting\n";
     page.status = isReady && !m_node->isDraining() ? page.status : unavailable;
     return page;
 }
 
-void Daemon::Parts::readList()
+void Daemon::Parts::setPresentMetrics()
 {
-    m_platform->list([this](const absl::StatusOr<PlatformList>& list) {
-        haveList(list);
-        const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
-        m_loop->after((m_hasList ? listInterval : firstListInterval) * jitter, [this] { readList(); });
-    });
+    m_metrics.set(MetricGauge::RequestsInFlight, static_cast<double>(m_gateway->requestsInFlight()));
+    // While draining, the control server is taken down on another thread.
+    if (!m_node->isDraining())
+        m_metrics.raiseTo(MetricCounter::KeysRefused, static_cast<double>(m_gateway->counts().keysRefused + m_control->refusedKeys()));
+    uint32_t connections = 0;
+    for (const auto& it : m_node->homes().targetHomes())
+        connections += it.second->pool().openConnections();
+    m_metrics.set(MetricGauge::TargetConnections, connections);
 }
 
-void Daemon::Parts::haveList(const absl::StatusOr<PlatformList>& list)
+void Daemon::Parts::haveList(const PlatformList& list)
 {
-    if (!list.ok())
-        return;
-    m_hasList = true;
-    m_node->setList(*list);
+    m_node->setList(list);
     m_peers->setPeers(m_node->membership().instances());
-    m_metrics.set(MetricGauge::PeersInReach, static_cast<double>(list->instances.size()));
+    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list.instances.size()));
 }
 
 void Daemon::Parts::startDrain()
