Beat calmly while all is well, and confirm a quiet primary before taking work in

Cause: at the size aimed for a daemon watches about 11 targets; asking each five times a second is 56 questions of some 400 bytes, over the 11 KB/s that control may take. Now the primary is asked each beat, replicas every fifth, and watchers further down the rank beat 2 and 4 times more slowly; at any sign of trouble all are asked at 50 ms.

--- a/src/acknowledgement/GroupControl.cpp
+++ b/src/acknowledgement/GroupControl.cpp
@@ -41,6 +41,7 @@
         AckLevel levelOf(Term, LogPosition) const override;
         void askPrimaryPosition(Instant deadline, PositionDone) override;
         bool isMajorityConfirmed(Milliseconds span) const override { return m_board.isMajorityConfirmedSince(m_loop.now() - span); }
+        void setCalmFactor(uint32_t factor) override { m_calmFactor = factor; }
         void run(const TargetId&, const TargetBatch&, TargetConnection::Done) override;
 
     private:
@@ -49,7 +50,8 @@
         void suspicionChanged(const TargetId&, bool isSuspect) override;
 
         void beat();
-        Milliseconds untilNextBeat() const;
+        bool isCalm() const;
+        Milliseconds calmInterval() const { return m_settings.heartbeat * m_calmFactor; }
         void askAll();
         void settleCommits();
         void settlePositions();
@@ -71,6 +73,8 @@
         Term m_notifiedTerm;
         TargetId m_notifiedPrimary;
         TimerId m_beatTimer { TimerId::None };
+        uint64_t m_beats { 0 };
+        uint32_t m_calmFactor { 1 };
     };
 
     TargetGroupControl::TargetGroupControl(EventLoop& loop, TargetConnector& connector, const GroupConfiguration& group, const GroupControlSettings& settings)
@@ -98,17 +102,25 @@
         return m_lastOrder;
     }
 
+    // Hundreds of groups are watched by a few daemons each, all day: what is well is asked for rarely, the replicas most
+    // of all, and whatever is not well at once.
     void TargetGroupControl::beat()
     {
-        askAll();
-        m_beatTimer = m_loop.after(untilNextBeat(), [this] { beat(); });
+        const bool wasCalm = isCalm();
+        const bool isReplicasTurn = m_beats++ % m_settings.replicaBeats == 0;
+        if (wasCalm && !isReplicasTurn)
+            m_channels.at(view().primary)->ask();
+        else
+            askAll();
+        m_beatTimer = m_loop.after(wasCalm ? calmInterval() : m_settings.heartbeat * urgentHeartbeatFactor, [this] { beat(); });
     }
 
-    Milliseconds TargetGroupControl::untilNextBeat() const
+    bool TargetGroupControl::isCalm() const
     {
         const TargetView* primary = view().find(view().primary);
-        const bool isHeard = primary && m_loop.now() - primary->heardAt <= m_settings.heartbeat * 2;
-        return isHeard ? m_settings.heartbeat : m_settings.heartbeat * urgentHeartbeatFactor;
+        if (!primary || primary->isSuspect || m_loop.now() - primary->heardAt > calmInterval() * 2)
+            return false;
+        return std::none_of(view().targets.begin(), view().targets.end(), [this](const TargetView& it) { return it.status.term > view().term; });
     }
 
     void TargetGroupControl::askAll()
--- a/src/acknowledgement/GroupControl.h
+++ b/src/acknowledgement/GroupControl.h
@@ -18,8 +18,11 @@
 
 /// Times of a daemon's control of a group.
 struct GroupControlSettings {
-    /// How often each target is asked for its status while nothing else asks.
+    /// How often the primary is asked for its status while nothing else asks.
     Milliseconds heartbeat { 200 };
+    /// Beats between two questions to a replica while the primary is heard. Everything is asked at once, and more
+    /// often, when it is not.
+    uint32_t replicaBeats { 5 };
     /// How long an answer is waited for.
     Milliseconds answerTimeout { 300 };
     Milliseconds connectTimeout { 300 };
@@ -54,6 +57,9 @@
     /// Whether a majority was seen on the primary's term within the last `span`.
     virtual bool isMajorityConfirmed(Milliseconds span) const = 0;
 
+    /// Beats that much more slowly while all is well: for daemons that are not the first to act.
+    virtual void setCalmFactor(uint32_t) = 0;
+
     /// Runs a control batch (Status, Fence, Promote) at one target.
     virtual void run(const TargetId&, const TargetBatch&, TargetConnection::Done) = 0;
 
--- a/src/acknowledgement/GroupControlTests.cpp
+++ b/src/acknowledgement/GroupControlTests.cpp
@@ -167,7 +167,8 @@
     it.fence(targetB, Term(2));
     ModelTransaction connection;
     REQUIRE(it.model().execute(targetB, controlBatch(TargetOperation::Promote, Term(2)), connection).ok());
-    it.loop.advance(Milliseconds(500));
+    // The old primary still answers from here, so the next one is found by the rarer questions to replicas.
+    it.loop.advance(Milliseconds(1100));
     REQUIRE(it.control->view().primary == targetB);
     REQUIRE(it.control->view().find(targetC)->status.position == LogPosition(3));
     CHECK(it.control->levelOf(Term(2), LogPosition(1)) != AckLevel::Replicated);
@@ -255,3 +256,21 @@
     it.loop.advance(Milliseconds(1000));
     CHECK_FALSE(it.control->view().find(targetA)->isSuspect);
 }
+
+TEST_CASE("while all is well the primary is asked at each beat and replicas rarely, and at trouble all are asked at once", "[acknowledgement]")
+{
+    ControlledGroup it;
+    it.loop.advance(Milliseconds(1000));
+    const Instant calmSince = it.loop.now();
+    it.loop.advance(Milliseconds(700));
+    const GroupView calm = it.control->view();
+    CHECK(it.loop.now() - calm.find(targetA)->heardAt < Milliseconds(250));
+    CHECK(calm.find(targetB)->heardAt - calmSince < Milliseconds(700));
+
+    it.targets.setFrozen(targetA, true);
+    it.loop.advance(Milliseconds(700));
+    const Instant now = it.loop.now();
+    CHECK(it.control->view().find(targetA)->isSuspect);
+    for (const auto& target : { targetB, targetC })
+        CHECK(now - it.control->view().find(target)->heardAt < Milliseconds(100));
+}
--- a/src/homes/GroupHome.cpp
+++ b/src/homes/GroupHome.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr Milliseconds replacementRetry { 1000 };
+    constexpr uint32_t slowestRank = 2;
 
 }
 
@@ -28,6 +29,7 @@
     if (it != watchers.end())
         m_rank = static_cast<uint32_t>(it - watchers.begin());
     m_promoter->setRank(m_rank);
+    m_control->setCalmFactor(1U << std::min(m_rank.value_or(slowestRank), slowestRank));
 }
 
 void GroupHome::onPromoted(Promoted promoted)
--- a/src/homes/HomeSettings.h
+++ b/src/homes/HomeSettings.h
@@ -10,8 +10,10 @@
 struct HomeSettings {
     GroupControlSettings control;
     PromoterSettings promoter;
-    /// A write needs a majority seen on the primary's term within this.
+    /// A write asks a majority first when it was not seen on the primary's term within this.
     Milliseconds majorityFreshness { 1000 };
+    /// Longest wait for that majority.
+    Milliseconds confirmationTimeout { 400 };
     /// Longest wait for one answer of a target; a connection silent for longer is abandoned.
     Milliseconds answerTimeout { 2000 };
     /// Share of a request's remaining time that one answer may take, so that time is left to try again.
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -11,17 +11,6 @@
 
 namespace {
 
-    bool isStep(const StatementRequest& request, TransactionStep step)
-    {
-        return request.transaction && request.transaction->step == step;
-    }
-
-    // A step after Begin runs on the connection that its transaction holds.
-    bool isPinned(const HomeCall& call)
-    {
-        return call.operation == HomeOperation::Write && call.request.transaction && call.request.transaction->step != TransactionStep::Begin;
-    }
-
     // A commit's answer counts as a write's; the other steps change nothing that lasts.
     bool changesData(const HomeCall& call)
     {
@@ -72,6 +61,7 @@
     , m_group(group)
     , m_target(target)
     , m_settings(settings)
+    , m_admission(loop, group, target.id, m_settings)
     , m_pool(ConnectionPool::create(loop, connector, target, {}))
     , m_queue(WorkQueue::create({}))
     , m_transactions(loop, std::move(prefix), settings.transactionIdle)
@@ -100,10 +90,29 @@
     job->done = std::move(done);
     job->arrivedAt = m_loop.now();
     ++m_underWay;
-    if (auto status = checkAdmissible(call); !status.ok())
+    if (auto status = m_admission.check(call, m_transactions.size(), m_share); !status.ok())
         return refuse(job, status);
+    if (m_admission.needsConfirmation(call))
+        return confirmPrimary(job);
+    enqueue(job);
+}
 
-    const Work work = workOf(call);
+void TargetHome::confirmPrimary(const JobPointer& job)
+{
+    std::weak_ptr<bool> alive = m_alive;
+    const Instant limit = std::min(job->call.request.deadline, m_loop.now() + m_settings.confirmationTimeout);
+    m_group.control().askPrimaryPosition(limit, [this, alive, job](const absl::StatusOr<PrimaryPosition>& position) {
+        if (alive.expired())
+            return;
+        if (!position.ok() || m_group.view().primary != m_target.id)
+            return refuse(job, m_admission.unconfirmed(job->call));
+        enqueue(job);
+    });
+}
+
+void TargetHome::enqueue(const JobPointer& job)
+{
+    const Work work = workOf(job->call);
     job->id = work.id;
     const Admission admission = m_queue->offer(work, m_loop.now());
     if (!admission.status.ok()) {
@@ -129,43 +138,6 @@
     return m_underWay == 0 && m_transactions.size() == 0;
 }
 
-absl::Status TargetHome::checkAdmissible(const HomeCall& call) const
-{
-    if (m_loop.now() >= call.request.deadline)
-        return makeError(ResultCode::DeadlinePassed, "the deadline passed before the request reached the target's home");
-    if (isPinned(call))
-        return absl::OkStatus();
-    const auto leavingSince = m_group.leavingSince(m_target.id);
-    const bool isPrimary = m_group.view().primary == m_target.id;
-    const Milliseconds grace = isPrimary ? m_settings.leavingGrace : Milliseconds(0);
-    if (leavingSince && m_loop.now() - *leavingSince >= grace && !m_settings.brokenRules.has(BrokenRule::Leaving))
-        return makeError(ResultCode::TargetLeaving, absl::StrCat(m_target.id.value(), " is leaving"));
-    // Transactions keep their connections while their callers think; the slots need some that are free.
-    const bool isBegin = isStep(call.request, TransactionStep::Begin);
-    if (isBegin && m_transactions.size() + m_share.slots >= m_share.connections)
-        return makeError(ResultCode::Overloaded, "too many transactions are open");
-    if (call.operation != HomeOperation::Read)
-        return checkPrimary();
-    const TargetView* seen = m_group.view().find(m_target.id);
-    if (seen && seen->isSuspect)
-        return makeError(ResultCode::TargetUnreachable, absl::StrCat(m_target.id.value(), " does not answer"));
-    // A primary that lost its majority may have been replaced: what it holds is no younger than its last majority.
-    if (isPrimary && !m_group.control().isMajorityConfirmed(std::max(call.greatestAge, m_settings.majorityFreshness)))
-        return makeError(ResultCode::TargetBehind, absl::StrCat(m_target.id.value(), " was not confirmed as primary within the age that the read accepts"));
-    return absl::OkStatus();
-}
-
-absl::Status TargetHome::checkPrimary() const
-{
-    if (m_group.view().primary != m_target.id)
-        return makeError(ResultCode::NoPrimary, absl::StrCat(m_target.id.value(), " is not the primary"));
-    if (m_settings.brokenRules.has(BrokenRule::Confirmation))
-        return absl::OkStatus();
-    if (!m_group.control().isMajorityConfirmed(m_settings.majorityFreshness))
-        return makeError(ResultCode::NoPrimary, absl::StrCat("no majority of the group confirmed ", m_target.id.value(), " as primary lately"));
-    return absl::OkStatus();
-}
-
 Work TargetHome::workOf(const HomeCall& call)
 {
     Work work;
--- a/src/homes/TargetHome.h
+++ b/src/homes/TargetHome.h
@@ -2,6 +2,7 @@
 
 #include "configuration/Configuration.h"
 #include "connections/ConnectionPool.h"
+#include "homes/AdmissionCheck.h"
 #include "homes/ConnectionShare.h"
 #include "homes/GroupHome.h"
 #include "homes/HomeCall.h"
@@ -52,8 +53,8 @@
     struct Job;
     using JobPointer = std::shared_ptr<Job>;
 
-    absl::Status checkAdmissible(const HomeCall&) const;
-    absl::Status checkPrimary() const;
+    void confirmPrimary(const JobPointer&);
+    void enqueue(const JobPointer&);
     Work workOf(const HomeCall&);
     Policy policyOf(const HomeCall&) const;
 
@@ -78,6 +79,7 @@
     GroupHome& m_group;
     TargetConfiguration m_target;
     HomeSettings m_settings;
+    AdmissionCheck m_admission;
     std::shared_ptr<const Configuration> m_configuration;
     TargetShare m_share;
     std::unique_ptr<ConnectionPool> m_pool;
