Daemons that lost a target together reconnect apart

Cause: every pool had the seed 0, so the random cut of the pauses was the same at all daemons. The seed now comes from the prefix that names the daemon, the target and the daemon's start.

--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -16,6 +16,14 @@
         return request.transaction && request.transaction->step == step;
     }
 
+    // Daemons that lost a target together reconnect apart.
+    ConnectionPoolSettings poolSettings(const std::string& transactionPrefix)
+    {
+        ConnectionPoolSettings settings;
+        settings.seed = std::hash<std::string> {}(transactionPrefix);
+        return settings;
+    }
+
     // A step after Begin runs on the connection that its transaction holds.
     bool isPinned(const HomeCall& call)
     {
@@ -72,7 +80,7 @@
     , m_group(group)
     , m_target(target)
     , m_settings(settings)
-    , m_pool(ConnectionPool::create(loop, connector, target, {}))
+    , m_pool(ConnectionPool::create(loop, connector, target, poolSettings(prefix)))
     , m_queue(WorkQueue::create({}))
     , m_transactions(loop, std::move(prefix), settings.transactionIdle)
 {
