--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+    // Daemons that lost a target together reconnect apart.
+    ConnectionPoolSettings poolSettings(const std::string& transactionPrefix)
+    {
+        ConnectionPoolSettings settings;
+        settings.seed = std::hash<std::string> {}(transactionPrefix);
+        return settings;
+    }
+
     // A commit's answer counts as a write's; the other steps change nothing that lasts.
     bool changesData(const HomeCall& call)
     {
@@ -62,7 +70,7 @@
     , m_target(target)
     , m_settings(settings)
     , m_admission(loop, group, target.id, m_settings)
-    , m_pool(ConnectionPool::create(loop, connector, target, {}))
+    , m_pool(ConnectionPool::create(loop, connector, target, poolSettings(prefix)))
     , m_queue(WorkQueue::create({}))
     , m_transactions(loop, std::move(prefix), settings.transactionIdle)
 {
