--- a/src/configuration/ConfigurationBody.cpp
+++ b/src/configuration/ConfigurationBody.cpp
@@ -1,6 +1,7 @@
 #include "configuration/ConfigurationBody.h"
 
 #include "base/ResultCode.h"
+#include "configuration/CompressedText.h"
 
 #include <iomanip>
 #include <json/json.h>
@@ -69,12 +70,15 @@
     value["history"] = Json::Value(Json::arrayValue);
     for (const auto& it : body.history)
         value["history"].append(toJson(it));
-    return write(value);
+    return compressText(write(value));
 }
 
 absl::StatusOr<ConfigurationBody> decodeBody(const std::string& encoded)
 {
-    return decode<ConfigurationBody>(encoded, [](const Json::Value& value) {
+    const auto expanded = expandText(encoded);
+    if (!expanded.ok())
+        return expanded.status();
+    return decode<ConfigurationBody>(*expanded, [](const Json::Value& value) {
         ConfigurationBody body;
         body.document = value["document"].asString();
         for (const auto& it : value["history"])
