--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,7 +5,7 @@
 #include "control/ControlServer.h"
 #include "daemon/ControlPeers.h"
 #include "daemon/LoopBridge.h"
-#include "daemon/SeedPeer.h"
+#include "daemon/MembershipFeed.h"
 #include "daemon/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
@@ -30,8 +30,6 @@
 
     constexpr unsigned workerThreads = 4;
     constexpr size_t workerQueue = 256;
-    constexpr Milliseconds listInterval { 3000 };
-    constexpr Milliseconds firstListInterval { 250 };
     constexpr Milliseconds drainCheck { 20 };
     constexpr Milliseconds controlLimit { 25'000 };
     constexpr unsigned unavailable = 503;
@@ -72,9 +70,7 @@
     std::optional<Page> page(const std::string& path);
     void setPresentMetrics();
 
-    void readList();
-    void haveList(const absl::StatusOr<PlatformList>&);
-    void askSeedPeers();
+    void haveList(const PlatformList&);
     void startDrain();
     void checkDrained(Instant giveUpAt);
 
@@ -88,14 +84,13 @@
     std::unique_ptr<TargetConnector> m_targets;
     std::unique_ptr<PeerClient> m_peers;
     std::unique_ptr<Node> m_node;
+    std::unique_ptr<MembershipFeed> m_members;
     std::unique_ptr<ControlPeers> m_controlPeers;
     std::unique_ptr<ConfigurationStore> m_store;
     std::unique_ptr<Operations> m_operations;
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<ControlServer> m_control;
     std::mt19937_64 m_random { std::random_device {}() };
-    std::string m_peerKey;
-    bool m_hasList { false };
     std::thread m_closer;
 };
 
@@ -146,8 +141,7 @@
     targetSettings.applicationName = m_settings.failureDomain.value() + "/" + m_settings.instance.value();
     m_targets = PqConnector::create(*m_loop, std::move(targetSettings));
     PeerClientSettings peerSettings;
-    m_peerKey = keys.peer.front();
-    peerSettings.key = m_peerKey;
+    peerSettings.key = keys.peer.front();
     auto peers = PeerClient::create(*m_loop, peerSettings);
     if (!peers.ok())
         return peers.status();
@@ -178,6 +172,8 @@
         logInfo("event=promoted database=" + report.database.value() + " primary=" + report.primary.value() + " term=" + std::to_string(report.term.value()));
     });
 
+    MembershipFeedSettings members { m_settings.seedPeers, keys.peer.front(), m_random() };
+    m_members = std::make_unique<MembershipFeed>(*m_loop, *m_platform, *m_workers, std::move(members), [this](const PlatformList& list) { haveList(list); });
     m_controlPeers = std::make_unique<ControlPeers>(m_node->membership(), *m_workers, keys.peer.front());
     ConfigurationStoreSettings store;
     store.instance = m_settings.instance;
@@ -244,7 +240,7 @@
 {
     logInfo("event=started instance=" + m_settings.instance.value() + " port=" + std::to_string(m_gateway->port()) + " control_port=" + std::to_string(m_control->port()));
     m_store->start();
-    readList();
+    m_members->start();
     m_loop->run();
     m_closer.join();
     logInfo("event=stopped instance=" + m_settings.instance.value());
@@ -277,7 +273,7 @@
     }
     if (path != "/health")
         return std::nullopt;
-    const bool isReady = m_hasList && m_store->current()->version.value() > 0;
+    const bool isReady = m_members->hasList() && m_store->current()->version.value() > 0;
     page.body = m_node->isDraining() ? "leaving\n" : isReady ? "ready\n"
                                                              : "starting\n";
     page.status = isReady && !m_node->isDraining() ? page.status : unavailable;
@@ -296,42 +292,11 @@
     m_metrics.set(MetricGauge::TargetConnections, connections);
 }
 
-void Daemon::Parts::readList()
+void Daemon::Parts::haveList(const PlatformList& list)
 {
-    m_platform->list([this](const absl::StatusOr<PlatformList>& list) {
-        haveList(list);
-        if (!m_hasList)
-            askSeedPeers();
-        const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
-        m_loop->after((m_hasList ? listInterval : firstListInterval) * jitter, [this] { readList(); });
-    });
-}
-
-void Daemon::Parts::haveList(const absl::StatusOr<PlatformList>& list)
-{
-    if (!list.ok())
-        return;
-    m_hasList = true;
-    m_node->setList(*list);
+    m_node->setList(list);
     m_peers->setPeers(m_node->membership().instances());
-    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list->instances.size()));
-}
-
-// The platform may be away when an instance starts; other daemons then tell which ones there are.
-void Daemon::Parts::askSeedPeers()
-{
-    if (m_settings.seedPeers.empty())
-        return;
-    const Endpoint peer = m_settings.seedPeers[m_random() % m_settings.seedPeers.size()];
-    const bool isTaken = m_workers->submit([this, peer, key = m_peerKey]() -> std::function<void()> {
-        auto list = askSeedPeer(peer, key);
-        return [this, list = std::move(list)] {
-            if (!m_hasList)
-                haveList(list);
-        };
-    });
-    if (!isTaken)
-        logInfo("event=seed_peer_not_asked");
+    m_metrics.set(MetricGauge::InstancesListed, static_cast<double>(list.instances.size()));
 }
 
 void Daemon::Parts::startDrain()
