Reach a primary through the next home when its own failure domain lost it

Cause: with only the home's failure domain cut from a primary, writes waited out 2 s at the home and were then refused there, though daemons elsewhere still reached it; the gap was seen at 8.9 s in an end-to-end run. A home whose new connections fail too now refuses at once and gives up what is under way there, and the entry passes such refusals to the next home in rank. Ruled out: promoting faster, since the others still hear that primary.

--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -12,6 +12,24 @@
     constexpr double pauseGrowth = 1.6;
     constexpr double leastJitter = 0.5;
 
+    // A home that was refused or cannot reach the target itself says nothing about the target: in another failure domain
+    // the way to it may be open.
+    bool mayNextHomeServe(const HomeReply& reply, const TargetId& target)
+    {
+        switch (reply.answer.code) {
+        case ResultCode::PeerUnreachable:
+        case ResultCode::NotHome:
+        case ResultCode::Draining:
+        case ResultCode::UnknownDatabase:
+        case ResultCode::TargetUnreachable:
+            return true;
+        case ResultCode::NoPrimary:
+            return reply.view.primary == target;
+        default:
+            return false;
+        }
+    }
+
 }
 
 bool mayServeElsewhere(ResultCode code)
@@ -85,9 +103,7 @@
 {
     const InstanceId home = homes->at(n);
     callInstance(home, call, [this, self = shared_from_this(), homes, n, call, replied](HomeReply reply) {
-        const ResultCode code = reply.answer.code;
-        const bool wasRefusedUnheard = code == ResultCode::PeerUnreachable || code == ResultCode::NotHome || code == ResultCode::Draining || code == ResultCode::UnknownDatabase;
-        if (wasRefusedUnheard && n + 1 < homes->size() && remaining() > Milliseconds(0))
+        if (mayNextHomeServe(reply, call.target) && n + 1 < homes->size() && remaining() > Milliseconds(0))
             return callNextHome(homes, n + 1, call, replied);
         replied(std::move(reply));
     });
--- a/src/fleet/FakeFleetTests.cpp
+++ b/src/fleet/FakeFleetTests.cpp
@@ -185,3 +185,20 @@
     write.attempt = 2;
     CHECK(example.ask(0, write).outcome() == Outcome::Done);
 }
+
+TEST_CASE("a primary that only its own failure domain lost is reached through the others", "[fleet]")
+{
+    ExampleFleet example;
+    const TargetId primary("orders-1-a");
+    REQUIRE(example.ask(0, example.write("w1")).target == primary);
+    example.targets.setCut(FailureDomainId("a"), primary, true);
+    const size_t entry = GENERATE(0U, 1U);
+    for (int n = 0; n < 5; ++n) {
+        const Instant sentAt = example.loop.now();
+        const auto answer = example.ask(entry, example.write("after-" + std::to_string(n)));
+        INFO("write " << n << " through daemon " << entry << ": " << answer.message);
+        CHECK(answer.outcome() == Outcome::Done);
+        CHECK(answer.target == primary);
+        CHECK(example.loop.now() - sentAt < Milliseconds(2000));
+    }
+}
--- a/src/homes/AdmissionCheck.cpp
+++ b/src/homes/AdmissionCheck.cpp
@@ -37,9 +37,9 @@
     // Transactions keep their connections while their callers think; the slots need some that are free.
     if (isStep(call.request, TransactionStep::Begin) && openTransactions + share.slots >= share.connections)
         return makeError(ResultCode::Overloaded, "too many transactions are open");
-    if (call.operation == HomeOperation::Read)
-        return checkRead();
-    if (!isPrimary())
+    if (isSuspect())
+        return makeError(ResultCode::TargetUnreachable, absl::StrCat(m_target.value(), " does not answer"));
+    if (call.operation != HomeOperation::Read && !isPrimary())
         return makeError(ResultCode::NoPrimary, absl::StrCat(m_target.value(), " is not the primary"));
     return absl::OkStatus();
 }
@@ -61,12 +61,10 @@
     return makeError(ResultCode::NoPrimary, absl::StrCat("no majority of the group confirms ", m_target.value(), " as primary"));
 }
 
-absl::Status AdmissionCheck::checkRead() const
+bool AdmissionCheck::isSuspect() const
 {
     const TargetView* seen = m_group.view().find(m_target);
-    if (seen && seen->isSuspect)
-        return makeError(ResultCode::TargetUnreachable, absl::StrCat(m_target.value(), " does not answer"));
-    return absl::OkStatus();
+    return seen && seen->isSuspect;
 }
 
 }
--- a/src/homes/AdmissionCheck.h
+++ b/src/homes/AdmissionCheck.h
@@ -24,7 +24,7 @@
 
 private:
     bool isPrimary() const { return m_group.view().primary == m_target; }
-    absl::Status checkRead() const;
+    bool isSuspect() const;
 
     const EventLoop& m_loop;
     GroupHome& m_group;
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -269,8 +269,8 @@
         refuse(job, reply.status());
 }
 
-// Work at a target that went silent need not wait out its answer: reads are free to go elsewhere once new connections
-// fail too, and writes once another primary has a later term. Whether the writes ran is settled there.
+// Work at a target that went silent need not wait out its answer: it goes elsewhere once new connections fail too, or
+// once another primary has a later term. Whether a write ran is settled there.
 void TargetHome::abandonStranded()
 {
     const TargetView* seen = m_group.view().find(m_target.id);
@@ -278,7 +278,7 @@
     std::vector<JobPointer> stranded;
     for (const auto& [id, job] : m_atTarget) {
         const bool isRead = job->call.operation == HomeOperation::Read;
-        if (isRead ? isSuspect : job->term < m_group.view().term)
+        if (isSuspect || (!isRead && job->term < m_group.view().term))
             stranded.push_back(job);
     }
     for (const auto& it : stranded) {
