--- a/src/entry/TransactionRun.cpp
+++ b/src/entry/TransactionRun.cpp
@@ -27,9 +27,6 @@
 
 ResultCode TransactionRun::codeAtDeadline() const
 {
-    // A commit was sent, and while it is being settled nothing is known of it.
-    if (m_request.transaction->step == TransactionStep::Commit)
-        return ResultCode::OutcomeUnknown;
     if (!m_isUnderWay)
         return m_lastRefusal.code;
     return m_request.transaction->step == TransactionStep::Begin ? ResultCode::TransactionEnded : ResultCode::OutcomeUnknown;
--- a/src/promotion/Promoter.cpp
+++ b/src/promotion/Promoter.cpp
@@ -12,6 +12,8 @@
 
     constexpr Milliseconds checkInterval { 25 };
     constexpr Milliseconds longestBackoff { 3000 };
+    constexpr Milliseconds firstCommitRetry { 250 };
+    const ShopId promotionShop("parsleypaddle-promotion");
     constexpr uint32_t mostBackoffDoublings { 4 };
 
     class GroupPromoter final : public Promoter {
@@ -33,6 +35,9 @@
         TargetId bestReplica() const;
         void ended(const absl::StatusOr<PromotionReport>&);
         void backOff();
+        bool isTermWithoutCommit() const;
+        void checkFirstCommit();
+        void writeFirstCommit();
 
         EventLoop& m_loop;
         GroupControl& m_control;
@@ -46,6 +51,8 @@
         bool m_isChangeRequested { false };
         uint32_t m_failures { 0 };
         Instant m_notBefore;
+        std::optional<Instant> m_withoutCommitSince;
+        Instant m_nextFirstCommitAt;
         TimerId m_timer { TimerId::None };
     };
 
@@ -70,6 +77,7 @@
 
     void GroupPromoter::check()
     {
+        checkFirstCommit();
         const auto finding = m_detector.examine(m_control.view(), m_loop.now());
         if (!finding)
             m_failures = 0;
@@ -137,6 +145,40 @@
         return best ? best->target : TargetId();
     }
 
+    bool GroupPromoter::isTermWithoutCommit() const
+    {
+        const GroupView& view = m_control.view();
+        const TargetView* primary = view.find(view.primary);
+        return primary && primary->status.position > LogPosition() && primary->status.logTerm < view.term;
+    }
+
+    // Commits of older terms count as kept only once one of the new term follows them: a target with a log of a term in
+    // between could still win over those that hold them. While callers write nothing, nothing else would come.
+    void GroupPromoter::checkFirstCommit()
+    {
+        if (!m_rank || !isTermWithoutCommit()) {
+            m_withoutCommitSince.reset();
+            return;
+        }
+        const Instant now = m_loop.now();
+        if (!m_withoutCommitSince)
+            m_withoutCommitSince = now;
+        if (now - *m_withoutCommitSince < m_settings.stagger * *m_rank || now < m_nextFirstCommitAt)
+            return;
+        m_nextFirstCommitAt = now + firstCommitRetry;
+        writeFirstCommit();
+    }
+
+    void GroupPromoter::writeFirstCommit()
+    {
+        const GroupView& view = m_control.view();
+        TargetBatch batch;
+        batch.operation = TargetOperation::Settle;
+        batch.term = view.term;
+        batch.ledgerKey = { promotionShop, RequestId("term-" + std::to_string(view.term.value())), view.term.value() };
+        m_control.run(view.primary, batch, [](const absl::StatusOr<TargetReply>&) {});
+    }
+
     // The attempt is calling back, so it ends with the next task.
     void GroupPromoter::ended(const absl::StatusOr<PromotionReport>& result)
     {
@@ -147,6 +189,7 @@
             return;
         }
         m_failures = 0;
+        checkFirstCommit();
         if (m_promoted)
             m_promoted(*result);
     }
--- a/src/promotion/PromoterTests.cpp
+++ b/src/promotion/PromoterTests.cpp
@@ -231,6 +231,27 @@
     CHECK(scene.model().survivingLog().size() >= commits);
 }
 
+TEST_CASE("what an older term committed can be confirmed after a change though nobody writes", "[promotion]")
+{
+    PromotionScene scene(3, 3, teranga());
+    scene.startWriting();
+    for (size_t i = 0; i < scene.daemonCount(); ++i)
+        scene.daemon(i).stopWriting();
+    scene.loop().advance(Milliseconds(1000));
+    scene.targets().setDown(scene.target(0), true);
+    scene.loop().advance(Milliseconds(2000));
+    GroupControl& control = scene.daemon(1).control();
+    const GroupView view = control.view();
+    REQUIRE(view.term == Term(2));
+    std::optional<absl::StatusOr<AckLevel>> level;
+    const LogPosition end = view.find(view.primary)->status.position;
+    control.confirm(view.term, end, AckRule::Replicated, scene.loop().now() + Milliseconds(1000), [&level](const auto& result) { level = result; });
+    scene.loop().advance(Milliseconds(1000));
+    REQUIRE(level);
+    REQUIRE(level->ok());
+    CHECK(**level == AckLevel::Replicated);
+}
+
 TEST_CASE("a returning primary with a longer log of an older term is not promoted", "[promotion]")
 {
     PromotionScene scene(3, 3, teranga());
