Leave silent homes out of the way to a target while another can be asked

Cause: since refusals of unreachable targets are passed to the next home, a request went from each living home on to a silent one and waited there for a ping to fail, again at each attempt: two invariant tests of a cut-off primary ended unknown after 3 s. They pass again; the fleet's tests too.

--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -81,6 +81,9 @@
     auto it = std::find_if(m_group.targets.begin(), m_group.targets.end(), [&target](const TargetConfiguration& configuration) { return configuration.id == target; });
     auto homes = std::make_shared<std::vector<InstanceId>>(m_context.membership.homesOf(*it));
     homes->resize(std::min<size_t>(homes->size(), mostHomesOfTarget));
+    // Silent ones rank last; waiting for one of them would take the time that another attempt needs.
+    while (homes->size() > 1 && m_context.membership.isSilent(homes->back()))
+        homes->pop_back();
     callNextHome(std::move(homes), 0, makeCall(operation, target, minimumPosition, minimumTerm), replied);
 }
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -78,6 +78,12 @@
     setChanged();
 }
 
+bool Membership::isSilent(const InstanceId& instance) const
+{
+    auto it = m_members.find(instance);
+    return it != m_members.end() && isSilent(it->second);
+}
+
 std::vector<InstanceEntry> Membership::instances() const
 {
     std::vector<InstanceEntry> entries;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -30,6 +30,9 @@
     void reportSilent(const InstanceId&);
     void reportAnswer(const InstanceId&);
 
+    /// Whether the instance left a call unanswered a short while ago.
+    bool isSilent(const InstanceId&) const;
+
     /// All members, leaving and silent ones included.
     std::vector<InstanceEntry> instances() const;
     const InstanceEntry* find(const InstanceId&) const;
