Let go of groups that others watch

A group that this daemon does not watch is let go after 10 s without a call, and a group that was changed no longer changes its primary. The new fleet test asks for it.

--- a/src/fleet/FakeFleetTests.cpp
+++ b/src/fleet/FakeFleetTests.cpp
@@ -202,3 +202,29 @@
         CHECK(example.loop.now() - sentAt < Milliseconds(2000));
     }
 }
+
+TEST_CASE("a daemon that has learnt of the others lets go of the groups they watch", "[fleet]")
+{
+    ExampleFleet example;
+    // Alone in its list, the first daemon is home and watcher of everything.
+    PlatformList alone;
+    alone.instances.push_back(example.fleet->node(0).membership().self());
+    example.fleet->node(0).setList(alone);
+    REQUIRE(example.ask(0, example.write("w1")).code == ResultCode::Done);
+    REQUIRE(example.fleet->node(0).homes().viewOf(orders));
+
+    PlatformList others = alone;
+    for (const char* it : { "a", "b", "c" }) {
+        for (int n = 0; n < 20; ++n) {
+            InstanceEntry entry;
+            entry.instance = InstanceId("other-" + std::string(it) + std::to_string(n));
+            entry.failureDomain = FailureDomainId(it);
+            others.instances.push_back(entry);
+        }
+    }
+    example.fleet->node(0).setList(others);
+    const auto watchers = example.fleet->node(0).membership().watchersOf(example.configuration->groups[0]);
+    REQUIRE(std::find(watchers.begin(), watchers.end(), InstanceId("daemon-0")) == watchers.end());
+    example.loop.advance(Milliseconds(12'000));
+    CHECK_FALSE(example.fleet->node(0).homes().viewOf(orders));
+}
--- a/src/homes/GroupHome.cpp
+++ b/src/homes/GroupHome.cpp
@@ -18,6 +18,7 @@
     , m_control(GroupControl::create(loop, connector, group, settings.control))
     , m_promoter(Promoter::create(loop, *m_control, group, settings.promoter))
 {
+    touch();
     updateRank();
 }
 
@@ -32,6 +33,22 @@
     m_control->setCalmFactor(1U << std::min(m_rank.value_or(slowestRank), slowestRank));
 }
 
+void GroupHome::touch()
+{
+    m_lastUsedAt = m_loop.now();
+}
+
+Milliseconds GroupHome::unusedFor() const
+{
+    return m_loop.now() - m_lastUsedAt;
+}
+
+void GroupHome::standDown()
+{
+    m_rank.reset();
+    m_promoter->setRank(m_rank);
+}
+
 void GroupHome::onPromoted(Promoted promoted)
 {
     m_promoter->onPromoted(std::move(promoted));
--- a/src/homes/GroupHome.h
+++ b/src/homes/GroupHome.h
@@ -21,6 +21,16 @@
     GroupControl& control() { return *m_control; }
     const GroupView& view() const { return m_control->view(); }
 
+    /// Whether this daemon is among those that may change the group's primary.
+    bool isWatcher() const { return m_rank.has_value(); }
+
+    /// Notes a call for the group, and tells how long ago the last one was.
+    void touch();
+    Milliseconds unusedFor() const;
+
+    /// Changes no primary any more: for a group that was changed or is left to others.
+    void standDown();
+
     /// Takes up this daemon's rank as the membership now gives it.
     void updateRank();
     void onPromoted(Promoted);
@@ -40,6 +50,7 @@
     std::unique_ptr<GroupControl> m_control;
     std::unique_ptr<Promoter> m_promoter;
     std::optional<uint32_t> m_rank;
+    Instant m_lastUsedAt;
     std::map<TargetId, Instant> m_leavingSince;
     std::optional<Instant> m_replacementOrderedAt;
 };
--- a/src/homes/HomeService.cpp
+++ b/src/homes/HomeService.cpp
@@ -10,6 +10,9 @@
 namespace {
 
     constexpr Milliseconds tidyInterval { 10 };
+    constexpr Milliseconds releaseInterval { 1000 };
+    /// A group that this daemon does not watch is let go after so long without a call.
+    constexpr Milliseconds releaseAfter { 10'000 };
 
     bool isSameTarget(const TargetConfiguration& a, const TargetConfiguration& b)
     {
@@ -74,6 +77,7 @@
     const bool isPinned = call.request.transaction && m_targetHomes.count(call.target) > 0;
     if (!isPinned && rank.value_or(mostHomesOfTarget) >= mostHomesOfTarget)
         return refuse(call, makeError(ResultCode::NotHome, "this daemon is not among the target's homes"), nullptr, done);
+    groupHome(*located.group).touch();
     if (call.operation == HomeOperation::PrimaryPosition)
         return askPosition(call, groupHome(*located.group), std::move(done));
     targetHome(located).handle(call, std::move(done));
@@ -149,15 +153,36 @@
             ++it;
             continue;
         }
-        std::vector<std::unique_ptr<TargetHome>> homes;
-        for (const auto& target : it->second->configuration().targets) {
-            auto node = m_targetHomes.extract(target.id);
-            if (!node.empty())
-                homes.push_back(std::move(node.mapped()));
-        }
-        m_retired.emplace_back(std::move(it->second), std::move(homes));
-        it = m_groupHomes.erase(it);
+        it = retire(it);
+    }
+}
+
+// Homes move when daemons come and go, and a daemon that starts may hold every group until it knows the others.
+void HomeService::releaseUnused()
+{
+    if (m_loop.now() < m_nextRelease)
+        return;
+    m_nextRelease = m_loop.now() + releaseInterval;
+    for (auto it = m_groupHomes.begin(); it != m_groupHomes.end();) {
+        const bool isNeeded = it->second->isWatcher() || it->second->unusedFor() < releaseAfter;
+        if (isNeeded)
+            ++it;
+        else
+            it = retire(it);
+    }
+}
+
+HomeService::GroupHomes::iterator HomeService::retire(GroupHomes::iterator it)
+{
+    std::vector<std::unique_ptr<TargetHome>> homes;
+    for (const auto& target : it->second->configuration().targets) {
+        auto node = m_targetHomes.extract(target.id);
+        if (!node.empty())
+            homes.push_back(std::move(node.mapped()));
     }
+    it->second->standDown();
+    m_retired.emplace_back(std::move(it->second), std::move(homes));
+    return m_groupHomes.erase(it);
 }
 
 void HomeService::askPosition(const HomeCall& call, GroupHome& group, Done done)
@@ -193,6 +218,7 @@
 
 void HomeService::tidy()
 {
+    releaseUnused();
     for (const auto& [id, home] : m_groupHomes)
         home->checkLeaving();
     for (const auto& [id, home] : m_targetHomes)
--- a/src/homes/HomeService.h
+++ b/src/homes/HomeService.h
@@ -49,6 +49,9 @@
     GroupHome& groupHome(const GroupConfiguration&);
     TargetHome& targetHome(const Located&);
     void retireChanged();
+    void releaseUnused();
+    using GroupHomes = std::map<DatabaseId, std::unique_ptr<GroupHome>>;
+    GroupHomes::iterator retire(GroupHomes::iterator);
     void askPosition(const HomeCall&, GroupHome&, Done);
     static void refuse(const HomeCall&, const absl::Status&, const GroupView*, const Done&);
     void tidy();
@@ -59,12 +62,13 @@
     HomeSettings m_settings;
     Instant m_startedAt;
     std::shared_ptr<const Configuration> m_configuration;
-    std::map<DatabaseId, std::unique_ptr<GroupHome>> m_groupHomes;
+    GroupHomes m_groupHomes;
     std::map<TargetId, std::unique_ptr<TargetHome>> m_targetHomes;
     /// Homes of groups that were changed or removed, kept until their work has ended.
     std::vector<std::pair<std::unique_ptr<GroupHome>, std::vector<std::unique_ptr<TargetHome>>>> m_retired;
     Promoted m_promoted;
     TargetHome::Observer m_observer;
+    Instant m_nextRelease;
     TimerId m_tidyTimer { TimerId::None };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/standin_program/GroupSettings.cpp
+++ b/src/standin_program/GroupSettings.cpp
@@ -18,6 +18,7 @@
         ServiceSettings service;
         if (!node)
             return service;
+        service.host = node["host"].as<std::string>(service.host);
         service.slots = node["slots"].as<uint32_t>(service.slots);
         service.connections = node["connections"].as<uint32_t>(service.connections);
         service.connectTime = milliseconds(node, "connect_time_ms", service.connectTime);
--- a/src/standin_program/TargetServer.cpp
+++ b/src/standin_program/TargetServer.cpp
@@ -57,7 +57,7 @@
 void TargetServer::listen(uint16_t port)
 {
     m_listener = Poco::Net::ServerSocket();
-    m_listener.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
+    m_listener.bind(Poco::Net::SocketAddress(m_settings.host, port), true);
     m_listener.listen();
     m_listener.setBlocking(false);
     m_port = m_listener.address().port();
--- a/src/standin_program/TargetServer.h
+++ b/src/standin_program/TargetServer.h
@@ -11,6 +11,8 @@
 
 /// How a target of the stand-in serves its connections.
 struct ServiceSettings {
+    /// IP number to listen at; 0.0.0.0 answers at every loopback address, so that one group can stand for many.
+    std::string host { "127.0.0.1" };
     uint32_t slots { 5 };
     uint32_t connections { 35 };
     Milliseconds connectTime { 10 };
