--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -11,10 +11,18 @@
     constexpr Milliseconds silenceRemembered { 3000 };
     constexpr size_t watchersOfGroup = 3;
 
-    uint64_t rendezvousHash(const std::string& key, const InstanceId& instance)
+    /// Length of a ranking: more homes than a target may have at a time, with some to spare for silent ones.
+    constexpr size_t rankedInstances = 8;
+
+    bool isSameEntry(const InstanceEntry& a, const InstanceEntry& b)
+    {
+        return a.instance == b.instance && a.failureDomain == b.failureDomain && a.host == b.host && a.port == b.port
+            && a.controlPort == b.controlPort && a.isLeaving == b.isLeaving;
+    }
+
+    uint64_t hashOf(const std::string& text, uint64_t seed)
     {
-        const std::string text = key + '\n' + instance.value();
-        return XXH64(text.data(), text.size(), 0);
+        return XXH64(text.data(), text.size(), seed);
     }
 
 }
@@ -40,8 +48,13 @@
     }
     auto own = m_members.find(m_self.instance);
     members[m_self.instance] = own->second;
-    m_members = std::move(members);
     m_leavingTargets = list.leavingTargets;
+    // The same list comes again every few seconds; ranking hundreds of daemons anew each time would be dear.
+    const bool isSame = members.size() == m_members.size()
+        && std::equal(members.begin(), members.end(), m_members.begin(), [](const auto& a, const auto& b) { return isSameEntry(a.second.entry, b.second.entry); });
+    if (isSame)
+        return;
+    m_members = std::move(members);
     setChanged();
 }
 
@@ -175,17 +188,23 @@
 
 std::vector<InstanceId> Membership::rank(const std::string& key, const FailureDomainId& preferred) const
 {
-    using Order = std::tuple<bool, bool, bool, uint64_t>;
-    std::vector<std::pair<Order, InstanceId>> order;
+    struct Candidate {
+        std::tuple<bool, bool, bool, uint64_t> order;
+        const InstanceId* instance;
+    };
+    const uint64_t seed = hashOf(key, 0);
+    std::vector<Candidate> candidates;
+    candidates.reserve(m_members.size());
     for (const auto& [id, member] : m_members) {
         const bool isFar = member.entry.failureDomain != preferred;
-        order.emplace_back(Order { member.entry.isLeaving, isSilent(member), isFar, rendezvousHash(key, id) }, id);
+        candidates.push_back({ { member.entry.isLeaving, isSilent(member), isFar, hashOf(id.value(), seed) }, &id });
     }
-    std::sort(order.begin(), order.end());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(rankedInstances, candidates.size()));
+    std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
     std::vector<InstanceId> instances;
-    instances.reserve(order.size());
-    for (auto& it : order)
-        instances.push_back(std::move(it.second));
+    instances.reserve(rankedInstances);
+    for (auto it = candidates.begin(); it != end; ++it)
+        instances.push_back(*it->instance);
     return instances;
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -40,7 +40,7 @@
     /// Whether the platform's list names the target as leaving.
     bool isLeaving(const TargetId&) const;
 
-    /// The daemons that may be the target's home, best first: those of its failure domain by rendezvous hash, then
+    /// The first few daemons that may be the target's home, best first: those of its failure domain by rendezvous hash, then
     /// the others; silent ones behind those, leaving ones last.
     const std::vector<InstanceId>& homesOf(const TargetConfiguration&) const;
 
