--- a/src/platform_http/HttpPlatform.cpp
+++ b/src/platform_http/HttpPlatform.cpp
@@ -134,13 +134,20 @@
 
 void HttpPlatform::list(ListDone done)
 {
-    send({ "GET", "/instances", "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+    const std::string conditionName = m_listEtag.empty() ? "" : "If-None-Match";
+    send({ "GET", "/instances", "", conditionName, m_listEtag }, [this, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         if (!response.ok())
-            done(response.status());
-        else if (response->status != HTTPResponse::HTTP_OK)
-            done(refusalOf(*response));
-        else
-            done(decodePlatformList(response->body));
+            return done(response.status());
+        if (response->status == HTTPResponse::HTTP_NOT_MODIFIED)
+            return done(m_list);
+        if (response->status != HTTPResponse::HTTP_OK)
+            return done(refusalOf(*response));
+        auto list = decodePlatformList(response->body);
+        if (list.ok()) {
+            m_list = *list;
+            m_listEtag = response->etag;
+        }
+        done(std::move(list));
     });
 }
 
--- a/src/platform_http/HttpPlatform.h
+++ b/src/platform_http/HttpPlatform.h
@@ -40,6 +40,9 @@
     WorkerPool& m_workers;
     HttpPlatformSettings m_settings;
     std::shared_ptr<std::function<void()>> m_onFailure;
+    /// The list as it was last read, with its etag: it is long and seldom changes.
+    PlatformList m_list;
+    std::string m_listEtag;
 };
 
 }
--- a/src/platform_http/HttpPlatformTests.cpp
+++ b/src/platform_http/HttpPlatformTests.cpp
@@ -95,6 +95,12 @@
     CHECK(list->instances[0].controlPort == 7101);
     CHECK(list->instances[0].isLeaving);
     CHECK(list->leavingTargets == std::vector<TargetId> { TargetId("t1") });
+
+    // Unchanged, it is not sent again; changed, it is.
+    CHECK(fixture.server->state().answer({ "GET", "/instances", "", "", "\"list-1\"" }).status == 304);
+    CHECK(fixture.await<PlatformList>([&](auto done) { fixture.client.list(done); })->instances.size() == 1);
+    fixture.control("/instances", R"({"instances":[],"leaving_targets":[]})");
+    CHECK(fixture.await<PlatformList>([&](auto done) { fixture.client.list(done); })->instances.empty());
     for (const char* it : { "", "[]", R"({"instances":[{"instance":"i1"}]})", R"({"instances":[{"instance":"i1","host":"h","port":70000}]})", R"({"instances":[{"instance":{},"host":"h"}]})" })
         CHECK_FALSE(decodePlatformList(it).ok());
 }
--- a/src/standin_program/PlatformState.cpp
+++ b/src/standin_program/PlatformState.cpp
@@ -10,6 +10,7 @@
 
     constexpr const char* tableFolder = "/table/";
     constexpr int statusBadRequest = 400;
+    constexpr int statusNotModified = 304;
     constexpr int statusNotFound = 404;
     constexpr int statusNotAllowed = 405;
     constexpr int statusConditionFailed = 412;
@@ -81,7 +82,7 @@
     if (isUnder(request.path, objects))
         return answerObject(request.path.substr(objects.size()), request);
     if (request.path == "/instances" && request.method == "GET")
-        return answerList();
+        return answerList(request.ifNoneMatch);
     return refusal(statusNotFound, "no such path");
 }
 
@@ -112,15 +113,20 @@
     return it == m_objects.end() ? refusal(statusNotFound, "no such object") : content(it->second);
 }
 
-PlatformStandinAnswer PlatformState::answerList() const
+PlatformStandinAnswer PlatformState::answerList(const std::string& known) const
 {
     const auto asOf = std::chrono::steady_clock::now() - std::chrono::duration<double, std::milli>(m_listLag.count());
     std::string json = "{}";
-    for (const auto& it : m_lists) {
-        if (it.at <= asOf)
-            json = it.json;
-    }
-    return content(json);
+    size_t n = 0;
+    while (n < m_lists.size() && m_lists[n].at <= asOf)
+        json = m_lists[n++].json;
+    const std::string etag = "\"list-" + std::to_string(n) + "\"";
+    if (known != etag)
+        return content(json, etag);
+    PlatformStandinAnswer unchanged;
+    unchanged.status = statusNotModified;
+    unchanged.etag = etag;
+    return unchanged;
 }
 
 PlatformStandinAnswer PlatformState::setList(const std::string& json)
--- a/src/standin_program/PlatformState.h
+++ b/src/standin_program/PlatformState.h
@@ -52,7 +52,7 @@
     PlatformStandinAnswer answerService(const PlatformStandinRequest&);
     PlatformStandinAnswer answerRow(const std::string& key, const PlatformStandinRequest&);
     PlatformStandinAnswer answerObject(const std::string& name, const PlatformStandinRequest&);
-    PlatformStandinAnswer answerList() const;
+    PlatformStandinAnswer answerList(const std::string& known) const;
     PlatformStandinAnswer setList(const std::string& json);
     PlatformStandinAnswer setFaults(const std::string& json);
     PlatformStandinAnswer counts() const;
