--- a/src/node/WatchedHomes.cpp
+++ b/src/node/WatchedHomes.cpp
@@ -7,6 +7,8 @@
     constexpr Milliseconds checkInterval { 100 };
     constexpr Milliseconds quietBeforePing { 300 };
     constexpr Milliseconds pingTimeout { 700 };
+    /// Between pings of a peer that is silent; shorter than its silence is remembered.
+    constexpr Milliseconds probeInterval { 1000 };
 
     bool isOutOfReach(ResultCode code)
     {
@@ -59,18 +61,29 @@
 
 void WatchedHomes::noteAnswer(const InstanceId& instance, ResultCode code)
 {
-    if (isOutOfReach(code))
+    Peer& peer = m_calls[instance];
+    peer.isSilent = isOutOfReach(code);
+    if (peer.isSilent)
         return m_membership.reportSilent(instance);
-    m_calls[instance].lastHeard = m_loop.now();
+    peer.lastHeard = m_loop.now();
     m_membership.reportAnswer(instance);
 }
 
 void WatchedHomes::checkPeers()
 {
-    const Instant quietSince = m_loop.now() - quietBeforePing;
-    for (auto& [instance, peer] : m_calls) {
-        if (!peer.pending.empty() && !peer.isPinged && peer.lastHeard <= quietSince)
-            ping(instance, peer);
+    const Instant now = m_loop.now();
+    for (auto it = m_calls.begin(); it != m_calls.end();) {
+        Peer& peer = it->second;
+        const bool isMember = m_membership.find(it->first) != nullptr;
+        if (!isMember && peer.pending.empty() && !peer.isPinged) {
+            it = m_calls.erase(it);
+            continue;
+        }
+        const bool isQuiet = !peer.pending.empty() && peer.lastHeard <= now - quietBeforePing;
+        const bool isProbeDue = isMember && peer.isSilent && peer.pingedAt <= now - probeInterval;
+        if (!peer.isPinged && (isQuiet || isProbeDue))
+            ping(it->first, peer);
+        ++it;
     }
     m_checkTimer = m_loop.after(checkInterval, [this] { checkPeers(); });
 }
@@ -78,6 +91,7 @@
 void WatchedHomes::ping(const InstanceId& instance, Peer& peer)
 {
     peer.isPinged = true;
+    peer.pingedAt = m_loop.now();
     HomeCall call;
     call.operation = HomeOperation::Ping;
     call.request.deadline = m_loop.now() + pingTimeout;
--- a/src/node/WatchedHomes.h
+++ b/src/node/WatchedHomes.h
@@ -7,7 +7,8 @@
 namespace parsleypaddle {
 
 /// Calls this daemon's own homes directly and others through the port. A peer that leaves calls unanswered is
-/// pinged; when that too goes unanswered, its calls end as PeerSilent instead of waiting for their deadlines.
+/// pinged; when that too goes unanswered, its calls end as PeerSilent instead of waiting for their deadlines, and it
+/// counts as silent until a ping is answered.
 class WatchedHomes final : public HomePort {
 public:
     WatchedHomes(EventLoop&, HomeService& own, HomePort& peers, Membership&);
@@ -27,6 +28,9 @@
     struct Peer {
         Instant lastHeard;
         bool isPinged { false };
+        /// The last call went unanswered; it is pinged until it answers, so that no request has to find out.
+        bool isSilent { false };
+        Instant pingedAt;
         std::map<uint64_t, Pending> pending;
     };
 
