One reader of rows, numbers and hosts in place of two; changes of primary explained by their parts

Cause: duplicates showed the same parsers in the settings and the configuration, and the same rows in the answers to callers and to daemons; explain knew only that a primary was promoted. Watchers also get their own seed for their back-off, which was 0 for all.

--- /dev/null
+++ b/src/configuration/YamlValues.cpp
@@ -0,0 +1,26 @@
+#include "configuration/YamlValues.h"
+
+#include <Poco/Net/IPAddress.h>
+#include <absl/strings/numbers.h>
+
+namespace parsleypaddle {
+
+std::function<std::optional<uint32_t>(const std::string&)> wholeNumber(uint32_t least, uint32_t greatest)
+{
+    return [least, greatest](const std::string& text) -> std::optional<uint32_t> {
+        uint32_t number = 0;
+        if (!absl::SimpleAtoi(text, &number) || number < least || number > greatest)
+            return std::nullopt;
+        return number;
+    };
+}
+
+std::optional<std::string> parseHost(const std::string& text)
+{
+    Poco::Net::IPAddress address;
+    if (!Poco::Net::IPAddress::tryParse(text, address))
+        return std::nullopt;
+    return text;
+}
+
+}
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon/ControlPeers.h"
 #include "daemon/LoopBridge.h"
 #include "daemon/MembershipFeed.h"
+#include "daemon/PromotionNotes.h"
 #include "daemon/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
@@ -167,8 +168,7 @@
     });
     m_node->homes().onPromoted([this](const PromotionReport& report) {
         m_metrics.count(MetricCounter::Promotions);
-        const std::string what = "promoted " + report.primary.value() + " at term " + std::to_string(report.term.value());
-        m_journal.note({ m_loop->now(), RequestId(), report.database, what, "the primary was last heard " + std::to_string((report.promotedAt - report.primaryLastHeard).count()) + " ms before" });
+        notePromotion(m_journal, report);
         logInfo("event=promoted database=" + report.database.value() + " primary=" + report.primary.value() + " term=" + std::to_string(report.term.value()));
     });
 
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -3,9 +3,8 @@
 #include "base/ResultCode.h"
 #include "configuration/Duration.h"
 #include "configuration/YamlReader.h"
+#include "configuration/YamlValues.h"
 
-#include <Poco/Net/IPAddress.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
@@ -22,24 +21,6 @@
     constexpr uint32_t largestCallerLimit = 100'000;
     constexpr uint32_t largestBodyLimit = 256 * 1024 * 1024;
 
-    std::function<std::optional<uint32_t>(const std::string&)> numberBetween(uint32_t least, uint32_t greatest)
-    {
-        return [least, greatest](const std::string& text) -> std::optional<uint32_t> {
-            uint32_t number = 0;
-            if (!absl::SimpleAtoi(text, &number) || number < least || number > greatest)
-                return std::nullopt;
-            return number;
-        };
-    }
-
-    std::optional<std::string> parseHost(const std::string& text)
-    {
-        Poco::Net::IPAddress address;
-        if (!Poco::Net::IPAddress::tryParse(text, address))
-            return std::nullopt;
-        return text;
-    }
-
     std::optional<std::string> parseLevel(const std::string& text)
     {
         for (const char* it : { "trace", "debug", "info", "warn", "error" }) {
@@ -54,7 +35,7 @@
         Endpoint endpoint;
         const YamlMap values(item, { "host", "port" }, faults);
         endpoint.host = values.value<std::string>("host", "an IP number", parseHost, "");
-        endpoint.port = static_cast<uint16_t>(values.value<uint32_t>("port", "a whole number from 0 to 65535", numberBetween(0, UINT16_MAX), 0));
+        endpoint.port = static_cast<uint16_t>(values.value<uint32_t>("port", "a whole number from 0 to 65535", wholeNumber(0, UINT16_MAX), 0));
         return endpoint;
     }
 
@@ -82,10 +63,10 @@
         readOptional(map, "drain-limit", "a duration such as 30s", duration, settings.drainLimit);
         readOptional(map, "log-level", "trace, debug, info, warn or error", level, settings.logLevel);
         uint32_t callers = settings.callerLimit;
-        readOptional(map, "caller-limit", "a whole number from 1 to 100000", numberBetween(1, largestCallerLimit), callers);
+        readOptional(map, "caller-limit", "a whole number from 1 to 100000", wholeNumber(1, largestCallerLimit), callers);
         settings.callerLimit = callers;
         auto body = static_cast<uint32_t>(settings.largestBody);
-        readOptional(map, "largest-body", "a whole number of bytes from 1024 to 268435456", numberBetween(1024, largestBodyLimit), body);
+        readOptional(map, "largest-body", "a whole number of bytes from 1024 to 268435456", wholeNumber(1024, largestBodyLimit), body);
         settings.largestBody = body;
         if (map.has("key-file"))
             settings.keyFile = map.text("key-file", "the path of the key file");
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -15,6 +15,8 @@
     auto sealer = TokenSealer::create(settings.tokenKeys);
     if (!sealer.ok())
         return sealer.status();
+    // Watchers that failed together must not try again together.
+    settings.home.promoter.seed = settings.seed;
     return std::unique_ptr<Node>(new Node(ports, std::move(settings), std::move(*sealer)));
 }
 
--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -3,6 +3,7 @@
 #include "base/ResultCode.h"
 #include "statements/JsonText.h"
 #include "statements/JsonWriter.h"
+#include "statements/RowsJson.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -33,16 +34,6 @@
         return static_cast<uint64_t>(value);
     }
 
-    void write(JsonWriter& writer, const SqlValue& value)
-    {
-        value ? writer.text(*value) : writer.null();
-    }
-
-    SqlValue sqlValueOf(const Json::Value& value)
-    {
-        return value.isNull() ? SqlValue() : SqlValue(value.asString());
-    }
-
     void write(JsonWriter& writer, const StatementRequest& request, Instant now)
     {
         writer.beginObject();
@@ -55,7 +46,7 @@
         writer.key("args");
         writer.beginArray();
         for (const auto& it : request.statement.parameters)
-            write(writer, it);
+            writeValue(writer, it);
         writer.endArray();
         writer.field("mode", numberOf(request.mode));
         writer.field("rep", numberOf(request.repeatability));
@@ -93,32 +84,13 @@
             && read(object["rep"], Repeatability::NotRepeatable, request.repeatability);
     }
 
-    void write(JsonWriter& writer, const Rows& rows)
-    {
-        writer.key("cols");
-        writer.beginArray();
-        for (const auto& it : rows.columns)
-            writer.text(it);
-        writer.endArray();
-        writer.key("rows");
-        writer.beginArray();
-        for (const auto& row : rows.values) {
-            writer.beginArray();
-            for (const auto& value : row)
-                write(writer, value);
-            writer.endArray();
-        }
-        writer.endArray();
-        writer.field("changed", rows.changed);
-    }
-
     void write(JsonWriter& writer, const StatementAnswer& answer)
     {
         writer.beginObject();
         writer.field("id", answer.id.value());
         writer.field("code", numberOf(answer.code));
         writer.field("text", answer.message);
-        write(writer, answer.rows);
+        writeRows(writer, answer.rows);
         writer.field("ack", numberOf(answer.ackLevel));
         writer.field("tx", answer.transaction.value());
         writer.field("target", answer.target.value());
@@ -134,14 +106,7 @@
         answer.code = static_cast<ResultCode>(object["code"].asUInt());
         answer.id = RequestId(object["id"].asString());
         answer.message = object["text"].asString();
-        for (const auto& it : object["cols"])
-            answer.rows.columns.push_back(it.asString());
-        for (const auto& line : object["rows"]) {
-            auto& row = answer.rows.values.emplace_back();
-            for (const auto& it : line)
-                row.push_back(sqlValueOf(it));
-        }
-        answer.rows.changed = object["changed"].asUInt64();
+        answer.rows = rowsOf(object);
         answer.transaction = TransactionId(object["tx"].asString());
         answer.target = TargetId(object["target"].asString());
         answer.age = Milliseconds(object["age"].asDouble());
--- /dev/null
+++ b/src/statements/RowsJson.cpp
@@ -0,0 +1,48 @@
+#include "statements/RowsJson.h"
+
+namespace parsleypaddle {
+
+void writeValue(JsonWriter& writer, const SqlValue& value)
+{
+    value ? writer.text(*value) : writer.null();
+}
+
+void writeRows(JsonWriter& writer, const Rows& rows)
+{
+    writer.key("columns");
+    writer.beginArray();
+    for (const auto& it : rows.columns)
+        writer.text(it);
+    writer.endArray();
+    writer.key("rows");
+    writer.beginArray();
+    for (const auto& row : rows.values) {
+        writer.beginArray();
+        for (const auto& value : row)
+            writeValue(writer, value);
+        writer.endArray();
+    }
+    writer.endArray();
+    writer.field("changed", rows.changed);
+}
+
+Rows rowsOf(const Json::Value& object)
+{
+    Rows rows;
+    for (const auto& column : object["columns"])
+        rows.columns.push_back(column.asString());
+    for (const auto& line : object["rows"]) {
+        auto& row = rows.values.emplace_back();
+        for (const auto& value : line)
+            row.push_back(sqlValueOf(value));
+    }
+    rows.changed = object["changed"].asUInt64();
+    return rows;
+}
+
+SqlValue sqlValueOf(const Json::Value& value)
+{
+    return value.isNull() ? SqlValue() : SqlValue(value.asString());
+}
+
+}
--- a/src/statements/StatementJson.cpp
+++ b/src/statements/StatementJson.cpp
@@ -2,6 +2,7 @@
 
 #include "statements/JsonText.h"
 #include "statements/JsonWriter.h"
+#include "statements/RowsJson.h"
 #include "statements/StatementFields.h"
 
 #include <absl/strings/str_cat.h>
@@ -11,39 +12,6 @@
 
 namespace {
 
-    void write(JsonWriter& writer, const Rows& rows)
-    {
-        writer.key("columns");
-        writer.beginArray();
-        for (const auto& it : rows.columns)
-            writer.text(it);
-        writer.endArray();
-        writer.key("rows");
-        writer.beginArray();
-        for (const auto& row : rows.values) {
-            writer.beginArray();
-            for (const auto& value : row)
-                value ? writer.text(*value) : writer.null();
-            writer.endArray();
-        }
-        writer.endArray();
-        writer.field("changed", rows.changed);
-    }
-
-    Rows rowsOf(const Json::Value& object)
-    {
-        Rows rows;
-        for (const auto& column : object["columns"])
-            rows.columns.push_back(column.asString());
-        for (const auto& line : object["rows"]) {
-            auto& row = rows.values.emplace_back();
-            for (const auto& value : line)
-                row.push_back(value.isNull() ? SqlValue() : SqlValue(value.asString()));
-        }
-        rows.changed = object["changed"].asUInt64();
-        return rows;
-    }
-
     AckLevel ackLevelOf(const std::string& name)
     {
         for (const AckLevel level : { AckLevel::Committed, AckLevel::TermConfirmed, AckLevel::Replicated }) {
@@ -83,7 +51,7 @@
     writer.field("code", static_cast<uint64_t>(answer.code));
     writer.field("name", nameOf(answer.code));
     writer.field("message", answer.message);
-    write(writer, answer.rows);
+    writeRows(writer, answer.rows);
     writer.field("token", answer.token);
     writer.field("ack_level", nameOf(answer.ackLevel));
     writer.field("transaction", answer.transaction.value());
