--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -29,12 +29,15 @@
     fi
 }
 
-# Prints N free ports: each is bound once to see that nobody has it.
+# Prints N different ports that nobody listens at.
 fleet_free_ports() {
     local count=$1 port
+    local -A taken=()
     while [ "$count" -gt 0 ]; do
         port=$((20000 + RANDOM % 12000))
+        [ -n "${taken[$port]:-}" ] && continue
         (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue
+        taken[$port]=yes
         echo "$port"
         count=$((count - 1))
     done
--- a/src/acknowledgement/GroupControl.h
+++ b/src/acknowledgement/GroupControl.h
@@ -19,10 +19,10 @@
 /// Times of a daemon's control of a group.
 struct GroupControlSettings {
     /// How often the primary is asked for its status while nothing else asks.
-    Milliseconds heartbeat { 200 };
+    Milliseconds heartbeat { 250 };
     /// Beats between two questions to a replica while the primary is heard. Everything is asked at once, and more
     /// often, when it is not.
-    uint32_t replicaBeats { 5 };
+    uint32_t replicaBeats { 8 };
     /// How long an answer is waited for.
     Milliseconds answerTimeout { 300 };
     Milliseconds connectTimeout { 300 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -31,6 +31,7 @@
 
     constexpr unsigned workerThreads = 4;
     constexpr size_t workerQueue = 256;
+    constexpr Milliseconds drainQuiet { 250 };
     constexpr Milliseconds drainCheck { 20 };
     constexpr Milliseconds controlLimit { 25'000 };
     constexpr unsigned unavailable = 503;
@@ -46,6 +47,18 @@
         LOG4CXX_INFO(logger(), text);
     }
 
+    // Unknown outcomes are rare and worth a line each; the rest is there for those who ask for it.
+    void logAnswer(const RequestMeasure& measure, const DatabaseId& database, Term term, const StatementAnswer& answer)
+    {
+        const auto level = answer.outcome() == Outcome::Unknown ? log4cxx::Level::getWarn() : log4cxx::Level::getDebug();
+        if (!logger()->isEnabledFor(level))
+            return;
+        LOG4CXX_LOG(logger(), level,
+            "event=answered request=" << answer.id.value() << " shop=" << measure.shop.value() << " class=" << measure.workload.value() << " database=" << database.value()
+                                      << " term=" << term.value() << " target=" << answer.target.value() << " code=" << static_cast<unsigned>(answer.code)
+                                      << " total_ms=" << measure.total.count());
+    }
+
     ControlResult resultOf(const absl::StatusOr<Json::Value>& result)
     {
         if (result.ok())
@@ -92,6 +105,7 @@
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<ControlServer> m_control;
     std::mt19937_64 m_random { std::random_device {}() };
+    Instant m_busyUntil;
     std::thread m_closer;
 };
 
@@ -259,6 +273,7 @@
         measure.total = m_loop->now() - arrivedAt;
         measure.wasReplicaRead = measure.wasRead && !answer.target.isEmpty() && answer.target != m_node->view(database).primary;
         m_metrics.noteRequest(measure);
+        logAnswer(measure, database, m_node->view(database).term, answer);
         done(std::move(answer));
     });
 }
@@ -308,13 +323,18 @@
     m_node->startDraining();
     m_loop->after(m_settings.drainGrace, [this] {
         m_gateway->stopAccepting();
+        m_busyUntil = m_loop->now();
         checkDrained(m_loop->now() + m_settings.drainLimit);
     });
 }
 
 void Daemon::Parts::checkDrained(Instant giveUpAt)
 {
-    const bool isDrained = m_gateway->requestsInFlight() == 0 && m_node->isIdle();
+    const bool isIdle = m_gateway->requestsInFlight() == 0 && m_node->isIdle();
+    if (!isIdle)
+        m_busyUntil = m_loop->now();
+    // Callers may still send on connections that they keep; the last of them are waited for a little.
+    const bool isDrained = isIdle && m_loop->now() - m_busyUntil >= drainQuiet;
     if (!isDrained && m_loop->now() < giveUpAt) {
         m_loop->after(drainCheck, [this, giveUpAt] { checkDrained(giveUpAt); });
         return;
