--- a/src/homes/HomeSettings.h
+++ b/src/homes/HomeSettings.h
@@ -11,7 +11,7 @@
     GroupControlSettings control;
     PromoterSettings promoter;
     /// A write asks a majority first when it was not seen on the primary's term within this.
-    Milliseconds majorityFreshness { 2500 };
+    Milliseconds majorityFreshness { 1000 };
     /// Longest wait for that majority.
     Milliseconds confirmationTimeout { 400 };
     /// Longest wait for one answer of a target; a connection silent for longer is abandoned.
