Find a request's group once and share it; one writer of change records

The run now shares the configuration that its group is part of, which also keeps it alive, and operations call the configuration's writer. Ruled out: a reference to the group, since a settling run may outlive the configuration. Not measured for speed.

--- a/src/configuration/ConfigurationBody.cpp
+++ b/src/configuration/ConfigurationBody.cpp
@@ -31,17 +31,6 @@
         return value;
     }
 
-    Json::Value toJson(const ChangeRecord& record)
-    {
-        Json::Value value;
-        value["version"] = Json::UInt64(record.version.value());
-        value["change_id"] = record.changeId;
-        value["author"] = record.author;
-        value["at"] = record.at.sinceEpoch();
-        value["summary"] = record.summary;
-        return value;
-    }
-
     ChangeRecord recordFrom(const Json::Value& value)
     {
         return { ConfigurationVersion(value["version"].asUInt64()), value["change_id"].asString(), value["author"].asString(), Instant(value["at"].asDouble()), value["summary"].asString() };
@@ -63,13 +52,24 @@
 
 }
 
+Json::Value changeRecordToJson(const ChangeRecord& record)
+{
+    Json::Value value;
+    value["version"] = Json::UInt64(record.version.value());
+    value["change_id"] = record.changeId;
+    value["author"] = record.author;
+    value["at"] = record.at.sinceEpoch();
+    value["summary"] = record.summary;
+    return value;
+}
+
 std::string encodeBody(const ConfigurationBody& body)
 {
     Json::Value value;
     value["document"] = body.document;
     value["history"] = Json::Value(Json::arrayValue);
     for (const auto& it : body.history)
-        value["history"].append(toJson(it));
+        value["history"].append(changeRecordToJson(it));
     return compressText(write(value));
 }
 
--- a/src/configuration/ConfigurationBody.h
+++ b/src/configuration/ConfigurationBody.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/statusor.h>
 #include <cstdint>
+#include <json/value.h>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
     std::string object;
 };
 
+/// A change as operators and stored bodies show it.
+Json::Value changeRecordToJson(const ChangeRecord&);
+
 std::string encodeBody(const ConfigurationBody&);
 absl::StatusOr<ConfigurationBody> decodeBody(const std::string& encoded);
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -37,7 +37,8 @@
 
 void Entry::handle(StatementRequest request, Done done)
 {
-    if (auto status = check(request); !status.ok())
+    const GroupConfiguration* group = m_context.configuration ? m_context.configuration->findGroup(request.database) : nullptr;
+    if (auto status = check(request, group); !status.ok())
         return done(refusalOf(request.id, status));
     SessionState session;
     if (!request.token.empty()) {
@@ -46,15 +47,14 @@
             return done(refusalOf(request.id, opened.status()));
         session = std::move(*opened);
     }
-    const GroupConfiguration* group = m_context.configuration->findGroup(request.database);
-    run(std::move(request), std::move(session), *group, std::move(done));
+    run(std::move(request), std::move(session), { m_context.configuration, group }, std::move(done));
 }
 
-absl::Status Entry::check(const StatementRequest& request) const
+absl::Status Entry::check(const StatementRequest& request, const GroupConfiguration* group) const
 {
     if (!m_context.configuration)
         return makeError(ResultCode::PlatformUnavailable, "this daemon has no configuration yet");
-    if (!m_context.configuration->findGroup(request.database))
+    if (!group)
         return makeError(ResultCode::UnknownDatabase, absl::StrCat("no database ", request.database.value(), " is configured"));
     if (!m_context.configuration->findClass(request.workload))
         return makeError(ResultCode::UnknownClass, absl::StrCat("no class ", request.workload.value(), " is configured"));
@@ -79,7 +79,7 @@
     return absl::OkStatus();
 }
 
-void Entry::run(StatementRequest request, SessionState session, const GroupConfiguration& group, Done done)
+void Entry::run(StatementRequest request, SessionState session, std::shared_ptr<const GroupConfiguration> group, Done done)
 {
     const Instant now = m_context.loop.now();
     const Policy policy = resolvePolicy(*m_context.configuration, request.shop, request.database, request.workload, now);
@@ -92,11 +92,11 @@
     };
     std::shared_ptr<RequestRun> run;
     if (request.transaction)
-        run = std::make_shared<TransactionRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+        run = std::make_shared<TransactionRun>(m_context, std::move(request), std::move(session), std::move(group), policy, counted);
     else if (request.mode == AccessMode::Write)
-        run = std::make_shared<WriteRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+        run = std::make_shared<WriteRun>(m_context, std::move(request), std::move(session), std::move(group), policy, counted);
     else
-        run = std::make_shared<ReadRun>(m_context, std::move(request), std::move(session), group, policy, counted);
+        run = std::make_shared<ReadRun>(m_context, std::move(request), std::move(session), std::move(group), policy, counted);
     run->start();
 }
 
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -23,9 +23,9 @@
     size_t requestsInFlight() const { return m_inFlight; }
 
 private:
-    absl::Status check(const StatementRequest&) const;
+    absl::Status check(const StatementRequest&, const GroupConfiguration* group) const;
     absl::Status checkAge(const RequestId&) const;
-    void run(StatementRequest, SessionState, const GroupConfiguration&, Done);
+    void run(StatementRequest, SessionState, std::shared_ptr<const GroupConfiguration>, Done);
 
     EntryContext m_context;
     size_t m_inFlight { 0 };
--- a/src/entry/ReadRun.cpp
+++ b/src/entry/ReadRun.cpp
@@ -58,7 +58,7 @@
         for (auto& it : seen.targets)
             it.status.isLeaving = false;
     }
-    m_candidates = m_context.router->order(m_group, seen, need, m_context.loop.now());
+    m_candidates = m_context.router->order(*m_group, seen, need, m_context.loop.now());
     askNextTarget();
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -50,11 +50,11 @@
     }
 }
 
-RequestRun::RequestRun(EntryContext& context, StatementRequest request, SessionState session, const GroupConfiguration& group, const Policy& policy, Done done)
+RequestRun::RequestRun(EntryContext& context, StatementRequest request, SessionState session, std::shared_ptr<const GroupConfiguration> group, const Policy& policy, Done done)
     : m_context(context)
     , m_request(std::move(request))
     , m_session(std::move(session))
-    , m_group(group)
+    , m_group(std::move(group))
     , m_policy(policy)
     , m_done(std::move(done))
 {
@@ -78,7 +78,7 @@
 void RequestRun::callHomes(HomeOperation operation, const TargetId& target, LogPosition minimumPosition, Term minimumTerm, Replied replied)
 {
     m_lastAsked = target;
-    auto it = std::find_if(m_group.targets.begin(), m_group.targets.end(), [&target](const TargetConfiguration& configuration) { return configuration.id == target; });
+    auto it = std::find_if(m_group->targets.begin(), m_group->targets.end(), [&target](const TargetConfiguration& configuration) { return configuration.id == target; });
     auto homes = std::make_shared<std::vector<InstanceId>>(m_context.membership.homesOf(*it));
     homes->resize(std::min<size_t>(homes->size(), mostHomesOfTarget));
     // Silent ones rank last; waiting for one of them would take the time that another attempt needs.
@@ -180,11 +180,11 @@
 TargetId RequestRun::primaryToAsk()
 {
     const TargetId& primary = view().primary;
-    const bool isKnown = std::any_of(m_group.targets.begin(), m_group.targets.end(), [&primary](const TargetConfiguration& it) { return it.id == primary; });
+    const bool isKnown = std::any_of(m_group->targets.begin(), m_group->targets.end(), [&primary](const TargetConfiguration& it) { return it.id == primary; });
     if (isKnown && !m_mustAskOthers)
         return primary;
     m_mustAskOthers = false;
-    return m_group.targets[m_asks++ % m_group.targets.size()].id;
+    return m_group->targets[m_asks++ % m_group->targets.size()].id;
 }
 
 }
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -14,7 +14,7 @@
 public:
     using Done = std::function<void(StatementAnswer)>;
 
-    RequestRun(EntryContext&, StatementRequest, SessionState, const GroupConfiguration&, const Policy&, Done);
+    RequestRun(EntryContext&, StatementRequest, SessionState, std::shared_ptr<const GroupConfiguration>, const Policy&, Done);
     virtual ~RequestRun() = default;
 
     RequestRun(const RequestRun&) = delete;
@@ -55,7 +55,7 @@
     /// The same, when a further attempt follows.
     void decideRetry(std::string what, std::string why) const;
 
-    const GroupView& view() { return m_context.views.find(m_group.database); }
+    const GroupView& view() { return m_context.views.find(m_group->database); }
 
     /// The target to ask as primary; any target when none is known, since its home tells who it is.
     TargetId primaryToAsk();
@@ -66,7 +66,8 @@
     EntryContext& m_context;
     StatementRequest m_request;
     SessionState m_session;
-    GroupConfiguration m_group;
+    /// Keeps the configuration alive that it is part of.
+    std::shared_ptr<const GroupConfiguration> m_group;
     Policy m_policy;
     StatementAnswer m_lastRefusal;
 
--- a/src/homes/HomeService.cpp
+++ b/src/homes/HomeService.cpp
@@ -94,14 +94,6 @@
     return std::all_of(m_targetHomes.begin(), m_targetHomes.end(), [](const auto& it) { return it.second->isIdle(); });
 }
 
-size_t HomeService::openTransactions() const
-{
-    size_t n = 0;
-    for (const auto& [id, home] : m_targetHomes)
-        n += home->openTransactions();
-    return n;
-}
-
 HomeService::Located HomeService::locate(const DatabaseId& database, const TargetId& target) const
 {
     Located located;
--- a/src/homes/HomeService.h
+++ b/src/homes/HomeService.h
@@ -34,7 +34,6 @@
 
     /// Whether no call is under way and no transaction is open.
     bool isIdle() const;
-    size_t openTransactions() const;
 
     /// The homes in use, for status pages.
     const std::map<TargetId, std::unique_ptr<TargetHome>>& targetHomes() const { return m_targetHomes; }
--- a/src/operations/GossipJson.cpp
+++ b/src/operations/GossipJson.cpp
@@ -20,15 +20,4 @@
     return ConfigurationDigest { ConfigurationVersion(value["version"].asUInt64()), value["change_id"].asString(), value["body_hash"].asString() };
 }
 
-Json::Value changeRecordToJson(const ChangeRecord& record)
-{
-    Json::Value value;
-    value["version"] = Json::UInt64(record.version.value());
-    value["change_id"] = record.changeId;
-    value["author"] = record.author;
-    value["at"] = record.at.sinceEpoch();
-    value["summary"] = record.summary;
-    return value;
-}
-
 }
--- a/src/operations/GossipJson.h
+++ b/src/operations/GossipJson.h
@@ -11,6 +11,4 @@
 /// WrongType when a field is absent or of another type.
 absl::StatusOr<ConfigurationDigest> digestFromJson(const Json::Value&);
 
-Json::Value changeRecordToJson(const ChangeRecord&);
-
 }
