--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -14,6 +14,10 @@
 using ClassName = Name<struct ClassTag>;
 /// A database, served by one group of targets.
 using DatabaseId = Name<struct DatabaseTag>;
+/// One database group: a primary and its replicas.
+using GroupId = Name<struct GroupTag>;
+/// One statement of a caller, as the caller names it.
+using StatementId = Name<struct StatementTag>;
 /// One database server of a group.
 using TargetId = Name<struct TargetTag>;
 /// One running daemon.
--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -12,6 +12,8 @@
 struct TargetAddress {
     std::string host;
     uint16_t port { 0 };
+
+    friend bool operator==(const TargetAddress& a, const TargetAddress& b) { return a.host == b.host && a.port == b.port; }
 };
 
 /// One database server of a group.
@@ -19,6 +21,8 @@
     TargetId id;
     TargetAddress address;
     FailureDomainId failureDomain;
+    /// The group that it belongs to, where targets check that; empty elsewhere.
+    GroupId group;
 };
 
 /// A database group as operators declare it.
--- a/src/configuration/ConfigurationStore.h
+++ b/src/configuration/ConfigurationStore.h
@@ -3,7 +3,7 @@
 #include "base/EventLoop.h"
 #include "configuration/Configuration.h"
 #include "configuration/ConfigurationPeers.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <memory>
 #include <random>
--- a/src/configuration/StoreFleet.h
+++ b/src/configuration/StoreFleet.h
@@ -3,7 +3,7 @@
 #include "base/ResultCode.h"
 #include "base/VirtualLoop.h"
 #include "configuration/ConfigurationStore.h"
-#include "platform/FakePlatform.h"
+#include "platform_ports/FakePlatform.h"
 
 #include <map>
 
--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -15,6 +15,9 @@
     /// Runs one batch; see TargetConnection.
     virtual void run(const TargetBatch&, Milliseconds timeout, TargetConnection::Done) = 0;
 
+    /// What earlier holders have set up in its session at the target.
+    virtual TargetImage& image() = 0;
+
     /// Keeps it from being reused, for one whose state is in doubt.
     virtual void discard() = 0;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -7,7 +7,7 @@
 #include "daemon/LoopBridge.h"
 #include "daemon/MembershipFeed.h"
 #include "daemon/PromotionNotes.h"
-#include "daemon/SignalWatch.h"
+#include "net/SignalWatch.h"
 #include "gateway/Gateway.h"
 #include "net/PollLoop.h"
 #include "net/WorkerPool.h"
--- a/src/daemon/MembershipFeed.h
+++ b/src/daemon/MembershipFeed.h
@@ -3,7 +3,7 @@
 #include "daemon/DaemonSettings.h"
 #include "net/PollLoop.h"
 #include "net/WorkerPool.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <functional>
 #include <random>
--- a/src/daemon/SeedPeer.h
+++ b/src/daemon/SeedPeer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/DaemonSettings.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 namespace parsleypaddle {
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,6 @@
 #include "daemon/Daemon.h"
 #include "daemon/DaemonSettings.h"
-#include "daemon/Logging.h"
+#include "telemetry/Logging.h"
 
 #include <Poco/Util/Application.h>
 #include <getopt.h>
--- /dev/null
+++ b/src/directory/RowWatch.cpp
@@ -0,0 +1,100 @@
+#include "directory/RowWatch.h"
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Pause after a failed call: short against the seconds in which a change has to be in force.
+    constexpr Milliseconds retryPause { 300 };
+
+}
+
+RowWatch::RowWatch(EventLoop& loop, PlatformRows& platform, std::string table, Milliseconds wait, Changed changed, Reached reached)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_table(std::move(table))
+    , m_wait(wait)
+    , m_changed(std::move(changed))
+    , m_reached(std::move(reached))
+{
+}
+
+void RowWatch::start()
+{
+    readAll();
+}
+
+void RowWatch::readAll()
+{
+    m_platform.readAll(m_table, [this, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (alive.expired())
+            return;
+        answered(answer.status());
+        if (!answer.ok())
+            return retry();
+        m_rows.clear();
+        for (const auto& it : answer->rows)
+            m_rows[it.key] = it;
+        m_version = answer->version;
+        m_isKnown = true;
+        m_changed(m_rows);
+        watch();
+    });
+}
+
+void RowWatch::watch()
+{
+    m_platform.watch(m_table, m_version, m_wait, [this, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (alive.expired())
+            return;
+        answered(answer.status());
+        if (!answer.ok())
+            return retry();
+        if (answer->isHistoryLost)
+            return readAll();
+        for (const auto& it : answer->rows)
+            take(it);
+        m_version = std::max(m_version, answer->version);
+        if (!answer->rows.empty())
+            m_changed(m_rows);
+        watch();
+    });
+}
+
+void RowWatch::take(const StoredRow& row)
+{
+    auto it = m_rows.find(row.key);
+    if (it != m_rows.end() && row.version < it->second.version)
+        return;
+    if (row.isDeleted)
+        m_rows.erase(row.key);
+    else
+        m_rows[row.key] = row;
+}
+
+void RowWatch::retry()
+{
+    m_loop.after(retryPause, [this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (alive.expired())
+            return;
+        if (m_isKnown)
+            watch();
+        else
+            readAll();
+    });
+}
+
+void RowWatch::answered(const absl::Status& status)
+{
+    const bool isReached = status.ok();
+    if (isReached && !m_reachedSince)
+        m_reachedSince = m_loop.now();
+    if (!isReached)
+        m_reachedSince.reset();
+    if (isReached == !m_isLost)
+        return;
+    m_isLost = !isReached;
+    m_reached(status);
+}
+
+}
--- /dev/null
+++ b/src/directory/RowWatch.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace parsleypaddle {
+
+/// Follows one table of the platform: reads it once, then watches it, and starts anew when the history is lost.
+class RowWatch {
+public:
+    using Rows = std::map<std::string, StoredRow>;
+    /// All rows by key, after each change.
+    using Changed = std::function<void(const Rows&)>;
+    /// The platform was lost, with the reason, or is reached again (ok).
+    using Reached = std::function<void(const absl::Status&)>;
+
+    RowWatch(EventLoop&, PlatformRows&, std::string table, Milliseconds wait, Changed, Reached);
+
+    void start();
+
+    /// Whether the table was read at least once.
+    bool isKnown() const { return m_isKnown; }
+    /// Since when the platform answers without a failure; unset while it does not.
+    std::optional<Instant> reachedSince() const { return m_reachedSince; }
+
+private:
+    void readAll();
+    void watch();
+    void retry();
+    void answered(const absl::Status&);
+    void take(const StoredRow&);
+
+    EventLoop& m_loop;
+    PlatformRows& m_platform;
+    std::string m_table;
+    Milliseconds m_wait;
+    Changed m_changed;
+    Reached m_reached;
+    Rows m_rows;
+    RowVersion m_version;
+    bool m_isKnown { false };
+    std::optional<Instant> m_reachedSince;
+    bool m_isLost { false };
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+}
--- /dev/null
+++ b/src/failover/GroupKeeper.cpp
@@ -0,0 +1,445 @@
+#include "failover/GroupKeeper.h"
+
+#include "leases/Epoch.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// A target that is missing from the platform's list may be back within two seconds after an outage of the platform.
+    constexpr Milliseconds missingGrace { 2500 };
+    /// Daemons begin a change one after the other, so that they do not all write at once.
+    constexpr Milliseconds stagger { 80 };
+    /// Statements and transactions at a primary that leaves as planned have this long to end.
+    constexpr Milliseconds plannedRelease { 500 };
+    /// How long a planned change waits for a replica that holds all of the primary's log.
+    constexpr Milliseconds catchUp { 1500 };
+    constexpr Milliseconds probeInterval { 80 };
+    /// Two failures in a row: one may be a single lost packet.
+    constexpr uint32_t failedProbesForSuspicion = 2;
+    /// The owner of a change that takes longer is checked.
+    constexpr Milliseconds ownerPatience { 1500 };
+    constexpr Milliseconds ownerCheckInterval { 500 };
+    constexpr Milliseconds promotionRetry { 700 };
+    /// A promotion takes effect within some 600 ms; a candidate that does not lead by then is given up.
+    constexpr Milliseconds promotionPatience { 3000 };
+
+}
+
+GroupKeeper::GroupKeeper(KeeperContext context, GroupId group)
+    : m_context(context)
+    , m_group(std::move(group))
+{
+}
+
+void GroupKeeper::setRecord(const GroupRecord& record, RowVersion version, RowVersion epoch)
+{
+    m_epoch = epoch;
+    if (m_record && version <= m_version)
+        return;
+    const Instant now = m_context.loop.now();
+    const bool wasOpen = !m_record || m_record->phase == GroupPhase::Open;
+    m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "version", std::to_string(version.value()) } });
+    m_record = record;
+    m_version = version;
+    m_recordSince = now;
+    if (record.phase == GroupPhase::Open) {
+        m_isReleased = true;
+        m_failedProbes = 0;
+        m_isToProbe = false;
+        m_isSuspicionWritten = false;
+        m_missingSince.reset();
+        m_leavingSince.reset();
+        m_refused.clear();
+        return;
+    }
+    if (wasOpen) {
+        m_isReleased = false;
+        m_releaseBy = now + (record.isPlanned ? plannedRelease : Milliseconds(0));
+        m_isReleasedEverywhere = false;
+    }
+    m_probes.clear();
+    m_isRoundComplete = false;
+    m_nextPromotion = now;
+    m_nextProbe = now;
+    m_nextOwnerCheck = now + ownerPatience + stagger * m_context.board.rankFor(m_group);
+}
+
+void GroupKeeper::setSuspicions(std::set<InstanceId> suspicions)
+{
+    m_suspicions = std::move(suspicions);
+    m_isSuspicionWritten = m_suspicions.count(m_context.lease.instance()) > 0;
+    if (!m_suspicions.empty())
+        m_isToProbe = true;
+}
+
+void GroupKeeper::setEntries(std::vector<TargetEntry> entries)
+{
+    m_entries = std::move(entries);
+}
+
+void GroupKeeper::primaryAnswered()
+{
+    if (m_failedProbes == 0)
+        m_isToProbe = m_isToProbe && !m_suspicions.empty();
+}
+
+bool GroupKeeper::isBusy() const
+{
+    return !m_record || m_record->phase != GroupPhase::Open || m_isToProbe || m_leavingSince || m_missingSince;
+}
+
+PrimaryBelief GroupKeeper::belief() const
+{
+    if (!m_record)
+        return {};
+    return { m_record->primary, m_record->term, m_record->phase == GroupPhase::Open };
+}
+
+bool GroupKeeper::isOwn() const
+{
+    return m_record->owner == m_context.lease.instance() && m_record->ownerIncarnation == m_context.lease.incarnation();
+}
+
+const TargetEntry* GroupKeeper::find(const TargetId& target) const
+{
+    auto it = std::find_if(m_entries.begin(), m_entries.end(), [&target](const TargetEntry& entry) { return entry.target.id == target; });
+    return it == m_entries.end() ? nullptr : &*it;
+}
+
+void GroupKeeper::tick(RelayGroup& group)
+{
+    if (!m_isReleased)
+        release(group);
+    if (m_isWriting)
+        return;
+    if (!m_record)
+        return bootstrap();
+    if (m_record->phase == GroupPhase::Open)
+        return watchPrimary();
+    if (isOwn())
+        return drive();
+    watchOwner();
+}
+
+void GroupKeeper::release(RelayGroup& group)
+{
+    if (group.primaryUses() > 0 && m_context.loop.now() < m_releaseBy)
+        return;
+    const size_t n = group.primaryUses();
+    group.abandonPrimary();
+    m_isReleased = true;
+    m_context.log.write("primary_released", { { "group", m_group.value() }, { "term", std::to_string(m_record->term.value()) }, { "abandoned", std::to_string(n) } });
+}
+
+// Nobody has recorded a primary yet: the one that leads is recorded.
+void GroupKeeper::bootstrap()
+{
+    const Instant now = m_context.loop.now();
+    if (m_entries.empty())
+        return;
+    if (m_recordSince == Instant()) {
+        m_recordSince = now + stagger * m_context.board.rankFor(m_group);
+        return;
+    }
+    if (now < m_recordSince || now < m_nextProbe)
+        return;
+    probeAll();
+    if (!m_isRoundComplete)
+        return;
+    m_isRoundComplete = false;
+    for (const auto& [id, probe] : m_probes) {
+        if (probe.report && probe.report->isPrimary)
+            return write(opened(id, probe.report->term), false, "the first primary of the group");
+    }
+}
+
+void GroupKeeper::watchPrimary()
+{
+    const Instant now = m_context.loop.now();
+    const TargetEntry* entry = find(m_record->primary);
+    if (entry)
+        m_missingSince.reset();
+    else if (!m_missingSince)
+        m_missingSince = now;
+    if (!entry || !entry->isLeaving)
+        m_leavingSince.reset();
+    else if (!m_leavingSince)
+        m_leavingSince = now;
+    const Milliseconds turn = stagger * m_context.board.rankFor(m_group);
+    if (m_leavingSince && now >= *m_leavingSince + turn)
+        return beginChange(true, "the primary is leaving");
+    if (m_missingSince && now >= *m_missingSince + missingGrace + turn)
+        return beginChange(false, "the primary is missing from the platform's list");
+    const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
+    if (isSuspect && !m_isSuspicionWritten)
+        return noteSuspicion(true);
+    if (isSuspect && m_suspicions.size() * 2 > m_context.board.daemons())
+        return beginChange(false, "most daemons cannot reach the primary");
+    if (m_isToProbe && entry)
+        probePrimary();
+}
+
+void GroupKeeper::probePrimary()
+{
+    const Instant now = m_context.loop.now();
+    if (m_isProbing || now < m_nextProbe)
+        return;
+    m_isProbing = true;
+    m_nextProbe = now + probeInterval;
+    probeTarget(m_context.connector, find(m_record->primary)->target, [this, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+        if (alive.expired())
+            return;
+        m_isProbing = false;
+        if (version == m_version)
+            primaryProbed(result);
+    });
+}
+
+void GroupKeeper::primaryProbed(const ProbeResult& result)
+{
+    const bool isDeposed = result.report && (!result.report->isPrimary || result.report->term != m_record->term);
+    if (result.isAlive && !isDeposed) {
+        m_failedProbes = 0;
+        // Others who cannot reach it may be right about their own paths.
+        m_isToProbe = false;
+        if (m_isSuspicionWritten)
+            noteSuspicion(false);
+        return;
+    }
+    m_failedProbes = isDeposed ? failedProbesForSuspicion : m_failedProbes + 1;
+    m_context.log.write("primary_probe_failed", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "in_a_row", std::to_string(m_failedProbes) }, { "deposed", isDeposed ? "yes" : "no" } });
+}
+
+void GroupKeeper::noteSuspicion(bool isSuspect)
+{
+    const std::string key = suspicionKey(m_group, m_context.lease.instance());
+    RowsTransaction transaction;
+    if (isSuspect)
+        transaction.writes.push_back({ controlTable, key, std::to_string(m_record->term.value()) });
+    else
+        transaction.removals.push_back({ controlTable, key });
+    m_isWriting = true;
+    m_isSuspicionWritten = isSuspect;
+    m_context.log.write("primary_suspicion", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "suspect", isSuspect ? "yes" : "no" } });
+    m_context.platform.transact(transaction, [this, isSuspect, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+        if (alive.expired())
+            return;
+        m_isWriting = false;
+        if (!answer.ok())
+            m_isSuspicionWritten = !isSuspect;
+    });
+}
+
+void GroupKeeper::beginChange(bool isPlanned, std::string_view why)
+{
+    GroupRecord record = *m_record;
+    record.phase = GroupPhase::Closing;
+    record.isPlanned = isPlanned;
+    record.owner = m_context.lease.instance();
+    record.ownerIncarnation = m_context.lease.incarnation();
+    record.candidate = TargetId();
+    write(std::move(record), true, why);
+}
+
+// The owner of a change may have died. Its lease says so: while it lasts, the owner may still order a promotion.
+void GroupKeeper::watchOwner()
+{
+    const Instant now = m_context.loop.now();
+    if (m_isReadingLeases || now < m_nextOwnerCheck)
+        return;
+    m_nextOwnerCheck = now + ownerCheckInterval;
+    m_isReadingLeases = true;
+    m_context.board.read([this, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<LeaseTable>& table) {
+        if (alive.expired())
+            return;
+        m_isReadingLeases = false;
+        if (!table.ok() || version != m_version || table->isAlive(m_record->owner, m_record->ownerIncarnation))
+            return;
+        GroupRecord record = *m_record;
+        record.phase = GroupPhase::Closing;
+        record.owner = m_context.lease.instance();
+        record.ownerIncarnation = m_context.lease.incarnation();
+        write(std::move(record), false, "the daemon that carried the change out is gone");
+    });
+}
+
+void GroupKeeper::drive()
+{
+    if (!m_isReleasedEverywhere)
+        awaitRelease();
+    if (m_record->phase == GroupPhase::Promoting)
+        return followPromotion();
+    if (m_context.loop.now() >= m_nextProbe)
+        probeAll();
+    if (m_isReleasedEverywhere && m_isRoundComplete)
+        choose();
+}
+
+void GroupKeeper::awaitRelease()
+{
+    if (m_isReadingLeases || !m_isReleased)
+        return;
+    m_isReadingLeases = true;
+    m_context.board.read([this, epoch = m_epoch, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<LeaseTable>& table) {
+        if (alive.expired())
+            return;
+        m_isReadingLeases = false;
+        if (!table.ok() || version != m_version || !table->isReleased(epoch))
+            return;
+        m_isReleasedEverywhere = true;
+        // What the targets said before may have been outrun by the last statements.
+        m_isRoundComplete = false;
+        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", std::to_string(epoch.value()) }, { "daemons", std::to_string(table->entries.size()) } });
+    });
+}
+
+void GroupKeeper::probeAll()
+{
+    if (m_probesUnderWay > 0)
+        return;
+    m_nextProbe = m_context.loop.now() + probeInterval;
+    m_probesUnderWay = m_entries.size();
+    const bool isAfterRelease = m_isReleasedEverywhere || !m_record;
+    for (const auto& it : m_entries) {
+        const TargetId id = it.target.id;
+        probeTarget(m_context.connector, it.target, [this, id, isAfterRelease, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+            if (alive.expired())
+                return;
+            m_probes[id] = result;
+            --m_probesUnderWay;
+            m_isRoundComplete = m_probesUnderWay == 0 && isAfterRelease;
+        });
+    }
+}
+
+std::optional<TargetId> GroupKeeper::mostCompleteReplica() const
+{
+    std::optional<TargetId> best;
+    LogMark most;
+    for (const auto& it : m_entries) {
+        const TargetId& id = it.target.id;
+        auto probe = m_probes.find(id);
+        const bool isUsable = id != m_record->primary && !it.isLeaving && m_refused.count(id) == 0;
+        if (!isUsable || probe == m_probes.end() || !probe->second.report)
+            continue;
+        const LogMark received = probe->second.report->received;
+        // Another daemon may have ordered the promotion of this one already.
+        const bool isPreferred = id == m_record->candidate && !(received < most);
+        if (best && !isPreferred && !(most < received))
+            continue;
+        best = id;
+        most = received;
+    }
+    return best;
+}
+
+void GroupKeeper::choose()
+{
+    m_isRoundComplete = false;
+    for (const auto& [id, probe] : m_probes) {
+        if (probe.report && probe.report->isPrimary && probe.report->term > m_record->term)
+            return write(opened(id, probe.report->term), false, "a target leads in a later term");
+    }
+    const TargetEntry* old = find(m_record->primary);
+    auto oldProbe = m_probes.find(m_record->primary);
+    const bool oldLeads = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
+    if (oldLeads && old && !old->isLeaving)
+        return write(opened(m_record->primary, oldProbe->second.report->term), false, "the primary can be reached after all");
+    const auto best = mostCompleteReplica();
+    if (!best)
+        return;
+    const bool isComplete = !oldLeads || !(m_probes[*best].report->received < oldProbe->second.report->received);
+    if (!isComplete && m_context.loop.now() < m_recordSince + plannedRelease + catchUp)
+        return;
+    GroupRecord record = *m_record;
+    record.phase = GroupPhase::Promoting;
+    record.candidate = *best;
+    write(std::move(record), false, isComplete ? "the replica holds the whole log" : "the replica holds the most of the log");
+}
+
+void GroupKeeper::followPromotion()
+{
+    const Instant now = m_context.loop.now();
+    const TargetEntry* entry = find(m_record->candidate);
+    const bool isHopeless = !entry || m_refused.count(m_record->candidate) > 0 || now > m_recordSince + promotionPatience;
+    if (isHopeless) {
+        m_refused.insert(m_record->candidate);
+        GroupRecord record = *m_record;
+        record.phase = GroupPhase::Closing;
+        return write(std::move(record), false, "the candidate does not lead");
+    }
+    if (!m_isPromoting && now >= m_nextPromotion && m_isReleasedEverywhere)
+        promote();
+    if (m_isProbing || now < m_nextProbe)
+        return;
+    m_isProbing = true;
+    m_nextProbe = now + probeInterval;
+    probeTarget(m_context.connector, entry->target, [this, id = entry->target.id, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+        if (alive.expired())
+            return;
+        m_isProbing = false;
+        const bool leads = result.report && result.report->isPrimary && version == m_version && result.report->term > m_record->term;
+        if (leads)
+            write(opened(id, result.report->term), false, "the candidate leads");
+    });
+}
+
+// The version of the record grows with each change of it, and so serves as the fence.
+void GroupKeeper::promote()
+{
+    if (!m_context.lease.isValid())
+        return;
+    m_isPromoting = true;
+    m_nextPromotion = m_context.loop.now() + promotionRetry;
+    m_context.log.write("promotion_ordered", { { "group", m_group.value() }, { "candidate", m_record->candidate.value() }, { "fence", std::to_string(m_version.value()) } });
+    m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, [this, candidate = m_record->candidate, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
+        if (alive.expired())
+            return;
+        m_isPromoting = false;
+        m_context.log.write("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "answer", !accepted.ok() ? std::string(accepted.status().message()) : *accepted ? "accepted" : "refused" } });
+        if (accepted.ok() && !*accepted)
+            m_refused.insert(candidate);
+    });
+}
+
+GroupRecord GroupKeeper::opened(const TargetId& primary, Term term) const
+{
+    GroupRecord record;
+    record.phase = GroupPhase::Open;
+    record.primary = primary;
+    record.term = term;
+    record.owner = m_context.lease.instance();
+    record.ownerIncarnation = m_context.lease.incarnation();
+    return record;
+}
+
+void GroupKeeper::write(GroupRecord record, bool movesEpoch, std::string_view why)
+{
+    RowsTransaction transaction;
+    transaction.expected.push_back({ controlTable, groupKey(m_group), m_version });
+    transaction.writes.push_back({ controlTable, groupKey(m_group), encodeGroupRecord(record) });
+    if (movesEpoch)
+        transaction.writes.push_back({ controlTable, epochKey, m_group.value() });
+    if (record.phase == GroupPhase::Open) {
+        for (const auto& it : m_suspicions)
+            transaction.removals.push_back({ controlTable, suspicionKey(m_group, it) });
+    }
+    m_isWriting = true;
+    m_context.log.write("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "expected_version", std::to_string(m_version.value()) }, { "why", std::string(why) } });
+    const TargetEntry* old = m_record ? find(m_record->primary) : nullptr;
+    const bool isReplaced = old && record.phase == GroupPhase::Open && record.primary != m_record->primary;
+    const auto demoted = isReplaced ? std::make_optional(old->target) : std::nullopt;
+    m_context.platform.transact(transaction, [this, demoted, term = record.term, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+        if (alive.expired())
+            return;
+        m_isWriting = false;
+        m_context.log.write("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied" : "another change came first" } });
+        if (demoted && answer.ok() && answer->isApplied)
+            demoteTarget(m_context.connector, *demoted, term);
+    });
+}
+
+}
--- /dev/null
+++ b/src/failover/GroupRecord.cpp
@@ -0,0 +1,87 @@
+#include "failover/GroupRecord.h"
+
+#include "base/ResultCode.h"
+
+#include <algorithm>
+#include <array>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+
+namespace parsleypaddle {
+
+namespace {
+
+    struct PhaseName {
+        GroupPhase phase;
+        const char* name;
+    };
+
+    constexpr std::array<PhaseName, 3> phaseNames { {
+        { GroupPhase::Open, "open" },
+        { GroupPhase::Closing, "closing" },
+        { GroupPhase::Promoting, "promoting" },
+    } };
+
+}
+
+std::string encodeGroupRecord(const GroupRecord& record)
+{
+    Json::Value value(Json::objectValue);
+    value["phase"] = phaseNames.at(static_cast<size_t>(record.phase)).name;
+    value["primary"] = record.primary.value();
+    value["term"] = Json::UInt64(record.term.value());
+    value["planned"] = record.isPlanned;
+    value["owner"] = record.owner.value();
+    value["incarnation"] = record.ownerIncarnation;
+    value["candidate"] = record.candidate.value();
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+absl::StatusOr<GroupRecord> decodeGroupRecord(const std::string& text)
+{
+    Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string errors;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject())
+        return makeError(ResultCode::MalformedInput, "a group's record is no JSON object");
+    for (const char* it : { "phase", "primary", "owner", "incarnation", "candidate" }) {
+        if (!value[it].isString())
+            return makeError(ResultCode::MissingField, std::string("a group's record lacks ") + it);
+    }
+    if (!value["term"].isUInt64() || !value["planned"].isBool())
+        return makeError(ResultCode::MissingField, "a group's record lacks its term");
+    const std::string phase = value["phase"].asString();
+    const auto* named = std::find_if(phaseNames.begin(), phaseNames.end(), [&phase](const PhaseName& it) { return phase == it.name; });
+    if (named == phaseNames.end())
+        return makeError(ResultCode::ValueOutOfRange, "unknown phase " + phase);
+    GroupRecord record;
+    record.phase = named->phase;
+    record.primary = TargetId(value["primary"].asString());
+    record.term = Term(value["term"].asUInt64());
+    record.isPlanned = value["planned"].asBool();
+    record.owner = InstanceId(value["owner"].asString());
+    record.ownerIncarnation = value["incarnation"].asString();
+    record.candidate = TargetId(value["candidate"].asString());
+    return record;
+}
+
+std::string groupKey(const GroupId& group)
+{
+    return "group/" + group.value();
+}
+
+std::string suspicionPrefix(const GroupId& group)
+{
+    return "suspicion/" + group.value() + "/";
+}
+
+std::string suspicionKey(const GroupId& group, const InstanceId& instance)
+{
+    return suspicionPrefix(group) + instance.value();
+}
+
+}
--- /dev/null
+++ b/src/failover/LeaseBoard.cpp
@@ -0,0 +1,96 @@
+#include "failover/LeaseBoard.h"
+
+#include <absl/strings/string_view.h>
+#include <xxhash.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// The number of daemons changes seldom, and a share that is off for some seconds only moves connections.
+    constexpr Milliseconds refreshInterval { 5000 };
+
+}
+
+bool LeaseTable::isReleased(RowVersion epoch) const
+{
+    for (const auto& [instance, entry] : entries) {
+        if (entry.version <= epoch && !hasEnded(entry.lease, platformTime))
+            return false;
+    }
+    return true;
+}
+
+bool LeaseTable::isAlive(const InstanceId& instance, const std::string& incarnation) const
+{
+    auto it = entries.find(instance);
+    return it != entries.end() && it->second.lease.incarnation == incarnation && !hasEnded(it->second.lease, platformTime);
+}
+
+LeaseBoard::LeaseBoard(EventLoop& loop, PlatformRows& platform, InstanceId own)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_own(std::move(own))
+{
+}
+
+void LeaseBoard::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    refresh();
+}
+
+void LeaseBoard::refresh()
+{
+    read([](const absl::StatusOr<LeaseTable>&) {});
+    m_loop.after(refreshInterval, [this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired())
+            refresh();
+    });
+}
+
+void LeaseBoard::read(Done done)
+{
+    m_platform.readAll(leaseTable, [this, done = std::move(done), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (alive.expired())
+            return;
+        if (!answer.ok())
+            return done(answer.status());
+        LeaseTable table;
+        table.platformTime = answer->platformTime;
+        for (const auto& it : answer->rows) {
+            // A lease that cannot be read counts as one that was asked for just now.
+            const auto lease = decodeLeaseRow(it.value);
+            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime }, it.version };
+        }
+        take(table);
+        done(table);
+    });
+}
+
+void LeaseBoard::take(const LeaseTable& table)
+{
+    uint32_t daemons = 0;
+    uint32_t place = 0;
+    bool hasOwn = false;
+    for (const auto& [instance, entry] : table.entries) {
+        if (hasEnded(entry.lease, table.platformTime))
+            continue;
+        if (instance < m_own)
+            ++place;
+        hasOwn = hasOwn || instance == m_own;
+        ++daemons;
+    }
+    m_place = place;
+    m_daemons = hasOwn ? daemons : daemons + 1;
+    if (m_changed)
+        m_changed();
+}
+
+uint32_t LeaseBoard::rankFor(const GroupId& group) const
+{
+    const uint64_t hash = XXH64(group.value().data(), group.value().size(), 0);
+    return static_cast<uint32_t>((m_place + hash) % m_daemons);
+}
+
+}
--- /dev/null
+++ b/src/failover/LeaseBoard.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "leases/LeaseRow.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace parsleypaddle {
+
+/// Every daemon's lease, as of one moment.
+struct LeaseTable {
+    struct Entry {
+        LeaseRow lease;
+        RowVersion version;
+    };
+
+    std::map<InstanceId, Entry> entries;
+    Instant platformTime;
+
+    /// Whether no daemon can still use a primary that was closed by `epoch`.
+    bool isReleased(RowVersion epoch) const;
+    /// Whether the process holds a lease that has not ended.
+    bool isAlive(const InstanceId&, const std::string& incarnation) const;
+};
+
+/// Which daemons live, read from their leases now and then.
+class LeaseBoard {
+public:
+    using Done = std::function<void(const absl::StatusOr<LeaseTable>&)>;
+
+    LeaseBoard(EventLoop&, PlatformRows&, InstanceId own);
+
+    void start(std::function<void()> changed);
+
+    /// Reads the leases now.
+    void read(Done);
+
+    /// Daemons whose leases have not ended, this one included.
+    uint32_t daemons() const { return m_daemons; }
+    /// This daemon's place among them, the same for all who see the same leases, and another for each group.
+    uint32_t rankFor(const GroupId&) const;
+
+private:
+    void refresh();
+    void take(const LeaseTable&);
+
+    EventLoop& m_loop;
+    PlatformRows& m_platform;
+    InstanceId m_own;
+    std::function<void()> m_changed;
+    uint32_t m_daemons { 1 };
+    uint32_t m_place { 0 };
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+}
--- /dev/null
+++ b/src/failover/TargetProbe.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "targets/TargetPort.h"
+
+#include <functional>
+#include <optional>
+
+namespace parsleypaddle {
+
+/// What a question to a target brought.
+struct ProbeResult {
+    /// It answered, be it that it is full.
+    bool isAlive { false };
+    std::optional<RoleReport> report;
+};
+
+/// Asks a target for its role over a new connection, since an old one may have gone silent while the target lives.
+void probeTarget(TargetConnector&, const TargetConfiguration&, std::function<void(ProbeResult)>);
+
+/// Tells a primary of a lower term to follow the one of `term`. Without an answer: it learns of it from the new primary.
+void demoteTarget(TargetConnector&, const TargetConfiguration&, Term term);
+
+}
--- /dev/null
+++ b/src/leases/LeaseRow.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/Time.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+
+namespace parsleypaddle {
+
+/// The table of the daemons' leases, one row for each instance.
+inline constexpr const char* leaseTable = "leases";
+
+/// A daemon's lease as the platform keeps it.
+struct LeaseRow {
+    /// Drawn anew at each start of the daemon's process.
+    std::string incarnation;
+    /// A moment on the platform's clock that is not before the lease was asked for.
+    Instant askedAt;
+};
+
+/// How long a lease holds. It bridges an outage of the platform of some seconds, and is the longest time for which a
+/// daemon that went away can delay a change of primary.
+inline constexpr Milliseconds leaseLength { 8000 };
+
+std::string encodeLeaseRow(const LeaseRow&);
+absl::StatusOr<LeaseRow> decodeLeaseRow(const std::string&);
+
+/// Whether the lease has certainly ended by `platformNow`.
+inline bool hasEnded(const LeaseRow& row, Instant platformNow)
+{
+    // Clocks of instances and platform run at the same rate within a few parts in a thousand.
+    constexpr Milliseconds drift { 100 };
+    return row.askedAt + leaseLength + drift < platformNow;
+}
+
+}
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -2,7 +2,7 @@
 
 #include "base/EventLoop.h"
 #include "configuration/Configuration.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <map>
 #include <optional>
--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -3,12 +3,14 @@
 #include "base/ResultCode.h"
 #include "net/TimerDescriptor.h"
 
+
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <ctime>
 #include <map>
 #include <mutex>
 #include <sys/eventfd.h>
@@ -69,6 +71,15 @@
         return Milliseconds(std::chrono::duration<double, std::milli>(duration).count());
     }
 
+    Milliseconds sinceBoot()
+    {
+        constexpr double millisecondsPerSecond = 1000;
+        constexpr double nanosecondsPerMillisecond = 1'000'000;
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return Milliseconds(static_cast<double>(time.tv_sec) * millisecondsPerSecond + static_cast<double>(time.tv_nsec) / nanosecondsPerMillisecond);
+    }
+
 }
 
 class PollLoop::Internals {
@@ -80,12 +91,9 @@
 
     using Key = std::pair<double, uint64_t>;
 
-    // Steady time set on the epoch once, so that a step of the system's clock moves no timer.
-    Instant now() const
-    {
-        const auto passed = std::chrono::steady_clock::now() - m_steadyStart;
-        return Instant(m_wallStart.count() + std::chrono::duration<double, std::milli>(passed).count());
-    }
+    // Time since boot set on the epoch once: a step of the system's clock moves no timer, and a suspension counts,
+    // so that leases run out while the machine stands still.
+    Instant now() const { return m_wallStart + (sinceBoot() - m_bootStart); }
 
     void runDueTimers()
     {
@@ -196,8 +204,8 @@
     std::atomic<bool> isStopping { false };
 
 private:
-    Milliseconds m_wallStart { sinceEpoch(std::chrono::system_clock::now().time_since_epoch()) };
-    std::chrono::steady_clock::time_point m_steadyStart { std::chrono::steady_clock::now() };
+    Instant m_wallStart { Instant(sinceEpoch(std::chrono::system_clock::now().time_since_epoch()).count()) };
+    Milliseconds m_bootStart { sinceBoot() };
 };
 
 absl::StatusOr<std::unique_ptr<PollLoop>> PollLoop::create()
--- a/src/daemon/SignalWatch.h
+++ b/src/net/SignalWatch.h
@@ -6,10 +6,10 @@
 
 namespace parsleypaddle {
 
-/// Turns SIGTERM and SIGINT into calls on the loop's thread. To be made before any other thread starts.
+/// Turns SIGTERM and SIGINT, and SIGHUP where a reload is wanted, into calls on the loop's thread. To be made before any other thread starts.
 class SignalWatch {
 public:
-    SignalWatch(PollLoop&, std::function<void()> onTerminate);
+    SignalWatch(PollLoop&, std::function<void()> onTerminate, std::function<void()> onReload = nullptr);
     ~SignalWatch();
 
     SignalWatch(const SignalWatch&) = delete;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -3,7 +3,7 @@
 #include "configuration/Configuration.h"
 #include "entry/Entry.h"
 #include "homes/HomeService.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 #include "sessions/TokenSealer.h"
 
 #include <memory>
--- a/src/operations/DaemonStatus.h
+++ b/src/operations/DaemonStatus.h
@@ -3,7 +3,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "groups/TargetStatus.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <absl/status/statusor.h>
 #include <json/value.h>
--- a/src/peers/PeerClient.h
+++ b/src/peers/PeerClient.h
@@ -2,7 +2,7 @@
 
 #include "homes/HomeCall.h"
 #include "net/PollLoop.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <absl/status/statusor.h>
 #include <memory>
--- a/src/platform_http/HttpPlatform.cpp
+++ b/src/platform_http/HttpPlatform.cpp
@@ -81,7 +81,7 @@
 
 void HttpPlatform::read(const std::string& key, ReadDone done)
 {
-    send({ "GET", pathOf("table", key), "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+    send({ "GET", pathOf("table", key), "", {} }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         const auto found = foundIn(std::move(response));
         if (!found.ok())
             done(found.status());
@@ -94,11 +94,9 @@
 
 void HttpPlatform::write(const std::string& key, const std::string& value, const std::string& expected, WriteDone done)
 {
-    PlatformRequest request { "PUT", pathOf("table", key), value, "If-Match", expected };
-    if (expected.empty()) {
-        request.conditionName = "If-None-Match";
-        request.conditionValue = "*";
-    }
+    PlatformRequest request { "PUT", pathOf("table", key), value, { { "If-Match", expected } } };
+    if (expected.empty())
+        request.headers = { { "If-None-Match", "*" } };
     send(std::move(request), [value, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         if (!response.ok())
             done(response.status());
@@ -113,7 +111,7 @@
 
 void HttpPlatform::get(const std::string& name, GetDone done)
 {
-    send({ "GET", pathOf("objects", name), "", "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+    send({ "GET", pathOf("objects", name), "", {} }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         auto found = foundIn(std::move(response));
         if (!found.ok())
             done(found.status());
@@ -124,7 +122,7 @@
 
 void HttpPlatform::put(const std::string& name, const std::string& body, PutDone done)
 {
-    send({ "PUT", pathOf("objects", name), body, "", "" }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+    send({ "PUT", pathOf("objects", name), body, {} }, [done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         if (!response.ok())
             done(response.status());
         else
@@ -134,8 +132,10 @@
 
 void HttpPlatform::list(ListDone done)
 {
-    const std::string conditionName = m_listEtag.empty() ? "" : "If-None-Match";
-    send({ "GET", "/instances", "", conditionName, m_listEtag }, [this, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
+    PlatformRequest request { "GET", "/instances", "", {} };
+    if (!m_listEtag.empty())
+        request.headers = { { "If-None-Match", m_listEtag } };
+    send(std::move(request), [this, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         if (!response.ok())
             return done(response.status());
         if (response->status == HTTPResponse::HTTP_NOT_MODIFIED)
--- a/src/platform_http/HttpPlatform.h
+++ b/src/platform_http/HttpPlatform.h
@@ -2,7 +2,7 @@
 
 #include "net/PollLoop.h"
 #include "net/WorkerPool.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 namespace parsleypaddle {
 
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -6,7 +6,11 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Timespan.h>
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <istream>
 #include <ostream>
 
@@ -17,6 +21,21 @@
     constexpr size_t greatestBody = 16'777'216;
     constexpr size_t chunkSize = 65'536;
 
+    constexpr Milliseconds longestConnect { 1000 };
+    // A long answer may be waited for in silence, so a path that was cut meanwhile is found by probes.
+    constexpr int keepAliveIdleSeconds = 1;
+    constexpr int keepAliveIntervalSeconds = 1;
+    constexpr int keepAliveProbes = 2;
+
+    void setKeepAlive(Poco::Net::StreamSocket& socket)
+    {
+        socket.setNoDelay(true);
+        socket.setKeepAlive(true);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    }
+
     absl::Status unavailable(const std::string& why)
     {
         return makeError(ResultCode::PlatformUnavailable, "the platform did not answer: " + why);
@@ -40,12 +59,13 @@
         return true;
     }
 
-    void sendRequest(Poco::Net::HTTPClientSession& session, const PlatformRequest& request)
+    void sendRequest(Poco::Net::HTTPClientSession& session, const Poco::Net::SocketAddress& address, const PlatformRequest& request)
     {
         Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        message.setHost(address.toString());
         message.setKeepAlive(false);
-        if (!request.conditionName.empty())
-            message.set(request.conditionName, request.conditionValue);
+        for (const auto& [name, value] : request.headers)
+            message.set(name, value);
         message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
         session.sendRequest(message) << request.body;
     }
@@ -55,9 +75,13 @@
 absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest& request)
 {
     try {
-        Poco::Net::HTTPClientSession session(host, port);
+        const Poco::Net::SocketAddress address(host, port);
+        Poco::Net::StreamSocket socket;
+        socket.connect(address, std::min(timespanOf(timeout), timespanOf(longestConnect)));
+        setKeepAlive(socket);
+        Poco::Net::HTTPClientSession session(socket);
         session.setTimeout(timespanOf(timeout));
-        sendRequest(session, request);
+        sendRequest(session, address, request);
         Poco::Net::HTTPResponse message;
         std::istream& in = session.receiveResponse(message);
         PlatformResponse response;
--- a/src/platform_http/PlatformExchange.h
+++ b/src/platform_http/PlatformExchange.h
@@ -4,6 +4,8 @@
 
 #include <absl/status/statusor.h>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace parsleypaddle {
 
@@ -12,9 +14,8 @@
     std::string method;
     std::string path;
     std::string body;
-    /// "If-Match" or "If-None-Match"; empty for an unconditional request.
-    std::string conditionName;
-    std::string conditionValue;
+    /// Beside those that every request has.
+    std::vector<std::pair<std::string, std::string>> headers;
 };
 
 /// The platform's response.
--- a/src/platform_http/PlatformListJson.h
+++ b/src/platform_http/PlatformListJson.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <string>
 
--- a/src/platform/FakePlatform.cpp
+++ b/src/platform_ports/FakePlatform.cpp
@@ -1,4 +1,4 @@
-#include "platform/FakePlatform.h"
+#include "platform_ports/FakePlatform.h"
 
 #include "base/ResultCode.h"
 
--- a/src/platform/FakePlatform.h
+++ b/src/platform_ports/FakePlatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/EventLoop.h"
-#include "platform/PlatformPorts.h"
+#include "platform_ports/PlatformPorts.h"
 
 #include <deque>
 #include <map>
--- /dev/null
+++ b/src/platform_ports/PlatformPorts.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <absl/status/statusor.h>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// A row of the platform's table. The etag changes with each write of the row.
+struct TableRow {
+    std::string value;
+    std::string etag;
+};
+
+/// The platform's transactional table. Every call answers within its own timeout.
+/// PlatformUnavailable on a write means that its effect is unknown.
+class PlatformTable {
+public:
+    using ReadDone = std::function<void(absl::StatusOr<std::optional<TableRow>>)>;
+    using WriteDone = std::function<void(absl::StatusOr<TableRow>)>;
+
+    virtual ~PlatformTable() = default;
+
+    /// Reads a row; nullopt when there is none.
+    virtual void read(const std::string& key, ReadDone) = 0;
+
+    /// Writes a row if its etag is still `expected`; an empty one expects no row.
+    /// ConfigurationConflict when another write came first.
+    virtual void write(const std::string& key, const std::string& value, const std::string& expected, WriteDone) = 0;
+};
+
+/// The platform's object store: immutable bodies under names chosen by the writer.
+class PlatformObjects {
+public:
+    using GetDone = std::function<void(absl::StatusOr<std::optional<std::string>>)>;
+    using PutDone = std::function<void(absl::Status)>;
+
+    virtual ~PlatformObjects() = default;
+    virtual void get(const std::string& name, GetDone) = 0;
+    virtual void put(const std::string& name, const std::string& body, PutDone) = 0;
+};
+
+/// One entry of the platform's list of instances.
+struct InstanceEntry {
+    InstanceId instance;
+    FailureDomainId failureDomain;
+    /// IP number and port of its caller and peer interface.
+    std::string host;
+    uint16_t port { 0 };
+    /// Port of its control interface (JSON-RPC).
+    uint16_t controlPort { 0 };
+    bool isLeaving { false };
+};
+
+/// The platform's list of live and leaving instances and of leaving targets. It lags.
+struct PlatformList {
+    std::vector<InstanceEntry> instances;
+    std::vector<TargetId> leavingTargets;
+};
+
+/// Reads that list. PlatformUnavailable when it did not answer in time.
+class PlatformInstanceList {
+public:
+    using ListDone = std::function<void(absl::StatusOr<PlatformList>)>;
+
+    virtual ~PlatformInstanceList() = default;
+    virtual void list(ListDone) = 0;
+};
+
+/// Grows with every change that the platform's table accepts; 0 stands for a row that does not exist.
+using RowVersion = Ordinal<struct RowVersionTag>;
+
+/// One row of a table of the platform.
+struct StoredRow {
+    std::string table;
+    std::string key;
+    std::string value;
+    RowVersion version;
+    /// Told by a watch: the row is gone.
+    bool isDeleted { false };
+};
+
+/// Rows as of one moment.
+struct RowsAnswer {
+    std::vector<StoredRow> rows;
+    /// The newest version of any table at that moment.
+    RowVersion version;
+    /// The platform's own steady clock at that moment.
+    Instant platformTime;
+    /// Told to a watch: the changes since the version asked for are forgotten, and the table has to be read again.
+    bool isHistoryLost { false };
+};
+
+/// The version that a row must have for a transaction to be applied.
+struct RowExpectation {
+    std::string table;
+    std::string key;
+    RowVersion version;
+};
+
+/// A row to be written.
+struct RowWrite {
+    std::string table;
+    std::string key;
+    std::string value;
+};
+
+/// A row to be removed.
+struct RowRemoval {
+    std::string table;
+    std::string key;
+};
+
+/// Changes that are applied all together, or not at all.
+struct RowsTransaction {
+    std::vector<RowExpectation> expected;
+    std::vector<RowWrite> writes;
+    std::vector<RowRemoval> removals;
+};
+
+/// The outcome of a transaction that the platform decided on.
+struct TransactionAnswer {
+    /// False when a row had another version than expected; `rows` then holds the present ones.
+    bool isApplied { false };
+    RowVersion version;
+    Instant platformTime;
+    std::vector<StoredRow> rows;
+};
+
+/// The platform's transactional tables. Every call answers within its own timeout.
+/// PlatformUnavailable on a transaction means that it may have been applied, or may be applied later.
+class PlatformRows {
+public:
+    using RowsDone = std::function<void(absl::StatusOr<RowsAnswer>)>;
+    using TransactionDone = std::function<void(absl::StatusOr<TransactionAnswer>)>;
+
+    virtual ~PlatformRows() = default;
+
+    /// Reads a whole table.
+    virtual void readAll(const std::string& table, RowsDone) = 0;
+
+    /// Answers with the changes of a table after a version as soon as there is one, or with none after `wait`.
+    virtual void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) = 0;
+
+    virtual void transact(const RowsTransaction&, TransactionDone) = 0;
+};
+
+/// Appoints the primary of a group. The platform promotes whomever it is told to, so the caller makes sure that only one
+/// daemon asks at a time.
+class PromotionPort {
+public:
+    /// False when the target does not run.
+    using Done = std::function<void(absl::StatusOr<bool>)>;
+
+    virtual ~PromotionPort() = default;
+
+    /// `fence` grows with each change of the daemon that holds the right to promote.
+    virtual void promote(const GroupId&, const TargetId&, const InstanceId& holder, RowVersion fence, Done) = 0;
+};
+
+}
--- /dev/null
+++ b/src/relay/CallerImage.cpp
@@ -0,0 +1,54 @@
+#include "relay/CallerImage.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Prepared statements kept at one connection; beyond these its session is reset, which bounds it.
+    constexpr size_t mostPrepared = 64;
+
+    RelayStep stepOf(RelayKind kind, std::string name, std::string argument)
+    {
+        RelayStep step;
+        step.kind = kind;
+        step.name = std::move(name);
+        step.argument = std::move(argument);
+        return step;
+    }
+
+    /// A value of another caller can only be taken back by a reset.
+    bool hasForeignValue(const CallerImage& caller, const TargetImage& target)
+    {
+        return std::any_of(target.values.begin(), target.values.end(), [&caller](const auto& it) { return caller.values.count(it.first) == 0; });
+    }
+
+}
+
+Replay planReplay(const CallerImage& caller, const std::string& definition, TargetImage& target)
+{
+    Replay replay;
+    if (hasForeignValue(caller, target) || target.prepared.size() > mostPrepared) {
+        replay.steps.push_back(stepOf(RelayKind::Reset, "", ""));
+        target = {};
+    }
+    for (const auto& [name, value] : caller.values) {
+        auto it = target.values.find(name);
+        if (it != target.values.end() && it->second == value)
+            continue;
+        replay.steps.push_back(stepOf(RelayKind::SetValue, name, value));
+        target.values[name] = value;
+    }
+    if (definition.empty())
+        return replay;
+    auto it = target.prepared.find(definition);
+    if (it == target.prepared.end()) {
+        it = target.prepared.emplace(definition, "p" + std::to_string(target.prepared.size())).first;
+        replay.steps.push_back(stepOf(RelayKind::Prepare, it->second, definition));
+    }
+    replay.preparedName = it->second;
+    return replay;
+}
+
+}
--- /dev/null
+++ b/src/relay/CallerSession.cpp
@@ -0,0 +1,285 @@
+#include "relay/CallerSession.h"
+
+#include "relay/RelayTransaction.h"
+
+#include <array>
+#include <utility>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Statements that a caller may send ahead of their answers. The protocol asks for none.
+    constexpr size_t mostWaiting = 64;
+
+}
+
+std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, ShopId caller, CallerPort& port)
+{
+    std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(caller), port));
+    relay.add(session);
+    return session;
+}
+
+CallerSession::CallerSession(Relay& relay, DatabaseId database, ShopId caller, CallerPort& port)
+    : m_relay(relay)
+    , m_database(std::move(database))
+    , m_caller(std::move(caller))
+    , m_port(&port)
+    , m_lastUsed(relay.now())
+{
+}
+
+void CallerSession::handle(RelayStep step)
+{
+    m_lastUsed = m_relay.now();
+    if (!m_isRunning)
+        return dispatch(step);
+    if (m_waiting.size() >= mostWaiting)
+        return close();
+    m_waiting.push_back(std::move(step));
+}
+
+void CallerSession::dispatch(const RelayStep& step)
+{
+    static constexpr std::array<std::pair<RelayKind, Handler>, 9> handlers { {
+        { RelayKind::Begin, &CallerSession::begin },
+        { RelayKind::BeginRead, &CallerSession::begin },
+        { RelayKind::Commit, &CallerSession::commit },
+        { RelayKind::Rollback, &CallerSession::rollBack },
+        { RelayKind::Read, &CallerSession::statement },
+        { RelayKind::Write, &CallerSession::statement },
+        { RelayKind::Execute, &CallerSession::execute },
+        { RelayKind::SetValue, &CallerSession::setValue },
+        { RelayKind::Prepare, &CallerSession::prepare },
+    } };
+    m_isRunning = true;
+    const bool endsTransaction = step.kind == RelayKind::Commit || step.kind == RelayKind::Rollback;
+    if (!m_endedBecause.empty() && !endsTransaction) {
+        const std::string why = std::exchange(m_endedBecause, {});
+        return reject(RelayError::Aborted, why);
+    }
+    if (m_state == TransactionState::Failed && !endsTransaction)
+        return reject(RelayError::Malformed, "the transaction has failed and can only be ended");
+    for (const auto& [kind, handler] : handlers) {
+        if (kind == step.kind)
+            return (this->*handler)(step);
+    }
+    if (step.kind == RelayKind::Deallocate)
+        return deallocate(step);
+    refuseUnknown(step);
+}
+
+void CallerSession::nextWaiting()
+{
+    if (m_isRunning || m_waiting.empty() || !m_port)
+        return;
+    const RelayStep step = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    dispatch(step);
+}
+
+// The target hears of it with the first statement: where that goes is known only then.
+void CallerSession::begin(const RelayStep& step)
+{
+    if (m_state != TransactionState::Idle)
+        return reject(RelayError::Malformed, "a transaction is open already");
+    m_transactionRoute = currentRoute();
+    if (!m_transactionRoute)
+        return reject(RelayError::UnknownDatabase, m_database.value());
+    m_opens = step.kind;
+    m_state = TransactionState::Open;
+    accept();
+}
+
+void CallerSession::commit(const RelayStep& step)
+{
+    if (m_state == TransactionState::Idle)
+        return reject(RelayError::Malformed, "no transaction is open");
+    if (m_state == TransactionState::Failed || !m_endedBecause.empty()) {
+        m_state = TransactionState::Idle;
+        const std::string why = std::exchange(m_endedBecause, {});
+        return reject(RelayError::Aborted, why.empty() ? "the transaction had failed" : why);
+    }
+    RelayJob job;
+    job.step = step;
+    send(std::move(job));
+}
+
+void CallerSession::rollBack(const RelayStep&)
+{
+    if (m_state == TransactionState::Idle)
+        return reject(RelayError::Malformed, "no transaction is open");
+    if (auto transaction = std::exchange(m_transaction, nullptr))
+        transaction->rollBack();
+    m_opens.reset();
+    m_endedBecause.clear();
+    m_state = TransactionState::Idle;
+    accept();
+}
+
+void CallerSession::statement(const RelayStep& step)
+{
+    RelayJob job;
+    job.step = step;
+    job.isWrite = step.kind == RelayKind::Write;
+    send(std::move(job));
+}
+
+void CallerSession::execute(const RelayStep& step)
+{
+    auto it = m_image->prepared.find(step.name);
+    if (it == m_image->prepared.end())
+        return reject(RelayError::UnknownStatement, step.name);
+    RelayJob job;
+    job.step = step;
+    job.definition = it->second.definition;
+    job.isWrite = it->second.isWrite;
+    send(std::move(job));
+}
+
+void CallerSession::setValue(const RelayStep& step)
+{
+    changeImage().values[step.name] = step.argument;
+    accept();
+}
+
+void CallerSession::prepare(const RelayStep& step)
+{
+    changeImage().prepared[step.name] = { step.argument, step.isWrite };
+    accept();
+}
+
+void CallerSession::deallocate(const RelayStep& step)
+{
+    if (m_image->prepared.count(step.name) == 0)
+        return reject(RelayError::UnknownStatement, step.name);
+    changeImage().prepared.erase(step.name);
+    accept();
+}
+
+void CallerSession::refuseUnknown(const RelayStep&)
+{
+    reject(RelayError::Malformed, "unknown statement");
+}
+
+// Statements under way keep the image that they were sent with.
+CallerImage& CallerSession::changeImage()
+{
+    auto image = std::make_shared<CallerImage>(*m_image);
+    CallerImage& changed = *image;
+    m_image = std::move(image);
+    return changed;
+}
+
+std::shared_ptr<const Route> CallerSession::currentRoute() const
+{
+    return m_relay.routeOf(m_database);
+}
+
+void CallerSession::send(RelayJob job)
+{
+    job.route = m_state == TransactionState::Open ? m_transactionRoute : currentRoute();
+    if (!job.route)
+        return reject(RelayError::UnknownDatabase, m_database.value());
+    const bool endsTransaction = job.step.kind == RelayKind::Commit;
+    job.caller = m_caller;
+    job.image = m_image;
+    job.own = m_own;
+    job.arrived = m_relay.now();
+    job.done = [weak = weak_from_this(), endsTransaction](RelayResult result) {
+        auto self = weak.lock();
+        if (self)
+            self->finished(std::move(result), endsTransaction);
+        else if (result.transaction)
+            result.transaction->rollBack();
+    };
+    if (m_transaction)
+        return m_transaction->run(std::move(job));
+    job.opens = m_state == TransactionState::Open ? std::exchange(m_opens, std::nullopt) : std::nullopt;
+    m_relay.run(std::move(job));
+}
+
+void CallerSession::finished(RelayResult result, bool endsTransaction)
+{
+    if (result.transaction)
+        m_transaction = std::move(result.transaction);
+    if (result.committed)
+        m_own = *result.committed;
+    if (endsTransaction) {
+        m_transaction.reset();
+        m_state = TransactionState::Idle;
+    } else if (m_state == TransactionState::Open && result.answer.error != RelayError::None) {
+        m_transaction.reset();
+        m_state = TransactionState::Failed;
+    }
+    if (!m_port) {
+        leave();
+        return;
+    }
+    reply(std::move(result.answer));
+}
+
+void CallerSession::accept()
+{
+    reply({});
+}
+
+void CallerSession::reject(RelayError error, std::string_view why)
+{
+    if (m_state == TransactionState::Open)
+        endTransaction("");
+    RelayAnswer answer;
+    answer.error = error;
+    answer.errorText = std::string(why);
+    reply(std::move(answer));
+}
+
+void CallerSession::reply(RelayAnswer answer)
+{
+    m_isRunning = false;
+    m_lastUsed = m_relay.now();
+    answer.state = m_state;
+    if (m_port)
+        m_port->answer(answer);
+    nextWaiting();
+}
+
+void CallerSession::leave()
+{
+    auto self = shared_from_this();
+    m_port = nullptr;
+    m_waiting.clear();
+    if (m_isRunning)
+        return;
+    if (auto transaction = std::exchange(m_transaction, nullptr))
+        transaction->rollBack();
+    m_state = TransactionState::Idle;
+    m_relay.remove(*this);
+}
+
+void CallerSession::tidy()
+{
+    const bool isResting = m_transaction && !m_isRunning;
+    if (isResting && m_relay.now() - m_lastUsed > m_relay.transactionIdle())
+        endTransaction("the transaction rested too long");
+}
+
+void CallerSession::endTransaction(std::string_view why)
+{
+    if (m_state != TransactionState::Open)
+        return;
+    if (auto transaction = std::exchange(m_transaction, nullptr))
+        transaction->rollBack();
+    m_opens.reset();
+    m_endedBecause = std::string(why);
+    m_state = TransactionState::Failed;
+}
+
+void CallerSession::close()
+{
+    if (m_port)
+        m_port->close();
+}
+
+}
--- /dev/null
+++ b/src/relay/Relay.cpp
@@ -0,0 +1,129 @@
+#include "relay/Relay.h"
+
+#include "relay/CallerSession.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds tidyInterval { 500 };
+    /// Part of a target's connections that daemons share out; the rest is for questions about its role.
+    constexpr double sharedConnections = 0.9;
+
+}
+
+Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, FailureDomainId own)
+    : m_loop(loop)
+    , m_connector(connector)
+    , m_lease(lease)
+    , m_observer(observer)
+    , m_ownDomain(std::move(own))
+{
+    tidy();
+}
+
+Relay::~Relay()
+{
+    m_loop.cancel(m_tidyTimer);
+}
+
+void Relay::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    if (m_routes && routes->version <= m_routes->version)
+        return;
+    m_routes = std::move(routes);
+    for (const auto& [group, limits] : m_routes->groups)
+        groupOf(group);
+    setTargets(m_targets);
+    shareConnections();
+}
+
+void Relay::setTargets(std::vector<TargetEntry> targets)
+{
+    m_targets = std::move(targets);
+    std::map<GroupId, std::vector<TargetEntry>> byGroup;
+    for (const auto& it : m_targets)
+        byGroup[it.target.group].push_back(it);
+    for (auto& [id, group] : m_groups)
+        group->setTargets(byGroup[id]);
+}
+
+void Relay::setPrimary(const GroupId& group, const PrimaryBelief& belief)
+{
+    groupOf(group).setPrimary(belief);
+}
+
+void Relay::setDaemons(uint32_t daemons)
+{
+    m_daemons = std::max<uint32_t>(1, daemons);
+    shareConnections();
+}
+
+std::shared_ptr<const Route> Relay::routeOf(const DatabaseId& database) const
+{
+    if (!m_routes)
+        return nullptr;
+    auto it = m_routes->routes.find(database);
+    return it == m_routes->routes.end() ? nullptr : it->second;
+}
+
+RelayGroup* Relay::findGroup(const GroupId& group)
+{
+    auto it = m_groups.find(group);
+    return it == m_groups.end() ? nullptr : it->second.get();
+}
+
+RelayGroup& Relay::groupOf(const GroupId& group)
+{
+    auto& slot = m_groups[group];
+    if (!slot)
+        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, group, m_ownDomain);
+    return *slot;
+}
+
+void Relay::shareConnections()
+{
+    if (!m_routes)
+        return;
+    for (const auto& [group, limits] : m_routes->groups) {
+        const auto share = static_cast<uint32_t>(limits.connections * sharedConnections / m_daemons);
+        groupOf(group).setConnections(std::max<uint32_t>(1, share));
+    }
+}
+
+void Relay::run(RelayJob job)
+{
+    RelayGroup& group = groupOf(job.route->group);
+    group.run(std::move(job));
+}
+
+void Relay::add(const std::shared_ptr<CallerSession>& session)
+{
+    m_sessions.emplace(session.get(), session);
+}
+
+void Relay::remove(CallerSession& session)
+{
+    m_sessions.erase(&session);
+}
+
+std::vector<std::shared_ptr<CallerSession>> Relay::allSessions() const
+{
+    std::vector<std::shared_ptr<CallerSession>> sessions;
+    for (const auto& [key, weak] : m_sessions) {
+        if (auto session = weak.lock())
+            sessions.push_back(std::move(session));
+    }
+    return sessions;
+}
+
+void Relay::tidy()
+{
+    m_tidyTimer = m_loop.after(tidyInterval, [this] { tidy(); });
+    for (const auto& it : allSessions())
+        it->tidy();
+}
+
+}
--- /dev/null
+++ b/src/relay/Relay.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "directory/RouteTable.h"
+#include "directory/TargetEntry.h"
+#include "relay/RelayGroup.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace parsleypaddle {
+
+class CallerSession;
+
+/// One daemon's callers and groups: statements go from the first to the second by the routes in force.
+class Relay {
+public:
+    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, FailureDomainId own);
+    ~Relay();
+
+    /// Takes over routes that are newer than those in force; older ones are ignored.
+    void setRoutes(std::shared_ptr<const RouteTable>);
+    void setTargets(std::vector<TargetEntry>);
+    void setPrimary(const GroupId&, const PrimaryBelief&);
+    /// Daemons that share the connections to the targets.
+    void setDaemons(uint32_t);
+
+    bool hasRoutes() const { return m_routes != nullptr; }
+    const RouteTable* routes() const { return m_routes.get(); }
+    std::shared_ptr<const Route> routeOf(const DatabaseId&) const;
+    Milliseconds transactionIdle() const { return m_routes->transactionIdle; }
+    RelayGroup* findGroup(const GroupId&);
+
+    void run(RelayJob);
+
+    void add(const std::shared_ptr<CallerSession>&);
+    void remove(CallerSession&);
+    size_t sessions() const { return m_sessions.size(); }
+    std::vector<std::shared_ptr<CallerSession>> allSessions() const;
+
+    Instant now() const { return m_loop.now(); }
+
+private:
+    RelayGroup& groupOf(const GroupId&);
+    void shareConnections();
+    void tidy();
+
+    EventLoop& m_loop;
+    TargetConnector& m_connector;
+    const PrimaryLease& m_lease;
+    PrimaryObserver& m_observer;
+    FailureDomainId m_ownDomain;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::vector<TargetEntry> m_targets;
+    uint32_t m_daemons { 1 };
+    std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
+    std::unordered_map<CallerSession*, std::weak_ptr<CallerSession>> m_sessions;
+    TimerId m_tidyTimer { TimerId::None };
+};
+
+}
--- /dev/null
+++ b/src/relay/RelayDrain.cpp
@@ -0,0 +1,63 @@
+#include "relay/RelayDrain.h"
+
+#include "relay/CallerSession.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds stepInterval { 50 };
+    /// New connections still arrive until the balancer has asked twice, a second apart.
+    constexpr Milliseconds balancerDelay { 2200 };
+    /// Parts of the grace period: open transactions end by the first, everything by the second.
+    constexpr double transactionShare = 0.5;
+    constexpr double totalShare = 0.85;
+
+}
+
+RelayDrain::RelayDrain(EventLoop& loop, Relay& relay, Milliseconds grace)
+    : m_loop(loop)
+    , m_relay(relay)
+    , m_grace(grace)
+{
+}
+
+void RelayDrain::start(std::function<void()> done)
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    m_startedAt = m_loop.now();
+    m_done = std::move(done);
+    m_loop.after(balancerDelay, [this] { step(); });
+}
+
+void RelayDrain::step()
+{
+    const Milliseconds passed = m_loop.now() - m_startedAt;
+    const auto sessions = m_relay.allSessions();
+    if (sessions.empty() || passed >= m_grace * totalShare)
+        return finish();
+    const double stepsLeft = std::max(1.0, (m_grace * transactionShare - passed).count() / stepInterval.count());
+    size_t closing = static_cast<size_t>(static_cast<double>(sessions.size()) / stepsLeft) + 1;
+    for (const auto& it : sessions) {
+        if (passed >= m_grace * transactionShare)
+            it->endTransaction("the daemon stops");
+        if (it->isIdle() && closing > 0) {
+            it->close();
+            --closing;
+        }
+    }
+    m_loop.after(stepInterval, [this] { step(); });
+}
+
+void RelayDrain::finish()
+{
+    for (const auto& it : m_relay.allSessions())
+        it->close();
+    m_done();
+}
+
+}
--- /dev/null
+++ b/src/relay/RelayGroup.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "relay/FreshMarks.h"
+#include "relay/PrimaryLease.h"
+#include "relay/RelayJob.h"
+#include "relay/RelayTarget.h"
+#include "scheduling/RetryBudget.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace parsleypaddle {
+
+class PrimaryUse;
+
+/// What a daemon believes about a group's primary.
+struct PrimaryBelief {
+    TargetId primary;
+    Term term;
+    /// Whether the primary may be used; false while it is being replaced.
+    bool isOpen { false };
+};
+
+/// What the use of a group tells about its primary.
+class PrimaryObserver {
+public:
+    virtual ~PrimaryObserver() = default;
+
+    /// The primary answered.
+    virtual void primaryAnswered(const GroupId&) = 0;
+    /// The primary cannot be reached, or does not see itself as primary.
+    virtual void primaryFailed(const GroupId&) = 0;
+};
+
+/// The place where a read may run, and the log it needs there.
+struct ReadPlace {
+    std::shared_ptr<RelayTarget> target;
+    /// Empty at the primary, which lacks nothing.
+    std::optional<LogMark> after;
+    bool isPrimary { false };
+};
+
+/// One daemon's use of one database group for its callers.
+class RelayGroup {
+public:
+    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, GroupId, FailureDomainId own);
+
+    /// Takes over what the platform's list says of the group's targets.
+    void setTargets(const std::vector<TargetEntry>&);
+    /// Connections that this daemon may hold at each target.
+    void setConnections(uint32_t);
+    /// A belief that names no open primary stops its use at once; statements under way go on.
+    void setPrimary(const PrimaryBelief&);
+    const PrimaryBelief& primary() const { return m_primary; }
+
+    /// Runs a single statement, or the first one of a transaction.
+    void run(RelayJob);
+
+    /// Statements and transactions at the primary that have not ended.
+    size_t primaryUses() const { return m_uses.size(); }
+    /// Answers everything under way at the primary now; what it may still answer is no longer believed.
+    void abandonPrimary();
+
+    // For the statements under way.
+
+    EventLoop& loop() { return m_loop; }
+    PrimaryObserver& observer() { return m_observer; }
+    const GroupId& id() const { return m_id; }
+    RetryBudget& retries() { return m_retries; }
+    FreshMarks& marks() { return m_marks; }
+    bool mayUsePrimary() const { return m_primary.isOpen && m_lease.isValid(); }
+    /// Whether an answer of a statement that began at the primary of `term` may still be believed.
+    bool maySettle(Term term) const { return m_primary.term == term && m_lease.isValid(); }
+    std::shared_ptr<RelayTarget> primaryTarget() const;
+    /// Places for a read, best first, without those in `tried`.
+    std::vector<ReadPlace> readPlaces(const RelayJob&, const std::set<TargetId>& tried) const;
+    void enter(PrimaryUse&);
+    void leave(PrimaryUse&);
+
+private:
+    std::optional<LogMark> neededMark(const RelayJob&) const;
+    Milliseconds costOf(RelayTarget&, bool isPrimary) const;
+
+    EventLoop& m_loop;
+    TargetConnector& m_connector;
+    const PrimaryLease& m_lease;
+    PrimaryObserver& m_observer;
+    GroupId m_id;
+    FailureDomainId m_ownDomain;
+    uint32_t m_connections { 1 };
+    PrimaryBelief m_primary;
+    std::map<TargetId, std::shared_ptr<RelayTarget>> m_targets;
+    FreshMarks m_marks;
+    RetryBudget m_retries;
+    std::set<PrimaryUse*> m_uses;
+};
+
+/// A statement or transaction under way at a primary, as long as it lives.
+class PrimaryUse {
+public:
+    explicit PrimaryUse(RelayGroup& group)
+        : m_group(group)
+        , m_term(group.primary().term)
+    {
+        m_group.enter(*this);
+    }
+    virtual ~PrimaryUse() { m_group.leave(*this); }
+
+    PrimaryUse(const PrimaryUse&) = delete;
+    PrimaryUse& operator=(const PrimaryUse&) = delete;
+
+    /// Ends it without the primary's answer.
+    virtual void abandon() = 0;
+
+    Term term() const { return m_term; }
+
+private:
+    RelayGroup& m_group;
+    Term m_term;
+};
+
+}
--- /dev/null
+++ b/src/relay/RelayRun.cpp
@@ -0,0 +1,270 @@
+#include "relay/RelayRun.h"
+
+#include "base/ResultCode.h"
+#include "relay/RelayTransaction.h"
+
+#include <absl/hash/hash.h>
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Targets asked at most for one statement: every one of a group of three, and the first one again.
+    constexpr uint32_t mostAttempts = 4;
+
+}
+
+/// The run's time at a primary.
+class RelayRun::Use final : public PrimaryUse {
+public:
+    explicit Use(RelayRun& run)
+        : PrimaryUse(run.m_group)
+        , m_run(run)
+    {
+    }
+
+    void abandon() override { m_run.abandoned(); }
+
+private:
+    RelayRun& m_run;
+};
+
+void RelayRun::start(RelayGroup& group, RelayJob job)
+{
+    std::shared_ptr<RelayRun> run(new RelayRun(group, std::move(job)));
+    run->next();
+}
+
+RelayRun::RelayRun(RelayGroup& group, RelayJob job)
+    : m_group(group)
+    , m_job(std::move(job))
+{
+}
+
+void RelayRun::next()
+{
+    if (m_job.needsPrimary()) {
+        auto target = m_group.primaryTarget();
+        if (!target || target->entry().isLeaving || !m_group.mayUsePrimary())
+            return refuse(RelayError::Busy, "the primary is being replaced");
+        return tryAt({ std::move(target), std::nullopt, true });
+    }
+    const auto places = m_group.readPlaces(m_job, m_tried);
+    if (places.empty())
+        return refuse(RelayError::Busy, "no target that is fresh enough can be reached");
+    tryAt(places.front());
+}
+
+void RelayRun::tryAt(const ReadPlace& place)
+{
+    ++m_attempts;
+    m_place = place;
+    m_tried.insert(place.target->entry().target.id);
+    place.target->acquire(work(), [self = shared_from_this()](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) { self->acquired(std::move(slot)); });
+}
+
+Work RelayRun::work() const
+{
+    Work work;
+    work.shop = m_job.caller;
+    work.workload = ClassName(m_job.route->database.value());
+    work.urgency = m_job.route->urgency;
+    work.statement = absl::HashOf(m_job.route->database, m_job.opens.has_value(), m_job.isWrite);
+    work.arrived = m_job.arrived;
+    work.deadline = m_job.arrived + m_job.route->objective;
+    return work;
+}
+
+void RelayRun::acquired(absl::StatusOr<std::shared_ptr<RelaySlot>> slot)
+{
+    if (slot.ok()) {
+        m_slot = *std::move(slot);
+        return prepare();
+    }
+    if (resultCodeOf(slot.status()) == ResultCode::TargetUnreachable) {
+        m_place.target->experience().wasUnreachable(m_group.loop().now());
+        if (m_place.isPrimary)
+            m_group.observer().primaryFailed(m_group.id());
+    }
+    if (!m_job.needsPrimary() && mayTryAgain())
+        return next();
+    refuse(RelayError::Busy, std::string(slot.status().message()));
+}
+
+void RelayRun::prepare()
+{
+    // The place may have come after the primary was given up.
+    if (m_place.isPrimary && !m_group.mayUsePrimary()) {
+        m_slot.reset();
+        return refuse(RelayError::Busy, "the primary is being replaced");
+    }
+    if (m_place.isPrimary)
+        m_use = std::make_unique<Use>(*this);
+    Replay replay = planReplay(*m_job.image, m_job.definition, m_slot->image());
+    m_preparedName = std::move(replay.preparedName);
+    if (m_job.opens) {
+        RelayStep begin;
+        begin.kind = *m_job.opens;
+        begin.after = m_place.after;
+        replay.steps.push_back(std::move(begin));
+    }
+    m_sentAt = m_group.loop().now();
+    if (replay.steps.empty())
+        return sendStatement();
+    m_slot->run(std::move(replay.steps), timeLeft(), [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->prepared(std::move(answers)); });
+}
+
+void RelayRun::prepared(absl::StatusOr<std::vector<RelayAnswer>> answers)
+{
+    if (m_isDone)
+        return;
+    if (!answers.ok())
+        return broken(answers.status());
+    const auto failed = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
+    if (failed == answers->end())
+        return sendStatement();
+    // A refused BEGIN leaves the session as it was; after any other failure its state is in doubt.
+    if (!m_job.opens || std::next(failed) != answers->end())
+        m_slot->discard();
+    notRun(*failed);
+}
+
+void RelayRun::sendStatement()
+{
+    m_isBegun = m_job.opens.has_value();
+    RelayStep step = m_job.step;
+    if (!m_preparedName.empty())
+        step.name = m_preparedName;
+    if (!m_job.opens && !m_job.isWrite)
+        step.after = m_place.after;
+    m_sentAt = m_group.loop().now();
+    m_isSent = true;
+    m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->answered(std::move(answers)); });
+}
+
+void RelayRun::answered(absl::StatusOr<std::vector<RelayAnswer>> answers)
+{
+    if (m_isDone)
+        return;
+    if (!answers.ok())
+        return broken(answers.status());
+    m_isSent = false;
+    RelayAnswer& answer = answers->front();
+    switch (answer.error) {
+    case RelayError::None:
+        return succeeded(std::move(answer));
+    case RelayError::Failed:
+    case RelayError::TimedOut:
+    case RelayError::InDoubt:
+        return finish(std::move(answer));
+    default:
+        return notRun(answer);
+    }
+}
+
+// The connection was lost or stayed silent, so what was sent may have run.
+void RelayRun::broken(const absl::Status& status)
+{
+    const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
+    m_isBegun = false;
+    m_slot.reset();
+    m_place.target->experience().wasUnreachable(m_group.loop().now());
+    if (m_place.isPrimary)
+        m_group.observer().primaryFailed(m_group.id());
+    if (m_isSent && !isRepeatable())
+        return refuse(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
+    m_isSent = false;
+    m_use.reset();
+    if (timeLeft() > Milliseconds(0) && mayTryAgain() && m_group.retries().takeRetry(m_group.loop().now()))
+        return next();
+    refuse(isSilent ? RelayError::TimedOut : RelayError::Busy, std::string(status.message()));
+}
+
+void RelayRun::notRun(const RelayAnswer& answer)
+{
+    const Instant now = m_group.loop().now();
+    releaseSlot();
+    m_use.reset();
+    if (answer.error == RelayError::Lagging)
+        m_place.target->experience().wasBehind(now);
+    if (answer.error == RelayError::ReadOnly && m_place.isPrimary)
+        m_group.observer().primaryFailed(m_group.id());
+    const bool mayMove = !m_job.needsPrimary() && mayTryAgain();
+    if (mayMove && (answer.error == RelayError::Lagging || m_group.retries().takeRetry(now)))
+        return next();
+    refuse(RelayError::Busy, answer.errorText);
+}
+
+void RelayRun::succeeded(RelayAnswer answer)
+{
+    if (m_place.isPrimary && !m_group.maySettle(m_use->term())) {
+        // The right to use this primary ran out meanwhile, so its answer may come from a log that is no longer the group's.
+        const bool mayHaveRun = !isRepeatable();
+        m_slot->discard();
+        return refuse(mayHaveRun ? RelayError::InDoubt : RelayError::Busy, "the lease on the primary ran out");
+    }
+    noteSuccess(answer);
+    m_isBegun = m_isBegun && answer.state != TransactionState::Idle;
+    if (m_job.opens && m_job.step.kind != RelayKind::Commit && answer.state == TransactionState::Open)
+        m_result.transaction = RelayTransaction::create(m_group, std::move(m_slot), m_place.isPrimary);
+    finish(std::move(answer));
+}
+
+void RelayRun::noteSuccess(const RelayAnswer& answer)
+{
+    const Instant now = m_group.loop().now();
+    m_place.target->experience().succeeded(now - m_sentAt, now);
+    if (!m_place.isPrimary || !answer.mark)
+        return;
+    m_group.observer().primaryAnswered(m_group.id());
+    m_group.marks().note(m_sentAt, *answer.mark);
+    if (m_job.isWrite && !m_job.opens)
+        m_result.committed = SessionMark { m_use->term(), *answer.mark };
+}
+
+void RelayRun::abandoned()
+{
+    if (m_isDone)
+        return;
+    m_slot->discard();
+    refuse(m_isSent && !isRepeatable() ? RelayError::InDoubt : RelayError::Busy, "the primary is being replaced");
+}
+
+bool RelayRun::mayTryAgain()
+{
+    return m_attempts < mostAttempts && m_group.loop().now() < m_job.arrived + m_job.route->objective;
+}
+
+Milliseconds RelayRun::timeLeft() const
+{
+    return std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_group.loop().now());
+}
+
+void RelayRun::refuse(RelayError error, std::string_view why)
+{
+    RelayAnswer answer;
+    answer.error = error;
+    answer.errorText = std::string(why);
+    finish(std::move(answer));
+}
+
+void RelayRun::finish(RelayAnswer answer)
+{
+    auto self = shared_from_this();
+    m_isDone = true;
+    m_use.reset();
+    releaseSlot();
+    m_result.answer = std::move(answer);
+    m_job.done(std::move(m_result));
+}
+
+void RelayRun::releaseSlot()
+{
+    if (m_slot && m_isBegun)
+        RelaySlot::rollBack(std::move(m_slot));
+    m_isBegun = false;
+    m_slot.reset();
+}
+
+}
--- /dev/null
+++ b/src/relay/RelayRun.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "relay/RelayGroup.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace parsleypaddle {
+
+/// One statement on its way to a target: a single one, or the first of a transaction.
+/// Tries further targets while nothing can have run twice.
+class RelayRun : public std::enable_shared_from_this<RelayRun> {
+public:
+    static void start(RelayGroup&, RelayJob);
+
+private:
+    class Use;
+
+    RelayRun(RelayGroup&, RelayJob);
+
+    void next();
+    void tryAt(const ReadPlace&);
+    void acquired(absl::StatusOr<std::shared_ptr<RelaySlot>>);
+    void prepare();
+    void prepared(absl::StatusOr<std::vector<RelayAnswer>>);
+    void sendStatement();
+    void answered(absl::StatusOr<std::vector<RelayAnswer>>);
+    void broken(const absl::Status&);
+    void notRun(const RelayAnswer&);
+    void succeeded(RelayAnswer);
+    void noteSuccess(const RelayAnswer&);
+    void abandoned();
+    void refuse(RelayError, std::string_view why);
+    void finish(RelayAnswer);
+    /// Gives the connection back, without the transaction that may have been begun on it.
+    void releaseSlot();
+
+    bool isRepeatable() const { return !m_job.isWrite && m_job.step.kind != RelayKind::Commit; }
+    bool mayTryAgain();
+    Milliseconds timeLeft() const;
+    Work work() const;
+
+    RelayGroup& m_group;
+    RelayJob m_job;
+    std::set<TargetId> m_tried;
+    uint32_t m_attempts { 0 };
+    ReadPlace m_place;
+    std::shared_ptr<RelaySlot> m_slot;
+    std::unique_ptr<Use> m_use;
+    std::string m_preparedName;
+    Instant m_sentAt;
+    /// Whether the statement itself was sent and has not been answered.
+    bool m_isSent { false };
+    /// Whether a transaction is open on the connection.
+    bool m_isBegun { false };
+    bool m_isDone { false };
+    RelayResult m_result;
+};
+
+}
--- /dev/null
+++ b/src/relay/RelayTarget.cpp
@@ -0,0 +1,167 @@
+#include "relay/RelayTarget.h"
+
+#include "base/ResultCode.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// A connection opens within two round trips and the target's set-up, some 15 ms; a silent one is given up then.
+    constexpr Milliseconds connectTimeout { 600 };
+    /// Idle connections are kept as long as targets keep them by default.
+    constexpr Milliseconds idleLimit { 50'000 };
+    constexpr Milliseconds rollBackTimeout { 1000 };
+    /// Work that waits for a late place is shed in steps of this.
+    constexpr Milliseconds shedInterval { 20 };
+    /// Work that may wait here for each connection: beyond it no objective is met.
+    constexpr uint32_t queuedPerConnection = 40;
+
+    WorkQueueSettings queueSettings(uint32_t connections)
+    {
+        WorkQueueSettings settings;
+        settings.slots = connections;
+        settings.longWorkShare = 1;
+        settings.capacity = connections * queuedPerConnection;
+        return settings;
+    }
+
+    ConnectionPoolSettings poolSettings(uint32_t connections, uint64_t seed)
+    {
+        ConnectionPoolSettings settings;
+        settings.limit = connections;
+        settings.connectTimeout = connectTimeout;
+        settings.idleLimit = idleLimit;
+        settings.seed = seed;
+        return settings;
+    }
+
+}
+
+RelaySlot::RelaySlot(std::weak_ptr<RelayTarget> target, WorkId work, std::unique_ptr<PooledConnection> connection)
+    : m_target(std::move(target))
+    , m_work(work)
+    , m_connection(std::move(connection))
+{
+    if (auto locked = m_target.lock())
+        m_targetId = locked->entry().target.id;
+}
+
+RelaySlot::~RelaySlot()
+{
+    m_connection.reset();
+    if (auto target = m_target.lock())
+        target->finish(m_work);
+}
+
+void RelaySlot::run(std::vector<RelayStep> steps, Milliseconds timeout, std::function<void(absl::StatusOr<std::vector<RelayAnswer>>)> done)
+{
+    TargetBatch batch;
+    batch.operation = TargetOperation::Relay;
+    batch.steps = std::move(steps);
+    m_connection->run(batch, timeout, [done = std::move(done)](absl::StatusOr<TargetReply> reply) {
+        if (!reply.ok())
+            return done(reply.status());
+        done(std::move(reply->answers));
+    });
+}
+
+void RelaySlot::rollBack(std::shared_ptr<RelaySlot> slot)
+{
+    RelayStep step;
+    step.kind = RelayKind::Rollback;
+    RelaySlot& self = *slot;
+    self.run({ step }, rollBackTimeout, [slot = std::move(slot)](const absl::StatusOr<std::vector<RelayAnswer>>& answers) {
+        const bool isClean = answers.ok() && !answers->empty() && answers->back().state == TransactionState::Idle;
+        if (!isClean)
+            slot->discard();
+    });
+}
+
+RelayTarget::RelayTarget(EventLoop& loop, TargetConnector& connector, TargetEntry entry, uint64_t seed)
+    : m_loop(loop)
+    , m_entry(std::move(entry))
+    , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(1, seed)))
+    , m_queue(WorkQueue::create(queueSettings(1)))
+{
+}
+
+void RelayTarget::setConnections(uint32_t connections)
+{
+    if (connections == m_connections)
+        return;
+    m_connections = connections;
+    m_pool->setLimit(connections);
+    m_queue->setSettings(queueSettings(connections));
+    pump();
+}
+
+void RelayTarget::acquire(Work work, Acquired acquired)
+{
+    work.id = WorkId(++m_lastWork);
+    const Admission admission = m_queue->offer(work, m_loop.now());
+    if (!admission.status.ok())
+        return acquired(admission.status);
+    m_waiting.emplace(work.id, std::make_pair(work, std::move(acquired)));
+    pump();
+}
+
+Milliseconds RelayTarget::expectedDelay(Milliseconds fallback) const
+{
+    const double busy = static_cast<double>(m_queue->waiting() + m_queue->running());
+    const double turns = 1 + busy / std::max<double>(1, m_connections);
+    return m_experience.expectedDelay(fallback, m_loop.now()) * turns;
+}
+
+void RelayTarget::finish(WorkId work)
+{
+    m_queue->finish(work, m_loop.now());
+    pump();
+}
+
+void RelayTarget::pump()
+{
+    auto self = shared_from_this();
+    shedOverdue();
+    while (const auto id = m_queue->start(m_loop.now())) {
+        auto node = m_waiting.extract(*id);
+        connect(node.mapped().first, std::move(node.mapped().second));
+    }
+    schedulePump();
+}
+
+void RelayTarget::shedOverdue()
+{
+    for (const WorkId id : m_queue->takeShed(m_loop.now())) {
+        auto node = m_waiting.extract(id);
+        if (!node.empty())
+            node.mapped().second(makeError(ResultCode::Overloaded, "no place came free in time at " + m_entry.target.id.value()));
+    }
+}
+
+void RelayTarget::schedulePump()
+{
+    if (m_waiting.empty() || m_pumpTimer != TimerId::None)
+        return;
+    m_pumpTimer = m_loop.after(shedInterval, [weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_pumpTimer = TimerId::None;
+        self->pump();
+    });
+}
+
+void RelayTarget::connect(const Work& work, Acquired acquired)
+{
+    m_pool->acquire(work.deadline, [weak = weak_from_this(), id = work.id, acquired = std::move(acquired)](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
+        if (connection.ok())
+            return acquired(std::make_shared<RelaySlot>(weak, id, *std::move(connection)));
+        if (auto self = weak.lock())
+            self->finish(id);
+        acquired(connection.status());
+    });
+}
+
+}
--- /dev/null
+++ b/src/relay/RelayTransaction.cpp
@@ -0,0 +1,176 @@
+#include "relay/RelayTransaction.h"
+
+#include "base/ResultCode.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// A target that is full for a moment is asked again so often, after so long: its connection is held already.
+    constexpr uint32_t mostBusyAnswers = 3;
+    constexpr Milliseconds busyPause { 15 };
+
+}
+
+/// The transaction's time at a primary.
+class RelayTransaction::Use final : public PrimaryUse {
+public:
+    explicit Use(RelayTransaction& transaction)
+        : PrimaryUse(transaction.m_group)
+        , m_transaction(transaction)
+    {
+    }
+
+    void abandon() override { m_transaction.abandoned(); }
+
+private:
+    RelayTransaction& m_transaction;
+};
+
+std::shared_ptr<RelayTransaction> RelayTransaction::create(RelayGroup& group, std::shared_ptr<RelaySlot> slot, bool isAtPrimary)
+{
+    return std::shared_ptr<RelayTransaction>(new RelayTransaction(group, std::move(slot), isAtPrimary));
+}
+
+RelayTransaction::RelayTransaction(RelayGroup& group, std::shared_ptr<RelaySlot> slot, bool isAtPrimary)
+    : m_group(group)
+    , m_slot(std::move(slot))
+{
+    if (isAtPrimary)
+        m_use = std::make_unique<Use>(*this);
+}
+
+RelayTransaction::~RelayTransaction() = default;
+
+void RelayTransaction::run(RelayJob job)
+{
+    m_job = std::move(job);
+    m_result = {};
+    m_isRunning = true;
+    m_busyAnswers = 0;
+    if (!m_slot)
+        return settle(RelayError::Aborted, "the transaction was ended");
+    Replay replay = planReplay(*m_job.image, m_job.definition, m_slot->image());
+    m_step = m_job.step;
+    if (!replay.preparedName.empty())
+        m_step.name = replay.preparedName;
+    m_replay = std::move(replay.steps);
+    const bool hasReset = std::any_of(m_replay.begin(), m_replay.end(), [](const RelayStep& it) { return it.kind == RelayKind::Reset; });
+    // Within a transaction only what its own caller added can be missing.
+    if (hasReset)
+        return settle(RelayError::Aborted, "the session's values cannot be restored within a transaction");
+    send();
+}
+
+void RelayTransaction::send()
+{
+    std::vector<RelayStep> steps = std::exchange(m_replay, {});
+    steps.push_back(m_step);
+    m_sentAt = m_group.loop().now();
+    const Milliseconds left = std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_sentAt);
+    m_slot->run(std::move(steps), left, [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->answered(std::move(answers)); });
+}
+
+bool RelayTransaction::maySettle() const
+{
+    return !m_use || m_group.maySettle(m_use->term());
+}
+
+void RelayTransaction::answered(absl::StatusOr<std::vector<RelayAnswer>> answers)
+{
+    if (!m_isRunning)
+        return;
+    if (!answers.ok())
+        return broken(answers.status());
+    const auto failedStep = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
+    if (failedStep != answers->end()) {
+        if (std::next(failedStep) != answers->end())
+            m_slot->discard();
+        return failed(*failedStep);
+    }
+    RelayAnswer& answer = answers->back();
+    if (!maySettle())
+        return settle(isCommit() ? RelayError::InDoubt : RelayError::Aborted, "the lease on the primary ran out");
+    if (isCommit())
+        return committed(std::move(answer));
+    finish(std::move(answer));
+}
+
+void RelayTransaction::broken(const absl::Status& status)
+{
+    if (m_use)
+        m_group.observer().primaryFailed(m_group.id());
+    m_slot->discard();
+    const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
+    if (isCommit())
+        return settle(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
+    settle(RelayError::Aborted, std::string(status.message()));
+}
+
+void RelayTransaction::failed(RelayAnswer answer)
+{
+    const bool isOpen = answer.state == TransactionState::Open;
+    if (answer.error == RelayError::Busy && isOpen && m_busyAnswers < mostBusyAnswers) {
+        ++m_busyAnswers;
+        m_group.loop().after(busyPause, [weak = weak_from_this()] {
+            auto self = weak.lock();
+            if (self && self->m_isRunning && self->m_slot)
+                self->send();
+        });
+        return;
+    }
+    // A failed statement is told as it is; the caller ends the transaction.
+    const bool mayHaveRun = answer.error == RelayError::Failed || answer.error == RelayError::TimedOut || answer.error == RelayError::InDoubt;
+    settle(mayHaveRun ? answer.error : RelayError::Aborted, answer.errorText);
+}
+
+void RelayTransaction::committed(RelayAnswer answer)
+{
+    if (m_use && answer.mark) {
+        m_group.observer().primaryAnswered(m_group.id());
+        m_group.marks().note(m_sentAt, *answer.mark);
+        m_result.committed = SessionMark { m_use->term(), *answer.mark };
+    }
+    auto self = shared_from_this();
+    m_use.reset();
+    m_slot.reset();
+    finish(std::move(answer));
+}
+
+void RelayTransaction::abandoned()
+{
+    if (!m_isRunning)
+        return rollBack();
+    m_slot->discard();
+    settle(isCommit() ? RelayError::InDoubt : RelayError::Aborted, "the primary is being replaced");
+}
+
+void RelayTransaction::rollBack()
+{
+    m_use.reset();
+    if (m_slot)
+        RelaySlot::rollBack(std::move(m_slot));
+    m_slot.reset();
+}
+
+void RelayTransaction::settle(RelayError error, std::string_view why)
+{
+    RelayAnswer answer;
+    answer.error = error;
+    answer.errorText = std::string(why);
+    auto self = shared_from_this();
+    rollBack();
+    finish(std::move(answer));
+}
+
+void RelayTransaction::finish(RelayAnswer answer)
+{
+    m_isRunning = false;
+    m_result.answer = std::move(answer);
+    auto done = std::move(m_job.done);
+    done(std::move(m_result));
+}
+
+}
--- /dev/null
+++ b/src/relay/RelayTransaction.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "relay/RelayGroup.h"
+
+#include <memory>
+
+namespace parsleypaddle {
+
+/// A caller's open transaction: it holds one connection until it ends.
+class RelayTransaction : public std::enable_shared_from_this<RelayTransaction> {
+public:
+    using Done = std::function<void(RelayResult)>;
+
+    static std::shared_ptr<RelayTransaction> create(RelayGroup&, std::shared_ptr<RelaySlot>, bool isAtPrimary);
+    ~RelayTransaction();
+
+    /// Runs the next statement, or the commit. Whatever fails ends the transaction.
+    void run(RelayJob);
+
+    /// Takes back everything.
+    void rollBack();
+
+private:
+    class Use;
+
+    RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, bool isAtPrimary);
+
+    void send();
+    void answered(absl::StatusOr<std::vector<RelayAnswer>>);
+    void broken(const absl::Status&);
+    void failed(RelayAnswer);
+    void committed(RelayAnswer);
+    void abandoned();
+    void settle(RelayError, std::string_view why);
+    void finish(RelayAnswer);
+    bool isCommit() const { return m_job.step.kind == RelayKind::Commit; }
+    bool maySettle() const;
+
+    RelayGroup& m_group;
+    std::shared_ptr<RelaySlot> m_slot;
+    std::unique_ptr<Use> m_use;
+    RelayJob m_job;
+    RelayStep m_step;
+    std::vector<RelayStep> m_replay;
+    bool m_isRunning { false };
+    uint32_t m_busyAnswers { 0 };
+    Instant m_sentAt;
+    RelayResult m_result;
+};
+
+}
--- a/src/targets/TargetPort.h
+++ b/src/targets/TargetPort.h
@@ -2,6 +2,7 @@
 
 #include "configuration/Configuration.h"
 #include "groups/TargetStatus.h"
+#include "targets/RelayStep.h"
 #include "statements/Rows.h"
 
 #include <absl/status/statusor.h>
@@ -32,6 +33,8 @@
     Rollback,
     /// Settles whether a write ran: finds its ledger entry, or writes one that keeps it from ever running.
     Settle,
+    /// Runs `steps` in order as they are. The holder of the connection answers for guards and transactions.
+    Relay,
 };
 
 /// The ledger's key of a write, and a hash of its statement that tells reuse for another one.
@@ -50,6 +53,8 @@
     std::optional<Milliseconds> greatestAge;
     LedgerKey ledgerKey;
     SqlStatement statement;
+    /// What a Relay runs, sent in one piece.
+    std::vector<RelayStep> steps;
 };
 
 /// A target's answer to a batch that it carried out.
@@ -59,6 +64,8 @@
     Rows rows;
     /// The ledger had the entry already: the write ran before, and did not run again.
     bool ranBefore { false };
+    /// One for each step of a Relay.
+    std::vector<RelayAnswer> answers;
 };
 
 /// One connection to a target. It runs one batch at a time.
@@ -73,6 +80,12 @@
     virtual ~TargetConnection() = default;
 
     virtual void run(const TargetBatch&, Milliseconds timeout, Done) = 0;
+
+    /// What the holders of this connection have set up in its session at the target.
+    TargetImage& image() { return m_image; }
+
+private:
+    TargetImage m_image;
 };
 
 /// Opens connections to targets.
--- /dev/null
+++ b/src/telemetry/DecisionLog.cpp
@@ -0,0 +1,67 @@
+#include "telemetry/DecisionLog.h"
+
+#include <algorithm>
+#include <json/writer.h>
+#include <log4cxx/logger.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// A line costs some 10 microseconds: at this rate logging takes at most a thousandth of a core.
+    constexpr double linesPerSecond = 60;
+    /// A change of primary or a restart of many callers explains itself in so many lines.
+    constexpr double burst = 400;
+
+    std::string encode(const Json::Value& line)
+    {
+        static const Json::StreamWriterBuilder builder = [] {
+            Json::StreamWriterBuilder it;
+            it["indentation"] = "";
+            return it;
+        }();
+        return Json::writeString(builder, line);
+    }
+
+}
+
+DecisionLog::DecisionLog(const EventLoop& loop, std::string instance)
+    : m_loop(loop)
+    , m_instance(std::move(instance))
+    , m_allowance(burst)
+    , m_refilledAt(loop.now())
+{
+}
+
+bool DecisionLog::mayWrite()
+{
+    constexpr double millisecondsPerSecond = 1000;
+    const Instant now = m_loop.now();
+    m_allowance = std::min(burst, m_allowance + (now - m_refilledAt).count() * linesPerSecond / millisecondsPerSecond);
+    m_refilledAt = now;
+    if (m_allowance < 1)
+        return false;
+    m_allowance -= 1;
+    return true;
+}
+
+void DecisionLog::write(std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!mayWrite()) {
+        ++m_dropped;
+        return;
+    }
+    Json::Value line(Json::objectValue);
+    line["at_ms"] = static_cast<Json::Int64>(m_loop.now().sinceEpoch());
+    line["instance"] = m_instance;
+    line["event"] = std::string(event);
+    for (const auto& [name, value] : fields)
+        line[name] = value;
+    if (m_dropped != m_droppedTold)
+        line["dropped_lines"] = static_cast<Json::UInt64>(m_dropped);
+    m_droppedTold = m_dropped;
+    static const auto logger = log4cxx::Logger::getLogger("decisions");
+    logger->info(encode(line));
+}
+
+}
