Take back a transaction whose caller left during a statement

The transaction now rolls back whenever its last owner lets go. Statements that wait for a connection to a primary count as uses of it, so that giving it up answers them at once. Tests: relay-tests, first failing with the transaction open.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -213,10 +213,6 @@
         m_transaction.reset();
         m_state = TransactionState::Failed;
     }
-    if (!m_port) {
-        leave();
-        return;
-    }
     reply(std::move(result.answer));
 }
 
@@ -247,15 +243,15 @@
 
 void CallerSession::leave()
 {
-    auto self = shared_from_this();
     m_port = nullptr;
     m_waiting.clear();
+    m_relay.remove(*this);
+    // A statement under way keeps its transaction until it is answered.
     if (m_isRunning)
         return;
     if (auto transaction = std::exchange(m_transaction, nullptr))
         transaction->rollBack();
     m_state = TransactionState::Idle;
-    m_relay.remove(*this);
 }
 
 void CallerSession::tidy()
--- /dev/null
+++ b/src/relay/CallerSessionTests.cpp
@@ -0,0 +1,219 @@
+#include "relay/RelayScene.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+TEST_CASE("a write and a read of one session are answered with the target's signature", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "proofs");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    REQUIRE(caller.answers.size() == 1);
+    CHECK(caller.last().error == RelayError::None);
+    CHECK(caller.last().signature == "signed-by-one");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    REQUIRE(caller.answers.size() == 2);
+    CHECK(caller.last().rows == std::vector<std::string> { "row" });
+}
+
+TEST_CASE("a transaction runs on one connection, and nobody else's statement runs inside it", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    SceneCaller first(scene.relay, "orders");
+    SceneCaller second(scene.relay, "orders");
+    first.send(RelayKind::Begin);
+    first.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    second.send(RelayKind::Write, "WRITE 2 b");
+    scene.run(50);
+    first.send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    REQUIRE(scene.ran("WRITE 1 a").size() == 1);
+    REQUIRE(scene.ran("WRITE 2 b").size() == 1);
+    CHECK(scene.ran("WRITE 1 a")[0].connection == scene.ran("COMMIT")[0].connection);
+    CHECK_FALSE(scene.ran("WRITE 2 b")[0].wasInTransaction);
+    CHECK(first.last().error == RelayError::None);
+    CHECK(first.last().state == TransactionState::Idle);
+}
+
+// Pattern: a caller leaves in the middle of a transaction while a statement is under way.
+TEST_CASE("a caller that leaves during a statement leaves no open transaction on the connection", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    {
+        SceneCaller caller(scene.relay, "orders");
+        caller.send(RelayKind::Begin);
+        caller.send(RelayKind::Write, "WRITE 1 a");
+        scene.run(50);
+        caller.send(RelayKind::Write, "WRITE 2 b");
+        scene.run(1);
+    }
+    scene.run(50);
+    SceneCaller next(scene.relay, "orders");
+    next.send(RelayKind::Write, "WRITE 3 c");
+    scene.run(50);
+    REQUIRE(scene.ran("WRITE 3 c").size() == 1);
+    CHECK_FALSE(scene.ran("WRITE 3 c")[0].wasInTransaction);
+    REQUIRE(scene.targets.committed.size() == 1);
+    CHECK(scene.targets.committed[0].text == "WRITE 3 c");
+}
+
+TEST_CASE("a caller that leaves during the first statement of a transaction leaves none open", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    {
+        SceneCaller caller(scene.relay, "orders");
+        caller.send(RelayKind::Begin);
+        caller.send(RelayKind::Write, "WRITE 1 a");
+        scene.run(7);
+    }
+    scene.run(50);
+    SceneCaller next(scene.relay, "orders");
+    next.send(RelayKind::Write, "WRITE 3 c");
+    scene.run(50);
+    REQUIRE(scene.ran("WRITE 3 c").size() == 1);
+    CHECK_FALSE(scene.ran("WRITE 3 c")[0].wasInTransaction);
+}
+
+TEST_CASE("a failed first statement ends its transaction at the target", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    SceneCaller caller(scene.relay, "orders");
+    scene.targets[TargetId("one")].fails = true;
+    caller.send(RelayKind::Begin);
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::Failed);
+    CHECK(caller.last().state == TransactionState::Failed);
+    scene.targets[TargetId("one")].fails = false;
+    SceneCaller next(scene.relay, "orders");
+    next.send(RelayKind::Write, "WRITE 2 b");
+    scene.run(50);
+    CHECK_FALSE(scene.ran("WRITE 2 b")[0].wasInTransaction);
+}
+
+TEST_CASE("a failed transaction takes nothing but its end", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].fails = true;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Begin);
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::Malformed);
+    caller.send(RelayKind::Rollback, "ROLLBACK");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::None);
+    CHECK(caller.last().state == TransactionState::Idle);
+}
+
+TEST_CASE("values of a session hold on every connection, and never reach another session", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    SceneCaller first(scene.relay, "orders", "a");
+    SceneCaller second(scene.relay, "orders", "b");
+    first.send(RelayKind::SetValue, "SET zone west", "zone", "west");
+    first.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    second.send(RelayKind::Read, "READ 2");
+    scene.run(50);
+    first.send(RelayKind::Read, "READ 3");
+    scene.run(50);
+    CHECK(scene.ran("READ 1")[0].values == std::map<std::string, std::string> { { "zone", "west" } });
+    CHECK(scene.ran("READ 2")[0].values.empty());
+    CHECK(scene.ran("READ 3")[0].values == std::map<std::string, std::string> { { "zone", "west" } });
+}
+
+TEST_CASE("a prepared name runs its own session's definition", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(9);
+    SceneCaller first(scene.relay, "orders", "a");
+    SceneCaller second(scene.relay, "orders", "b");
+    first.send(RelayKind::Prepare, "", "s1", "READ x");
+    second.send(RelayKind::Prepare, "", "s1", "READ y");
+    first.send(RelayKind::Execute, "", "s1", "1");
+    scene.run(50);
+    second.send(RelayKind::Execute, "", "s1", "1");
+    scene.run(50);
+    CHECK(scene.ran("EXECUTE p0").size() == 1);
+    CHECK(scene.ran("EXECUTE p1").size() == 1);
+    second.send(RelayKind::Execute, "", "s2", "1");
+    scene.run(50);
+    CHECK(second.last().error == RelayError::UnknownStatement);
+}
+
+TEST_CASE("a write whose connection is lost is in doubt, and is not tried again", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].losesNextAnswer = true;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(500);
+    REQUIRE(caller.answers.size() == 1);
+    CHECK(caller.last().error == RelayError::InDoubt);
+    CHECK(scene.ran("WRITE 1 a").size() == 1);
+}
+
+TEST_CASE("a read whose connection is lost is tried at another target", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "prices");
+    caller.send(RelayKind::Read, "READ 0");
+    scene.run(100);
+    for (const char* it : { "one", "two", "three" })
+        scene.targets[TargetId(it)].losesNextAnswer = true;
+    scene.targets[TargetId("three")].losesNextAnswer = false;
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(500);
+    REQUIRE(caller.answers.size() == 2);
+    CHECK(caller.last().error == RelayError::None);
+}
+
+TEST_CASE("a transaction that rests too long is ended, and its caller hears that nothing is kept", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Begin);
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(4000);
+    caller.send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::Aborted);
+    CHECK(caller.last().state == TransactionState::Idle);
+    CHECK(scene.targets.committed.empty());
+}
+
+TEST_CASE("an empty transaction is committed at a target", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Begin);
+    caller.send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::None);
+    CHECK(caller.last().signature == "signed-by-one");
+    CHECK(caller.last().state == TransactionState::Idle);
+}
+
+TEST_CASE("a session of a database whose route is dropped is told so", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    auto table = std::make_shared<RouteTable>();
+    table->version = ConfigurationVersion(2);
+    scene.relay.setRoutes(table);
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::UnknownDatabase);
+}
--- /dev/null
+++ b/src/relay/FreshMarksTests.cpp
@@ -0,0 +1,49 @@
+#include "relay/FreshMarks.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+LogMark mark(uint64_t position)
+{
+    return { Term(1), LogPosition(position) };
+}
+
+}
+
+TEST_CASE("the oldest mark that is young enough is asked for", "[relay]")
+{
+    FreshMarks marks;
+    marks.note(Instant(1000), mark(1));
+    marks.note(Instant(2000), mark(2));
+    marks.note(Instant(3000), mark(3));
+    CHECK(marks.required(Instant(3100), Milliseconds(1500)) == mark(2));
+    CHECK(marks.required(Instant(3100), Milliseconds(2500)) == mark(1));
+    CHECK(marks.newest() == mark(3));
+}
+
+TEST_CASE("without a young enough mark none is given", "[relay]")
+{
+    FreshMarks marks;
+    CHECK_FALSE(marks.required(Instant(1000), Milliseconds(1500)));
+    marks.note(Instant(1000), mark(1));
+    CHECK_FALSE(marks.required(Instant(2600), Milliseconds(1500)));
+}
+
+TEST_CASE("a mark seen out of order does not take the log back", "[relay]")
+{
+    FreshMarks marks;
+    marks.note(Instant(1000), mark(5));
+    marks.note(Instant(1100), mark(4));
+    CHECK(marks.required(Instant(1200), Milliseconds(200)) == mark(5));
+}
+
+TEST_CASE("a new primary's marks replace the old ones", "[relay]")
+{
+    FreshMarks marks;
+    marks.note(Instant(1000), mark(5));
+    marks.clear();
+    CHECK_FALSE(marks.newest());
+}
--- /dev/null
+++ b/src/relay/RelayGroupTests.cpp
@@ -0,0 +1,214 @@
+#include "relay/RelayScene.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+/// Lets the daemon see the primary's mark, which reads at replicas need.
+void seeMark(RelayScene& scene)
+{
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Read, "READ mark");
+    scene.run(50);
+}
+
+}
+
+TEST_CASE("a read carries the mark that its rule asks for", "[relay]")
+{
+    RelayScene scene;
+    seeMark(scene);
+    SceneCaller caller(scene.relay, "prices");
+    scene.isLeaseValid = false;
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(100);
+    REQUIRE(scene.ran("READ 1").size() == 1);
+    CHECK(scene.ran("READ 1")[0].target != TargetId("one"));
+    CHECK(scene.ran("READ 1")[0].after == LogMark { Term(1), LogPosition(10) });
+}
+
+TEST_CASE("a replica behind the session is not read", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "proofs");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    // The replicas stay where they were.
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(100);
+    REQUIRE(scene.ran("READ 1").size() == 1);
+    CHECK(scene.ran("READ 1")[0].target == TargetId("one"));
+}
+
+TEST_CASE("without a fresh mark a read goes to the primary", "[relay]")
+{
+    RelayScene scene;
+    seeMark(scene);
+    scene.run(2000);
+    SceneCaller caller(scene.relay, "prices");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(100);
+    REQUIRE(scene.ran("READ 1").size() == 1);
+    CHECK(scene.ran("READ 1")[0].target == TargetId("one"));
+}
+
+TEST_CASE("without a valid lease nothing is sent to the primary, and replicas serve only as long as marks are fresh", "[relay]")
+{
+    RelayScene scene;
+    seeMark(scene);
+    scene.isLeaseValid = false;
+    SceneCaller reader(scene.relay, "prices");
+    SceneCaller writer(scene.relay, "orders");
+    reader.send(RelayKind::Read, "READ 1");
+    writer.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(100);
+    CHECK(reader.last().error == RelayError::None);
+    CHECK(scene.ran("READ 1")[0].target != TargetId("one"));
+    CHECK(writer.last().error == RelayError::Busy);
+    scene.run(2000);
+    reader.send(RelayKind::Read, "READ 2");
+    scene.run(100);
+    CHECK(reader.last().error == RelayError::Busy);
+}
+
+TEST_CASE("a write whose lease ran out before its answer is not acknowledged", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    scene.targets[TargetId("one")].delay = Milliseconds(40);
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(20);
+    scene.isLeaseValid = false;
+    scene.run(100);
+    CHECK(scene.ran("WRITE 1 a").size() == 1);
+    CHECK(caller.last().error == RelayError::InDoubt);
+}
+
+TEST_CASE("a read at the primary whose lease ran out before its answer is not given out", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    scene.targets[TargetId("one")].delay = Milliseconds(40);
+    caller.send(RelayKind::Read, "READ 2");
+    scene.run(20);
+    scene.isLeaseValid = false;
+    scene.run(100);
+    CHECK(caller.last().error != RelayError::None);
+}
+
+TEST_CASE("a primary that is being replaced is given up at once", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller writer(scene.relay, "orders");
+    SceneCaller inTransaction(scene.relay, "orders");
+    SceneCaller reader(scene.relay, "orders");
+    writer.send(RelayKind::Read, "READ 0");
+    reader.send(RelayKind::Read, "READ 0");
+    inTransaction.send(RelayKind::Begin);
+    inTransaction.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    scene.targets[TargetId("one")].isSilent = true;
+    writer.send(RelayKind::Write, "WRITE 2 b");
+    reader.send(RelayKind::Read, "READ 1");
+    scene.run(20);
+    CHECK(scene.group().primaryUses() >= 2);
+    scene.setPrimary("one", 1, false);
+    scene.group().abandonPrimary();
+    CHECK(scene.group().primaryUses() == 0);
+    CHECK(writer.last().error == RelayError::InDoubt);
+    CHECK(reader.last().error == RelayError::Busy);
+    inTransaction.send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    CHECK(inTransaction.last().error == RelayError::Aborted);
+    CHECK(scene.targets.committed.empty());
+}
+
+// Pattern: statements wait for a connection to a primary that has gone silent.
+TEST_CASE("statements that wait for a primary are refused when it is given up", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].isSilent = true;
+    SceneCaller writer(scene.relay, "orders");
+    writer.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(20);
+    CHECK(writer.answers.empty());
+    scene.setPrimary("one", 1, false);
+    scene.group().abandonPrimary();
+    REQUIRE(writer.answers.size() == 1);
+    CHECK(writer.last().error == RelayError::Busy);
+}
+
+TEST_CASE("marks of an older term mean nothing after a change of primary", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "proofs");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    scene.targets[TargetId("one")].isDown = true;
+    scene.targets[TargetId("two")].isPrimary = true;
+    scene.targets[TargetId("two")].term = Term(2);
+    scene.targets[TargetId("three")].term = Term(2);
+    scene.setPrimary("two", 2);
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(200);
+    CHECK(caller.last().error == RelayError::None);
+    CHECK(scene.ran("READ 1")[0].target == TargetId("two"));
+}
+
+TEST_CASE("a leaving target gets no new work", "[relay]")
+{
+    RelayScene scene;
+    seeMark(scene);
+    scene.setLeaving("two");
+    SceneCaller caller(scene.relay, "prices");
+    for (int n = 0; n < 20; ++n) {
+        caller.send(RelayKind::Read, "READ 1");
+        scene.run(30);
+    }
+    for (const auto& it : scene.ran("READ 1"))
+        CHECK(it.target != TargetId("two"));
+}
+
+TEST_CASE("a daemon keeps to its share of a target's connections", "[relay]")
+{
+    RelayScene scene;
+    scene.relay.setDaemons(3);
+    std::vector<std::unique_ptr<SceneCaller>> callers;
+    for (int n = 0; n < 40; ++n) {
+        callers.push_back(std::make_unique<SceneCaller>(scene.relay, "orders"));
+        callers.back()->send(RelayKind::Read, "READ 1");
+    }
+    scene.run(1000);
+    CHECK(scene.targets[TargetId("one")].mostConnections <= 3);
+    for (const auto& it : callers)
+        CHECK(it->answers.size() == 1);
+}
+
+TEST_CASE("a read that a busy replica refuses is served by another target", "[relay]")
+{
+    RelayScene scene;
+    seeMark(scene);
+    scene.targets[TargetId("two")].isBusy = true;
+    scene.targets[TargetId("three")].isBusy = true;
+    SceneCaller caller(scene.relay, "prices");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(100);
+    CHECK(caller.last().error == RelayError::None);
+}
+
+TEST_CASE("a write that a full primary refuses is told as not run", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].isBusy = true;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(100);
+    CHECK(caller.last().error == RelayError::Busy);
+    CHECK(scene.ran("WRITE 1 a").empty());
+}
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -61,7 +61,12 @@
     ++m_attempts;
     m_place = place;
     m_tried.insert(place.target->entry().target.id);
-    place.target->acquire(work(), [self = shared_from_this()](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) { self->acquired(std::move(slot)); });
+    if (place.isPrimary)
+        m_use = std::make_unique<Use>(*this);
+    place.target->acquire(work(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) {
+        if (self->isCurrent(attempt))
+            self->acquired(std::move(slot));
+    });
 }
 
 Work RelayRun::work() const
@@ -94,13 +99,9 @@
 
 void RelayRun::prepare()
 {
-    // The place may have come after the primary was given up.
-    if (m_place.isPrimary && !m_group.mayUsePrimary()) {
-        m_slot.reset();
-        return refuse(RelayError::Busy, "the primary is being replaced");
-    }
-    if (m_place.isPrimary)
-        m_use = std::make_unique<Use>(*this);
+    // The place may have come after the primary was closed.
+    if (m_place.isPrimary && !m_group.mayUsePrimary())
+        return abandoned();
     Replay replay = planReplay(*m_job.image, m_job.definition, m_slot->image());
     m_preparedName = std::move(replay.preparedName);
     if (m_job.opens) {
@@ -112,13 +113,14 @@
     m_sentAt = m_group.loop().now();
     if (replay.steps.empty())
         return sendStatement();
-    m_slot->run(std::move(replay.steps), timeLeft(), [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->prepared(std::move(answers)); });
+    m_slot->run(std::move(replay.steps), timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
+        if (self->isCurrent(attempt))
+            self->prepared(std::move(answers));
+    });
 }
 
 void RelayRun::prepared(absl::StatusOr<std::vector<RelayAnswer>> answers)
 {
-    if (m_isDone)
-        return;
     if (!answers.ok())
         return broken(answers.status());
     const auto failed = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
@@ -140,13 +142,14 @@
         step.after = m_place.after;
     m_sentAt = m_group.loop().now();
     m_isSent = true;
-    m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->answered(std::move(answers)); });
+    m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
+        if (self->isCurrent(attempt))
+            self->answered(std::move(answers));
+    });
 }
 
 void RelayRun::answered(absl::StatusOr<std::vector<RelayAnswer>> answers)
 {
-    if (m_isDone)
-        return;
     if (!answers.ok())
         return broken(answers.status());
     m_isSent = false;
@@ -225,10 +228,17 @@
 
 void RelayRun::abandoned()
 {
-    if (m_isDone)
-        return;
-    m_slot->discard();
-    refuse(m_isSent && !isRepeatable() ? RelayError::InDoubt : RelayError::Busy, "the primary is being replaced");
+    auto self = shared_from_this();
+    if (m_slot && m_isSent)
+        m_slot->discard();
+    releaseSlot();
+    m_use.reset();
+    if (m_isSent && !isRepeatable())
+        return refuse(RelayError::InDoubt, "the primary is being replaced");
+    m_isSent = false;
+    if (!m_job.needsPrimary() && mayTryAgain())
+        return next();
+    refuse(RelayError::Busy, "the primary is being replaced");
 }
 
 bool RelayRun::mayTryAgain()
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -36,6 +36,8 @@
     /// Gives the connection back, without the transaction that may have been begun on it.
     void releaseSlot();
 
+    /// Whether an answer to that attempt is still waited for.
+    bool isCurrent(uint32_t attempt) const { return !m_isDone && attempt == m_attempts; }
     bool isRepeatable() const { return !m_job.isWrite && m_job.step.kind != RelayKind::Commit; }
     bool mayTryAgain();
     Milliseconds timeLeft() const;
--- /dev/null
+++ b/src/relay/RelayScene.cpp
@@ -0,0 +1,225 @@
+#include "relay/RelayScene.h"
+
+#include "base/ResultCode.h"
+
+namespace parsleypaddle {
+
+/// A session at a modelled target.
+class SceneConnection final : public TargetConnection {
+public:
+    SceneConnection(SceneTargets& targets, TargetId id)
+        : m_targets(targets)
+        , m_id(std::move(id))
+        , m_number(++targets.m_lastConnection)
+    {
+        auto& target = m_targets[m_id];
+        target.mostConnections = std::max(target.mostConnections, ++target.connections);
+    }
+
+    ~SceneConnection() override { --m_targets[m_id].connections; }
+
+    void run(const TargetBatch& batch, Milliseconds timeout, Done done) override
+    {
+        auto& target = m_targets[m_id];
+        std::weak_ptr<bool> alive = m_alive;
+        if (target.isSilent) {
+            m_targets.m_loop.after(timeout, [alive, done] {
+                if (!alive.expired())
+                    done(makeError(ResultCode::TargetSilent, "silent"));
+            });
+            return;
+        }
+        m_targets.m_loop.after(target.delay, [this, alive, steps = batch.steps, done] {
+            if (!alive.expired())
+                answer(steps, done);
+        });
+    }
+
+private:
+    void answer(const std::vector<RelayStep>& steps, const Done& done)
+    {
+        auto& target = m_targets[m_id];
+        if (target.isDown)
+            return done(makeError(ResultCode::ConnectionLost, "down"));
+        TargetReply reply;
+        for (const auto& it : steps)
+            reply.answers.push_back(run(it, target));
+        if (std::exchange(target.losesNextAnswer, false))
+            return done(makeError(ResultCode::ConnectionLost, "lost"));
+        done(std::move(reply));
+    }
+
+    RelayAnswer run(const RelayStep& step, SceneTargets::Target& target)
+    {
+        RelayAnswer answer;
+        answer.signature = "signed-by-" + m_id.value();
+        answer.error = errorOf(step, target);
+        if (answer.error == RelayError::None)
+            apply(step, target, answer);
+        else if (m_state == TransactionState::Open && answer.error != RelayError::Busy)
+            m_state = TransactionState::Failed;
+        answer.state = m_state;
+        answer.mark = LogMark { target.term, target.applied };
+        return answer;
+    }
+
+    RelayError errorOf(const RelayStep& step, const SceneTargets::Target& target) const
+    {
+        const bool opensForWrites = step.kind == RelayKind::Begin;
+        const bool isStatement = step.kind == RelayKind::Read || step.kind == RelayKind::Write || step.kind == RelayKind::Execute || step.kind == RelayKind::Commit;
+        if (!target.isPrimary && (opensForWrites || step.kind == RelayKind::Write))
+            return RelayError::ReadOnly;
+        if (step.after && LogMark { target.term, target.applied } < *step.after)
+            return RelayError::Lagging;
+        if (isStatement && target.isBusy)
+            return RelayError::Busy;
+        return isStatement && target.fails ? RelayError::Failed : RelayError::None;
+    }
+
+    void apply(const RelayStep& step, SceneTargets::Target& target, RelayAnswer& answer)
+    {
+        switch (step.kind) {
+        case RelayKind::Begin:
+        case RelayKind::BeginRead:
+            m_state = TransactionState::Open;
+            return;
+        case RelayKind::Rollback:
+            m_state = TransactionState::Idle;
+            m_hasWritten = false;
+            return;
+        case RelayKind::SetValue:
+            m_values[step.name] = step.argument;
+            return;
+        case RelayKind::Reset:
+            m_values.clear();
+            return;
+        case RelayKind::Status:
+            answer.report = RoleReport { target.isPrimary, target.term, LogMark { target.term, target.received } };
+            return;
+        case RelayKind::Demote:
+            target.isPrimary = target.isPrimary && !(target.term < step.term);
+            return;
+        default:
+            break;
+        }
+        if (step.kind == RelayKind::Prepare)
+            return;
+        const SeenStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.after };
+        m_targets.seen.push_back(statement);
+        answer.rows = { "row" };
+        m_hasWritten = m_hasWritten || step.kind == RelayKind::Write;
+        const bool commits = step.kind == RelayKind::Commit || m_state == TransactionState::Idle;
+        if (step.kind == RelayKind::Commit)
+            m_state = TransactionState::Idle;
+        if (!commits || !std::exchange(m_hasWritten, false))
+            return;
+        target.applied = target.applied.next();
+        target.received = target.applied;
+        m_targets.committed.push_back(statement);
+    }
+
+    SceneTargets& m_targets;
+    TargetId m_id;
+    uint64_t m_number;
+    TransactionState m_state { TransactionState::Idle };
+    bool m_hasWritten { false };
+    std::map<std::string, std::string> m_values;
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+SceneTargets::SceneTargets(EventLoop& loop)
+    : m_loop(loop)
+{
+}
+
+void SceneTargets::connect(const TargetConfiguration& target, Milliseconds timeout, Done done)
+{
+    const Target& known = m_targets[target.id];
+    m_loop.after(known.isSilent ? timeout : known.delay, [this, id = target.id, done = std::move(done)] {
+        const Target& present = m_targets[id];
+        if (present.isDown || present.isSilent)
+            return done(makeError(ResultCode::TargetUnreachable, "no answer"));
+        done(std::make_unique<SceneConnection>(*this, id));
+    });
+}
+
+SceneCaller::SceneCaller(Relay& relay, const std::string& database, const std::string& name)
+    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), *this))
+{
+}
+
+SceneCaller::~SceneCaller()
+{
+    leave();
+}
+
+void SceneCaller::send(RelayKind kind, const std::string& text, const std::string& name, const std::string& argument)
+{
+    RelayStep step;
+    step.kind = kind;
+    step.id = StatementId("s" + std::to_string(++m_lastStatement));
+    step.text = text;
+    step.name = name;
+    step.argument = argument;
+    step.isWrite = argument.substr(0, 5) == "WRITE";
+    m_session->handle(std::move(step));
+}
+
+void SceneCaller::leave()
+{
+    if (auto session = std::exchange(m_session, nullptr))
+        session->leave();
+}
+
+RelayScene::RelayScene()
+    : relay(loop, targets, *this, *this, FailureDomainId("domain-one"))
+{
+    auto table = std::make_shared<RouteTable>();
+    table->version = ConfigurationVersion(1);
+    table->transactionIdle = Milliseconds(3000);
+    table->groups[GroupId("group")].connections = 10;
+    const std::vector<std::pair<std::string, ReadRule>> routes { { "orders", ReadRule::Primary }, { "prices", ReadRule::BoundedStaleness }, { "proofs", ReadRule::ReadYourWrites } };
+    for (const auto& [name, rule] : routes) {
+        Route route;
+        route.database = DatabaseId(name);
+        route.group = GroupId("group");
+        route.readRule = rule;
+        route.greatestAge = Milliseconds(1500);
+        route.statementTimeout = Milliseconds(1000);
+        route.objective = Milliseconds(200);
+        table->routes[route.database] = std::make_shared<const Route>(route);
+    }
+    relay.setRoutes(std::move(table));
+    for (const std::string name : { "one", "two", "three" }) {
+        TargetEntry entry;
+        entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group") };
+        m_entries.push_back(entry);
+    }
+    targets[TargetId("one")].isPrimary = true;
+    relay.setTargets(m_entries);
+    setPrimary("one", 1);
+}
+
+void RelayScene::setPrimary(const std::string& target, uint64_t term, bool isOpen)
+{
+    relay.setPrimary(GroupId("group"), { TargetId(target), Term(term), isOpen });
+}
+
+void RelayScene::setLeaving(const std::string& target)
+{
+    for (auto& it : m_entries)
+        it.isLeaving = it.isLeaving || it.target.id == TargetId(target);
+    relay.setTargets(m_entries);
+}
+
+std::vector<SeenStatement> RelayScene::ran(const std::string& text) const
+{
+    std::vector<SeenStatement> found;
+    for (const auto& it : targets.seen) {
+        if (it.text == text)
+            found.push_back(it);
+    }
+    return found;
+}
+
+}
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -42,7 +42,11 @@
         m_use = std::make_unique<Use>(*this);
 }
 
-RelayTransaction::~RelayTransaction() = default;
+// Its caller may have left during a statement; the next holder of the connection must not find the transaction open.
+RelayTransaction::~RelayTransaction()
+{
+    rollBack();
+}
 
 void RelayTransaction::run(RelayJob job)
 {
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -58,6 +58,8 @@
     case TargetOperation::Rollback:
         transaction = {};
         return replyOf(target);
+    case TargetOperation::Relay:
+        break;
     }
     return makeError(ResultCode::StatementFailed, "unknown operation");
 }
@@ -292,7 +294,7 @@
 
 TargetReply GroupModel::replyOf(const ModelTarget& target, Rows rows, bool ranBefore) const
 {
-    return { statusOf(target), std::move(rows), ranBefore };
+    return { statusOf(target), std::move(rows), ranBefore, {} };
 }
 
 void GroupModel::record(const ModelTarget& target, const TargetBatch& batch, LogPosition position, std::vector<RequestId> committed)
