Tell a full target from a dead one, and open a primary that is back at once

A refusal for fullness now counts as life, answers on open connections outweigh a probe that times out, and the primary that is back is opened without waiting for releases. Ruled out: the cut itself (it began half a second later).

--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -22,7 +22,7 @@
     TargetAddress address;
     FailureDomainId failureDomain;
     /// The group that it belongs to, where targets check that; empty elsewhere.
-    GroupId group;
+    GroupId group {};
 };
 
 /// A database group as operators declare it.
--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -40,7 +40,8 @@
 
     virtual ~ConnectionPool() = default;
 
-    /// Hands out a free or new connection, in order of asking. DeadlinePassed or TargetUnreachable otherwise.
+    /// Hands out a free or new connection, in order of asking. DeadlinePassed, TargetUnreachable
+    /// or, at a target that is full, Overloaded otherwise.
     virtual void acquire(Instant deadline, Acquired) = 0;
 
     /// Changes the limit; surplus connections are closed as they come back.
--- a/src/connections/PoolCore.cpp
+++ b/src/connections/PoolCore.cpp
@@ -24,7 +24,7 @@
     }
     const bool isPaused = m_open == 0 && m_attempts == 0 && m_backoff.isFailing() && !m_backoff.mayAttempt(now(), 0);
     if (isPaused) {
-        acquired(makeError(ResultCode::TargetUnreachable, m_target.id.value() + " refused its last connections"));
+        acquired(makeError(m_lastFailure, m_target.id.value() + " refused its last connections"));
         return;
     }
     const uint64_t id = ++m_lastWaiter;
@@ -158,7 +158,10 @@
         return;
     }
     m_backoff.failed(now());
-    m_isSuspect = true;
+    // A full target lives: it is busy, not out of reach.
+    const bool isFull = resultCodeOf(connection.status()) == ResultCode::Overloaded;
+    m_lastFailure = isFull ? ResultCode::Overloaded : ResultCode::TargetUnreachable;
+    m_isSuspect = !isFull;
     // Connections that are out may still come back: a full target refuses new ones and serves the old ones well.
     if (m_open == 0 && m_attempts == 0)
         failWaiters();
@@ -171,7 +174,7 @@
     waiters.swap(m_waiters);
     for (auto& it : waiters) {
         m_loop.cancel(it.timer);
-        it.acquired(makeError(ResultCode::TargetUnreachable, "no connection to " + m_target.id.value() + " could be opened"));
+        it.acquired(makeError(m_lastFailure, "no connection to " + m_target.id.value() + " could be opened"));
     }
 }
 
--- a/src/connections/PoolCore.h
+++ b/src/connections/PoolCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connections/ConnectionPool.h"
+#include "base/ResultCode.h"
 #include "connections/ReconnectBackoff.h"
 
 #include <deque>
@@ -68,6 +69,8 @@
     uint64_t m_lastWaiter { 0 };
     uint32_t m_open { 0 };
     uint32_t m_attempts { 0 };
+    /// Why the last connection could not be opened.
+    ResultCode m_lastFailure { ResultCode::TargetUnreachable };
     bool m_isSuspect { false };
     bool m_isServing { false };
     bool m_isShutDown { false };
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -17,8 +17,12 @@
     /// How long a planned change waits for a replica that holds all of the primary's log.
     constexpr Milliseconds catchUp { 1500 };
     constexpr Milliseconds probeInterval { 80 };
+    /// A primary that has answered a statement so lately lives, whatever a new connection meets.
+    constexpr Milliseconds answerPatience { 700 };
     /// Two failures in a row: one may be a single lost packet.
     constexpr uint32_t failedProbesForSuspicion = 2;
+    /// Pause after a suspicion could not be written.
+    constexpr Milliseconds suspicionRetry { 300 };
     /// The owner of a change that takes longer is checked.
     constexpr Milliseconds ownerPatience { 1500 };
     constexpr Milliseconds ownerCheckInterval { 500 };
@@ -82,6 +86,7 @@
 
 void GroupKeeper::primaryAnswered()
 {
+    m_lastAnswer = m_context.loop.now();
     if (m_failedProbes == 0)
         m_isToProbe = m_isToProbe && !m_suspicions.empty();
 }
@@ -174,7 +179,7 @@
     if (m_missingSince && now >= *m_missingSince + missingGrace + turn)
         return beginChange(false, "the primary is missing from the platform's list");
     const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
-    if (isSuspect && !m_isSuspicionWritten)
+    if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion)
         return noteSuspicion(true);
     if (isSuspect && m_suspicions.size() * 2 > m_context.board.daemons())
         return beginChange(false, "most daemons cannot reach the primary");
@@ -189,7 +194,7 @@
         return;
     m_isProbing = true;
     m_nextProbe = now + probeInterval;
-    probeTarget(m_context.connector, find(m_record->primary)->target, [this, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+    probeTarget(m_context.loop, m_context.connector, find(m_record->primary)->target, [this, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
         if (alive.expired())
             return;
         m_isProbing = false;
@@ -209,6 +214,9 @@
             noteSuspicion(false);
         return;
     }
+    // An overloaded primary takes long to open a connection, and still answers on those that are open.
+    if (!isDeposed && !result.isRefused && m_context.loop.now() - m_lastAnswer < answerPatience)
+        return;
     m_failedProbes = isDeposed ? failedProbesForSuspicion : m_failedProbes + 1;
     m_context.log.write("primary_probe_failed", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "in_a_row", std::to_string(m_failedProbes) }, { "deposed", isDeposed ? "yes" : "no" } });
 }
@@ -228,8 +236,10 @@
         if (alive.expired())
             return;
         m_isWriting = false;
-        if (!answer.ok())
-            m_isSuspicionWritten = !isSuspect;
+        if (answer.ok())
+            return;
+        m_isSuspicionWritten = !isSuspect;
+        m_nextSuspicion = m_context.loop.now() + suspicionRetry;
     });
 }
 
@@ -274,10 +284,23 @@
         return followPromotion();
     if (m_context.loop.now() >= m_nextProbe)
         probeAll();
+    if (isPrimaryBack())
+        return write(opened(m_record->primary, m_record->term), false, "the primary can be reached after all");
     if (m_isReleasedEverywhere && m_isRoundComplete)
         choose();
 }
 
+// Nothing changes for anybody when the old primary goes on, so this needs no release.
+bool GroupKeeper::isPrimaryBack() const
+{
+    auto probe = m_probes.find(m_record->primary);
+    const TargetEntry* entry = find(m_record->primary);
+    // Once a promotion may have been ordered, the old primary is out.
+    if (m_record->isPlanned || !m_record->candidate.isEmpty() || !entry || entry->isLeaving || probe == m_probes.end() || !probe->second.report)
+        return false;
+    return probe->second.report->isPrimary && probe->second.report->term == m_record->term;
+}
+
 void GroupKeeper::awaitRelease()
 {
     if (m_isReadingLeases || !m_isReleased)
@@ -305,7 +328,7 @@
     const bool isAfterRelease = m_isReleasedEverywhere || !m_record;
     for (const auto& it : m_entries) {
         const TargetId id = it.target.id;
-        probeTarget(m_context.connector, it.target, [this, id, isAfterRelease, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
             if (alive.expired())
                 return;
             m_probes[id] = result;
@@ -343,11 +366,8 @@
         if (probe.report && probe.report->isPrimary && probe.report->term > m_record->term)
             return write(opened(id, probe.report->term), false, "a target leads in a later term");
     }
-    const TargetEntry* old = find(m_record->primary);
     auto oldProbe = m_probes.find(m_record->primary);
     const bool oldLeads = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
-    if (oldLeads && old && !old->isLeaving)
-        return write(opened(m_record->primary, oldProbe->second.report->term), false, "the primary can be reached after all");
     const auto best = mostCompleteReplica();
     if (!best)
         return;
@@ -377,7 +397,7 @@
         return;
     m_isProbing = true;
     m_nextProbe = now + probeInterval;
-    probeTarget(m_context.connector, entry->target, [this, id = entry->target.id, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+    probeTarget(m_context.loop, m_context.connector, entry->target, [this, id = entry->target.id, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
         if (alive.expired())
             return;
         m_isProbing = false;
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -49,7 +49,6 @@
     bool isReleased() const { return m_isReleased; }
 
     PrimaryBelief belief() const;
-    TargetId candidateSeen() const { return m_record ? m_record->candidate : TargetId(); }
 
 private:
     void release(RelayGroup&);
@@ -61,10 +60,10 @@
     void beginChange(bool isPlanned, std::string_view why);
     void watchOwner();
     void drive();
+    bool isPrimaryBack() const;
     void awaitRelease();
     void probeAll();
     void choose();
-    void choosePlanned(const TargetId& best);
     void promote();
     void followPromotion();
     void write(GroupRecord, bool movesEpoch, std::string_view why);
@@ -87,7 +86,9 @@
     bool m_isToProbe { false };
     bool m_isProbing { false };
     uint32_t m_failedProbes { 0 };
+    Instant m_lastAnswer;
     bool m_isSuspicionWritten { false };
+    Instant m_nextSuspicion;
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
 
--- a/src/failover/TargetProbe.cpp
+++ b/src/failover/TargetProbe.cpp
@@ -1,5 +1,7 @@
 #include "failover/TargetProbe.h"
 
+#include "base/ResultCode.h"
+
 #include <memory>
 
 namespace parsleypaddle {
@@ -9,6 +11,9 @@
     /// A connection takes some 15 ms to open and a status some 5 ms more, several times that under load.
     constexpr Milliseconds probeTimeout { 350 };
 
+    /// A refusal takes one round trip, a few milliseconds.
+    constexpr Milliseconds refusalTime { 100 };
+
     using Answered = std::function<void(const absl::StatusOr<TargetReply>&)>;
 
     void runAlone(TargetConnector& connector, const TargetConfiguration& target, RelayStep step, Answered answered)
@@ -26,13 +31,15 @@
 
 }
 
-void probeTarget(TargetConnector& connector, const TargetConfiguration& target, std::function<void(ProbeResult)> done)
+void probeTarget(EventLoop& loop, TargetConnector& connector, const TargetConfiguration& target, std::function<void(ProbeResult)> done)
 {
     RelayStep step;
     step.kind = RelayKind::Status;
-    runAlone(connector, target, std::move(step), [done = std::move(done)](const absl::StatusOr<TargetReply>& reply) {
+    const Instant askedAt = loop.now();
+    runAlone(connector, target, std::move(step), [&loop, askedAt, done = std::move(done)](const absl::StatusOr<TargetReply>& reply) {
         ProbeResult result;
-        result.isAlive = reply.ok();
+        result.isAlive = reply.ok() || resultCodeOf(reply.status()) == ResultCode::Overloaded;
+        result.isRefused = !result.isAlive && loop.now() - askedAt < refusalTime;
         if (reply.ok() && !reply->answers.empty())
             result.report = reply->answers.back().report;
         done(result);
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -110,9 +110,7 @@
 {
     if (m_state == TransactionState::Idle)
         return reject(RelayError::Malformed, "no transaction is open");
-    if (auto transaction = std::exchange(m_transaction, nullptr))
-        transaction->rollBack();
-    m_opens.reset();
+    dropTransaction();
     m_endedBecause.clear();
     m_state = TransactionState::Idle;
     accept();
@@ -223,8 +221,10 @@
 
 void CallerSession::reject(RelayError error, std::string_view why)
 {
-    if (m_state == TransactionState::Open)
-        endTransaction("");
+    if (m_state == TransactionState::Open) {
+        dropTransaction();
+        m_state = TransactionState::Failed;
+    }
     RelayAnswer answer;
     answer.error = error;
     answer.errorText = std::string(why);
@@ -249,9 +249,15 @@
     // A statement under way keeps its transaction until it is answered.
     if (m_isRunning)
         return;
+    dropTransaction();
+    m_state = TransactionState::Idle;
+}
+
+void CallerSession::dropTransaction()
+{
     if (auto transaction = std::exchange(m_transaction, nullptr))
         transaction->rollBack();
-    m_state = TransactionState::Idle;
+    m_opens.reset();
 }
 
 void CallerSession::tidy()
@@ -263,11 +269,10 @@
 
 void CallerSession::endTransaction(std::string_view why)
 {
-    if (m_state != TransactionState::Open)
+    // A statement under way is answered first.
+    if (m_state != TransactionState::Open || m_isRunning)
         return;
-    if (auto transaction = std::exchange(m_transaction, nullptr))
-        transaction->rollBack();
-    m_opens.reset();
+    dropTransaction();
     m_endedBecause = std::string(why);
     m_state = TransactionState::Failed;
 }
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -36,7 +36,7 @@
 
     /// Ends a transaction that has rested too long.
     void tidy();
-    /// Takes back the open transaction; its caller hears of it with the next answer.
+    /// Takes back the open transaction between two statements; its caller hears of it with the next answer.
     void endTransaction(std::string_view why);
     void close();
 
@@ -60,6 +60,7 @@
 
     void send(RelayJob);
     void finished(RelayResult, bool endsTransaction);
+    void dropTransaction();
     void accept();
     void reject(RelayError, std::string_view why);
     void reply(RelayAnswer);
--- a/src/relay/CallerSessionTests.cpp
+++ b/src/relay/CallerSessionTests.cpp
@@ -217,3 +217,23 @@
     scene.run(50);
     CHECK(caller.last().error == RelayError::UnknownDatabase);
 }
+
+// Pattern: a daemon that stops ends open transactions while one of them is at a statement.
+TEST_CASE("a transaction is not ended under a statement, which is answered", "[relay]")
+{
+    RelayScene scene;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Begin);
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(50);
+    caller.send(RelayKind::Write, "WRITE 2 b");
+    caller.session().endTransaction("the daemon stops");
+    scene.run(50);
+    REQUIRE(caller.answers.size() == 3);
+    CHECK(caller.last().error == RelayError::None);
+    caller.session().endTransaction("the daemon stops");
+    caller.send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::Aborted);
+    CHECK(scene.targets.committed.empty());
+}
--- a/src/targets/TargetPort.h
+++ b/src/targets/TargetPort.h
@@ -95,7 +95,7 @@
 
     virtual ~TargetConnector() = default;
 
-    /// TargetUnreachable when it is refused, or not open within `timeout`.
+    /// TargetUnreachable when it is refused, or not open within `timeout`; Overloaded when the target is full.
     virtual void connect(const TargetConfiguration&, Milliseconds timeout, Done) = 0;
 };
 
