--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -19,8 +19,8 @@
     Instant askedAt;
 };
 
-/// How long a lease holds. It bridges an outage of the platform of some seconds, and is the longest time for which a
-/// daemon that went away can delay a change of primary.
+/// How long a lease holds. It is the longest time for which a daemon that went away can delay a change of primary, and
+/// the longest outage of the platform that leaves primaries in use.
 inline constexpr Milliseconds leaseLength { 8000 };
 
 std::string encodeLeaseRow(const LeaseRow&);
