--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -61,7 +61,7 @@
         for (const auto& it : answer->rows) {
             // A lease that cannot be read counts as one that was asked for just now.
             const auto lease = decodeLeaseRow(it.value);
-            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime }, it.version };
+            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, {} }, it.version };
         }
         take(table);
         done(table);
@@ -73,12 +73,15 @@
     uint32_t daemons = 0;
     uint32_t place = 0;
     bool hasOwn = false;
+    m_peers.clear();
     for (const auto& [instance, entry] : table.entries) {
         if (hasEnded(entry.lease, table.platformTime))
             continue;
         if (instance < m_own)
             ++place;
         hasOwn = hasOwn || instance == m_own;
+        if (instance != m_own && !entry.lease.addresses.host.empty())
+            m_peers.push_back(entry.lease.addresses);
         ++daemons;
     }
     m_place = place;
--- a/src/failover/LeaseBoard.h
+++ b/src/failover/LeaseBoard.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleypaddle {
 
@@ -40,6 +41,8 @@
 
     /// Daemons whose leases have not ended, this one included.
     uint32_t daemons() const { return m_daemons; }
+    /// Where the other living daemons are reached.
+    const std::vector<PeerAddresses>& peers() const { return m_peers; }
     /// This daemon's place among them, the same for all who see the same leases, and another for each group.
     uint32_t rankFor(const GroupId&) const;
 
@@ -53,6 +56,7 @@
     std::function<void()> m_changed;
     uint32_t m_daemons { 1 };
     uint32_t m_place { 0 };
+    std::vector<PeerAddresses> m_peers;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -14,11 +14,12 @@
 
 }
 
-InstanceLease::InstanceLease(EventLoop& loop, PlatformRows& platform, InstanceId instance, std::string incarnation)
+InstanceLease::InstanceLease(EventLoop& loop, PlatformRows& platform, InstanceId instance, std::string incarnation, PeerAddresses own)
     : m_loop(loop)
     , m_platform(platform)
     , m_instance(std::move(instance))
     , m_incarnation(std::move(incarnation))
+    , m_addresses(std::move(own))
 {
 }
 
@@ -97,7 +98,7 @@
     RowsTransaction transaction;
     transaction.expected.push_back({ controlTable, epochKey, m_epoch });
     transaction.expected.push_back({ leaseTable, m_instance.value(), m_rowVersion });
-    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt }) });
+    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt, m_addresses }) });
     m_platform.transact(transaction, [this, sentAt, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (!alive.expired())
             renewed(answer, sentAt);
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -17,7 +17,7 @@
 /// replaces a primary first moves the epoch row; a lease that was renewed since, or has ended, stands in nobody's way.
 class InstanceLease final : public PrimaryLease {
 public:
-    InstanceLease(EventLoop&, PlatformRows&, InstanceId, std::string incarnation);
+    InstanceLease(EventLoop&, PlatformRows&, InstanceId, std::string incarnation, PeerAddresses own);
     ~InstanceLease() override;
 
     void start();
@@ -48,6 +48,7 @@
     PlatformRows& m_platform;
     InstanceId m_instance;
     std::string m_incarnation;
+    PeerAddresses m_addresses;
     /// The platform's clock at one moment, and a moment of our own that is not after it.
     std::optional<Instant> m_platformTime;
     Instant m_platformTimeAskedAt;
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -8,11 +8,37 @@
 
 namespace parsleypaddle {
 
+namespace {
+
+    uint16_t portOf(const Json::Value& value)
+    {
+        return value.isUInt() && value.asUInt() <= UINT16_MAX ? static_cast<uint16_t>(value.asUInt()) : 0;
+    }
+
+    // A lease counts without them: such a daemon is only not asked for help.
+    PeerAddresses decodeAddresses(const Json::Value& value)
+    {
+        PeerAddresses addresses;
+        if (!value["failure_domain"].isString() || !value["host"].isString())
+            return addresses;
+        addresses.failureDomain = FailureDomainId(value["failure_domain"].asString());
+        addresses.host = value["host"].asString();
+        addresses.platformPort = portOf(value["platform_port"]);
+        addresses.callerPort = portOf(value["caller_port"]);
+        return addresses;
+    }
+
+}
+
 std::string encodeLeaseRow(const LeaseRow& row)
 {
     Json::Value value(Json::objectValue);
     value["incarnation"] = row.incarnation;
     value["asked_at"] = row.askedAt.sinceEpoch();
+    value["failure_domain"] = row.addresses.failureDomain.value();
+    value["host"] = row.addresses.host;
+    value["platform_port"] = row.addresses.platformPort;
+    value["caller_port"] = row.addresses.callerPort;
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     return Json::writeString(builder, value);
@@ -30,7 +56,11 @@
     const Json::Value& askedAt = value["asked_at"];
     if (!incarnation.isString() || !askedAt.isNumeric())
         return makeError(ResultCode::MissingField, "a lease lacks a field");
-    return LeaseRow { incarnation.asString(), Instant(askedAt.asDouble()) };
+    LeaseRow row;
+    row.incarnation = incarnation.asString();
+    row.askedAt = Instant(askedAt.asDouble());
+    row.addresses = decodeAddresses(value);
+    return row;
 }
 
 }
--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -11,12 +11,22 @@
 /// The table of the daemons' leases, one row for each instance.
 inline constexpr const char* leaseTable = "leases";
 
+/// Where other daemons reach a daemon. Ports are 0 while unknown.
+struct PeerAddresses {
+    FailureDomainId failureDomain;
+    std::string host;
+    uint16_t platformPort { 0 };
+    uint16_t callerPort { 0 };
+};
+
 /// A daemon's lease as the platform keeps it.
 struct LeaseRow {
     /// Drawn anew at each start of the daemon's process.
     std::string incarnation;
     /// A moment on the platform's clock that is not before the lease was asked for.
     Instant askedAt;
+    /// Where the daemon passes other daemons' calls on to the platform, and where it takes statements.
+    PeerAddresses addresses;
 };
 
 /// How long a lease holds. It is the longest time for which a daemon that went away can delay a change of primary, and
