--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -9,8 +9,8 @@
 namespace {
 
     /// A third of the lease: two renewals may fail before it ends.
-    constexpr Milliseconds renewInterval { 2500 };
-    constexpr Milliseconds retryPause { 400 };
+    constexpr Milliseconds renewInterval { 900 };
+    constexpr Milliseconds retryPause { 250 };
 
 }
 
--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -31,7 +31,7 @@
 
 /// How long a lease holds. It is the longest time for which a daemon that went away can delay a change of primary, and
 /// the longest outage of the platform that leaves primaries in use.
-inline constexpr Milliseconds leaseLength { 8000 };
+inline constexpr Milliseconds leaseLength { 3000 };
 
 std::string encodeLeaseRow(const LeaseRow&);
 absl::StatusOr<LeaseRow> decodeLeaseRow(const std::string&);
