--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -21,6 +21,9 @@
     constexpr Milliseconds answerPatience { 700 };
     /// Two failures in a row: one may be a single lost packet.
     constexpr uint32_t failedProbesForSuspicion = 2;
+    /// A primary that leaves statements unanswered for so long, and answers no other one, is asked over a new connection.
+    /// Statements take some tens of milliseconds, the longest some hundreds.
+    constexpr Milliseconds silencePatience { 300 };
     /// Pause after a suspicion could not be written.
     constexpr Milliseconds suspicionRetry { 300 };
     /// The owner of a change that takes longer is checked.
@@ -123,7 +126,7 @@
     if (!m_record)
         return bootstrap();
     if (m_record->phase == GroupPhase::Open)
-        return watchPrimary();
+        return watchPrimary(group);
     if (isOwn())
         return drive();
     watchOwner();
@@ -161,9 +164,12 @@
     }
 }
 
-void GroupKeeper::watchPrimary()
+void GroupKeeper::watchPrimary(const RelayGroup& group)
 {
     const Instant now = m_context.loop.now();
+    const auto waitingSince = group.oldestPrimaryWait();
+    if (waitingSince && now - std::max(*waitingSince, m_lastAnswer) > silencePatience)
+        m_isToProbe = true;
     const TargetEntry* entry = find(m_record->primary);
     if (entry)
         m_missingSince.reset();
@@ -217,7 +223,8 @@
     // An overloaded primary takes long to open a connection, and still answers on those that are open.
     if (!isDeposed && !result.isRefused && m_context.loop.now() - m_lastAnswer < answerPatience)
         return;
-    m_failedProbes = isDeposed ? failedProbesForSuspicion : m_failedProbes + 1;
+    // A probe that times out has waited through what a refused one has to show twice.
+    m_failedProbes = isDeposed || !result.isRefused ? failedProbesForSuspicion : m_failedProbes + 1;
     m_context.log.write("primary_probe_failed", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "in_a_row", std::to_string(m_failedProbes) }, { "deposed", isDeposed ? "yes" : "no" } });
 }
 
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -53,7 +53,7 @@
 private:
     void release(RelayGroup&);
     void bootstrap();
-    void watchPrimary();
+    void watchPrimary(const RelayGroup&);
     void probePrimary();
     void primaryProbed(const ProbeResult&);
     void noteSuspicion(bool isSuspect);
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -62,6 +62,17 @@
     RelayRun::start(*this, std::move(job));
 }
 
+std::optional<Instant> RelayGroup::oldestPrimaryWait() const
+{
+    std::optional<Instant> oldest;
+    for (const PrimaryUse* it : m_uses) {
+        const auto since = it->waitingSince();
+        if (since && (!oldest || *since < *oldest))
+            oldest = since;
+    }
+    return oldest;
+}
+
 void RelayGroup::abandonPrimary()
 {
     // Abandoned uses leave while this goes on.
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -59,6 +59,8 @@
 
     /// Statements and transactions at the primary that have not ended.
     size_t primaryUses() const { return m_uses.size(); }
+    /// Since when the statement at the primary that has waited longest is unanswered; unset when none is.
+    std::optional<Instant> oldestPrimaryWait() const;
     /// Answers everything under way at the primary now; what it may still answer is no longer believed.
     void abandonPrimary();
 
@@ -115,9 +117,14 @@
 
     Term term() const { return m_term; }
 
+    /// Since when an answer is waited for; unset while nothing was sent.
+    std::optional<Instant> waitingSince() const { return m_waitingSince; }
+    void setWaiting(std::optional<Instant> since) { m_waitingSince = since; }
+
 private:
     RelayGroup& m_group;
     Term m_term;
+    std::optional<Instant> m_waitingSince;
 };
 
 }
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -61,8 +61,10 @@
     ++m_attempts;
     m_place = place;
     m_tried.insert(place.target->entry().target.id);
-    if (place.isPrimary)
+    if (place.isPrimary) {
         m_use = std::make_unique<Use>(*this);
+        m_use->setWaiting(m_group.loop().now());
+    }
     place.target->acquire(work(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) {
         if (self->isCurrent(attempt))
             self->acquired(std::move(slot));
@@ -111,6 +113,8 @@
         replay.steps.push_back(std::move(begin));
     }
     m_sentAt = m_group.loop().now();
+    if (m_use)
+        m_use->setWaiting(m_sentAt);
     if (replay.steps.empty())
         return sendStatement();
     m_slot->run(std::move(replay.steps), timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -73,6 +73,8 @@
     std::vector<RelayStep> steps = std::exchange(m_replay, {});
     steps.push_back(m_step);
     m_sentAt = m_group.loop().now();
+    if (m_use)
+        m_use->setWaiting(m_sentAt);
     const Milliseconds left = std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_sentAt);
     m_slot->run(std::move(steps), left, [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->answered(std::move(answers)); });
 }
@@ -86,6 +88,8 @@
 {
     if (!m_isRunning)
         return;
+    if (m_use)
+        m_use->setWaiting(std::nullopt);
     if (!answers.ok())
         return broken(answers.status());
     const auto failedStep = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
