--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -3,14 +3,16 @@
 #include "relay/CallerSession.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleypaddle {
 
 namespace {
 
     constexpr Milliseconds tidyInterval { 500 };
-    /// Part of a target's connections that daemons share out; the rest is for questions about its role.
-    constexpr double sharedConnections = 0.9;
+    /// Part of a target's connections that daemons share out. After a loss of power a target still counts the lost
+    /// connections for some seconds, and the daemons that are back need others meanwhile.
+    constexpr double sharedConnections = 0.6;
 
 }
 
@@ -88,7 +90,7 @@
     if (!m_routes)
         return;
     for (const auto& [group, limits] : m_routes->groups) {
-        const auto share = static_cast<uint32_t>(limits.connections * sharedConnections / m_daemons);
+        const auto share = static_cast<uint32_t>(std::lround(limits.connections * sharedConnections / m_daemons));
         groupOf(group).setConnections(std::max<uint32_t>(1, share));
     }
 }
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -10,8 +10,8 @@
 
     /// A connection opens within two round trips and the target's set-up, some 15 ms; a silent one is given up then.
     constexpr Milliseconds connectTimeout { 600 };
-    /// Idle connections are kept as long as targets keep them by default.
-    constexpr Milliseconds idleLimit { 50'000 };
+    /// An idle connection takes a place from the daemons that need one; a new one costs some 15 ms.
+    constexpr Milliseconds idleLimit { 3'000 };
     constexpr Milliseconds rollBackTimeout { 1000 };
     /// Work that waits for a late place is shed in steps of this.
     constexpr Milliseconds shedInterval { 20 };
