--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -16,11 +16,12 @@
 
 }
 
-Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, FailureDomainId own)
+Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, FailureDomainId own)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
+    , m_log(log)
     , m_ownDomain(std::move(own))
 {
     tidy();
@@ -81,7 +82,7 @@
 {
     auto& slot = m_groups[group];
     if (!slot)
-        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, group, m_ownDomain);
+        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, m_log, group, m_ownDomain);
     return *slot;
 }
 
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -15,7 +15,7 @@
 /// One daemon's callers and groups: statements go from the first to the second by the routes in force.
 class Relay {
 public:
-    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, FailureDomainId own);
+    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, FailureDomainId own);
     ~Relay();
 
     /// Takes over routes that are newer than those in force; older ones are ignored.
@@ -49,6 +49,7 @@
     TargetConnector& m_connector;
     const PrimaryLease& m_lease;
     PrimaryObserver& m_observer;
+    DecisionLog& m_log;
     FailureDomainId m_ownDomain;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<TargetEntry> m_targets;
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -17,11 +17,12 @@
 
 }
 
-RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, GroupId id, FailureDomainId own)
+RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, GroupId id, FailureDomainId own)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
+    , m_log(log)
     , m_id(std::move(id))
     , m_ownDomain(std::move(own))
 {
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -5,6 +5,7 @@
 #include "relay/RelayJob.h"
 #include "relay/RelayTarget.h"
 #include "scheduling/RetryBudget.h"
+#include "telemetry/DecisionLog.h"
 
 #include <map>
 #include <memory>
@@ -44,7 +45,7 @@
 /// One daemon's use of one database group for its callers.
 class RelayGroup {
 public:
-    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, GroupId, FailureDomainId own);
+    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, GroupId, FailureDomainId own);
 
     /// Takes over what the platform's list says of the group's targets.
     void setTargets(const std::vector<TargetEntry>&);
@@ -68,6 +69,8 @@
 
     EventLoop& loop() { return m_loop; }
     PrimaryObserver& observer() { return m_observer; }
+    DecisionLog& log() { return m_log; }
+    bool isLeaseValid() const { return m_lease.isValid(); }
     const GroupId& id() const { return m_id; }
     RetryBudget& retries() { return m_retries; }
     FreshMarks& marks() { return m_marks; }
@@ -77,17 +80,19 @@
     std::shared_ptr<RelayTarget> primaryTarget() const;
     /// Places for a read, best first, without those in `tried`.
     std::vector<ReadPlace> readPlaces(const RelayJob&, const std::set<TargetId>& tried) const;
+    /// The log that a read needs at a replica; nullopt when no known mark is fresh enough.
+    std::optional<LogMark> neededMark(const RelayJob&) const;
     void enter(PrimaryUse&);
     void leave(PrimaryUse&);
 
 private:
-    std::optional<LogMark> neededMark(const RelayJob&) const;
     Milliseconds costOf(RelayTarget&, bool isPrimary) const;
 
     EventLoop& m_loop;
     TargetConnector& m_connector;
     const PrimaryLease& m_lease;
     PrimaryObserver& m_observer;
+    DecisionLog& m_log;
     GroupId m_id;
     FailureDomainId m_ownDomain;
     uint32_t m_connections { 1 };
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ResultCode.h"
 #include "relay/RelayTransaction.h"
+#include "relay/StatementLog.h"
 
 #include <absl/hash/hash.h>
 #include <algorithm>
@@ -179,6 +180,7 @@
     m_place.target->experience().wasUnreachable(m_group.loop().now());
     if (m_place.isPrimary)
         m_group.observer().primaryFailed(m_group.id());
+    logStatement(m_group, "statement_broken", m_job, m_place.target->entry().target.id, RelayError::None, std::string(status.message()));
     if (m_isSent && !isRepeatable())
         return refuse(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
     m_isSent = false;
@@ -257,6 +259,8 @@
 
 void RelayRun::refuse(RelayError error, std::string_view why)
 {
+    const TargetId target = m_place.target ? m_place.target->entry().target.id : TargetId();
+    logStatement(m_group, "statement_refused", m_job, target, error, why);
     RelayAnswer answer;
     answer.error = error;
     answer.errorText = std::string(why);
--- a/src/relay/RelayScene.cpp
+++ b/src/relay/RelayScene.cpp
@@ -172,7 +172,7 @@
 }
 
 RelayScene::RelayScene()
-    : relay(loop, targets, *this, *this, FailureDomainId("domain-one"))
+    : relay(loop, targets, *this, *this, log, FailureDomainId("domain-one"))
 {
     auto table = std::make_shared<RouteTable>();
     table->version = ConfigurationVersion(1);
--- a/src/relay/RelayScene.h
+++ b/src/relay/RelayScene.h
@@ -111,6 +111,8 @@
     bool isLeaseValid { true };
     uint32_t primaryAnswers { 0 };
     uint32_t primaryFailures { 0 };
+    std::vector<std::string> logLines;
+    DecisionLog log { loop, "scene", [this](const std::string& line) { logLines.push_back(line); } };
     Relay relay;
 
 private:
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayTransaction.h"
 
 #include "base/ResultCode.h"
+#include "relay/StatementLog.h"
 
 #include <algorithm>
 
@@ -165,6 +166,7 @@
 
 void RelayTransaction::settle(RelayError error, std::string_view why)
 {
+    logStatement(m_group, "transaction_ended", m_job, m_slot ? m_slot->target() : TargetId(), error, why);
     RelayAnswer answer;
     answer.error = error;
     answer.errorText = std::string(why);
--- /dev/null
+++ b/src/relay/StatementLog.cpp
@@ -0,0 +1,36 @@
+#include "relay/StatementLog.h"
+
+#include <array>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr std::array<const char*, 13> errorNames { "none", "busy", "aborted", "lagging", "read_only", "misrouted", "too_many_connections", "unknown_database", "malformed", "unknown_statement", "failed", "in_doubt", "timed_out" };
+
+    std::string beliefOf(const PrimaryBelief& belief)
+    {
+        return belief.primary.value() + " in term " + std::to_string(belief.term.value()) + (belief.isOpen ? ", open" : ", being replaced");
+    }
+
+}
+
+void logStatement(RelayGroup& group, std::string_view event, const RelayJob& job, const TargetId& target, RelayError error, std::string_view why)
+{
+    const auto needed = group.neededMark(job);
+    group.log().write(event, {
+                                 { "request", job.step.id.value() },
+                                 { "caller", job.caller.value() },
+                                 { "database", job.route->database.value() },
+                                 { "group", group.id().value() },
+                                 { "error", errorNames.at(static_cast<size_t>(error)) },
+                                 { "why", std::string(why) },
+                                 { "target", target.value() },
+                                 { "needs", job.needsPrimary() ? "primary" : needed ? textOf(*needed) : "no fresh mark" },
+                                 { "primary", beliefOf(group.primary()) },
+                                 { "lease", group.isLeaseValid() ? "valid" : "ended" },
+                                 { "after_ms", std::to_string(static_cast<int64_t>((group.loop().now() - job.arrived).count())) },
+                             });
+}
+
+}
--- a/src/telemetry/DecisionLog.cpp
+++ b/src/telemetry/DecisionLog.cpp
@@ -23,11 +23,18 @@
         return Json::writeString(builder, line);
     }
 
+    void writeToLogger(const std::string& line)
+    {
+        static const auto logger = log4cxx::Logger::getLogger("decisions");
+        logger->info(line);
+    }
+
 }
 
-DecisionLog::DecisionLog(const EventLoop& loop, std::string instance)
+DecisionLog::DecisionLog(const EventLoop& loop, std::string instance, Sink sink)
     : m_loop(loop)
     , m_instance(std::move(instance))
+    , m_sink(sink ? std::move(sink) : Sink(writeToLogger))
     , m_allowance(burst)
     , m_refilledAt(loop.now())
 {
@@ -60,8 +67,7 @@
     if (m_dropped != m_droppedTold)
         line["dropped_lines"] = static_cast<Json::UInt64>(m_dropped);
     m_droppedTold = m_dropped;
-    static const auto logger = log4cxx::Logger::getLogger("decisions");
-    logger->info(encode(line));
+    m_sink(encode(line));
 }
 
 }
--- a/src/telemetry/DecisionLog.h
+++ b/src/telemetry/DecisionLog.h
@@ -2,6 +2,7 @@
 
 #include "base/EventLoop.h"
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -16,7 +17,10 @@
 /// neither their number nor a slow reader holds up the loop.
 class DecisionLog {
 public:
-    DecisionLog(const EventLoop&, std::string instance);
+    using Sink = std::function<void(const std::string& line)>;
+
+    /// Writes to log4cxx's logger "decisions", or to `sink`.
+    DecisionLog(const EventLoop&, std::string instance, Sink sink = nullptr);
 
     /// `event` names the decision; the fields hold what decided it.
     void write(std::string_view event, std::initializer_list<LogField> fields);
@@ -29,6 +33,7 @@
 
     const EventLoop& m_loop;
     std::string m_instance;
+    Sink m_sink;
     double m_allowance;
     Instant m_refilledAt;
     uint64_t m_dropped { 0 };
