--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -61,7 +61,7 @@
         for (const auto& it : answer->rows) {
             // A lease that cannot be read counts as one that was asked for just now.
             const auto lease = decodeLeaseRow(it.value);
-            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, {} }, it.version };
+            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, {}, 0 }, it.version };
         }
         take(table);
         done(table);
@@ -72,11 +72,16 @@
 {
     uint32_t daemons = 0;
     uint32_t place = 0;
+    double sessions = 0;
+    double ownSessions = 0;
     bool hasOwn = false;
     m_peers.clear();
     for (const auto& [instance, entry] : table.entries) {
         if (hasEnded(entry.lease, table.platformTime))
             continue;
+        sessions += entry.lease.sessions;
+        if (instance == m_own)
+            ownSessions = entry.lease.sessions;
         if (instance < m_own)
             ++place;
         hasOwn = hasOwn || instance == m_own;
@@ -86,6 +91,10 @@
     }
     m_place = place;
     m_daemons = hasOwn ? daemons : daemons + 1;
+    // Callers come and go faster than leases are read, so they decide only in part.
+    constexpr double equalPart = 0.5;
+    const double equalShare = 1.0 / m_daemons;
+    m_share = sessions > 0 ? equalPart * equalShare + (1 - equalPart) * ownSessions / sessions : equalShare;
     if (m_changed)
         m_changed();
 }
--- a/src/failover/LeaseBoard.h
+++ b/src/failover/LeaseBoard.h
@@ -41,6 +41,8 @@
 
     /// Daemons whose leases have not ended, this one included.
     uint32_t daemons() const { return m_daemons; }
+    /// This daemon's part of what all share, between 0 and 1: half in equal parts, half by callers' sessions.
+    double share() const { return m_share; }
     /// Where the other living daemons are reached.
     const std::vector<PeerAddresses>& peers() const { return m_peers; }
     /// This daemon's place among them, the same for all who see the same leases, and another for each group.
@@ -56,6 +58,7 @@
     std::function<void()> m_changed;
     uint32_t m_daemons { 1 };
     uint32_t m_place { 0 };
+    double m_share { 1 };
     std::vector<PeerAddresses> m_peers;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -98,7 +98,7 @@
     RowsTransaction transaction;
     transaction.expected.push_back({ controlTable, epochKey, m_epoch });
     transaction.expected.push_back({ leaseTable, m_instance.value(), m_rowVersion });
-    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt, m_addresses }) });
+    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt, m_addresses, m_countSessions ? m_countSessions() : 0 }) });
     m_platform.transact(transaction, [this, sentAt, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (!alive.expired())
             renewed(answer, sentAt);
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -33,6 +33,9 @@
     const InstanceId& instance() const { return m_instance; }
     const std::string& incarnation() const { return m_incarnation; }
 
+    /// Asked at each renewal for the number of callers' sessions.
+    void onCountSessions(std::function<uint32_t()> callback) { m_countSessions = std::move(callback); }
+
     /// Calls back when the lease was lost or regained.
     void onChange(std::function<void(bool isValid)> callback) { m_onChange = std::move(callback); }
 
@@ -61,6 +64,7 @@
     bool m_isReleased { false };
     TimerId m_timer { TimerId::None };
     std::function<void(bool)> m_onChange;
+    std::function<uint32_t()> m_countSessions;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -39,6 +39,7 @@
     value["host"] = row.addresses.host;
     value["platform_port"] = row.addresses.platformPort;
     value["caller_port"] = row.addresses.callerPort;
+    value["sessions"] = row.sessions;
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     return Json::writeString(builder, value);
@@ -60,6 +61,7 @@
     row.incarnation = incarnation.asString();
     row.askedAt = Instant(askedAt.asDouble());
     row.addresses = decodeAddresses(value);
+    row.sessions = value["sessions"].isUInt() ? value["sessions"].asUInt() : 0;
     return row;
 }
 
--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -27,6 +27,8 @@
     Instant askedAt;
     /// Where the daemon passes other daemons' calls on to the platform, and where it takes statements.
     PeerAddresses addresses;
+    /// Callers' sessions that it holds, by which connections to the targets are shared out.
+    uint32_t sessions { 0 };
 };
 
 /// How long a lease holds. It is the longest time for which a daemon that went away can delay a change of primary, and
--- a/src/relay/CallerSessionTests.cpp
+++ b/src/relay/CallerSessionTests.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("a transaction runs on one connection, and nobody else's statement runs inside it", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     SceneCaller first(scene.relay, "orders");
     SceneCaller second(scene.relay, "orders");
     first.send(RelayKind::Begin);
@@ -44,7 +44,7 @@
 TEST_CASE("a caller that leaves during a statement leaves no open transaction on the connection", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     {
         SceneCaller caller(scene.relay, "orders");
         caller.send(RelayKind::Begin);
@@ -66,7 +66,7 @@
 TEST_CASE("a caller that leaves during the first statement of a transaction leaves none open", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     {
         SceneCaller caller(scene.relay, "orders");
         caller.send(RelayKind::Begin);
@@ -84,7 +84,7 @@
 TEST_CASE("a failed first statement ends its transaction at the target", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     SceneCaller caller(scene.relay, "orders");
     scene.targets[TargetId("one")].fails = true;
     caller.send(RelayKind::Begin);
@@ -119,7 +119,7 @@
 TEST_CASE("values of a session hold on every connection, and never reach another session", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     SceneCaller first(scene.relay, "orders", "a");
     SceneCaller second(scene.relay, "orders", "b");
     first.send(RelayKind::SetValue, "SET zone west", "zone", "west");
@@ -137,7 +137,7 @@
 TEST_CASE("a prepared name runs its own session's definition", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(9);
+    scene.relay.setShare(1.0 / 9);
     SceneCaller first(scene.relay, "orders", "a");
     SceneCaller second(scene.relay, "orders", "b");
     first.send(RelayKind::Prepare, "", "s1", "READ x");
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -58,9 +58,9 @@
     groupOf(group).setPrimary(belief);
 }
 
-void Relay::setDaemons(uint32_t daemons)
+void Relay::setShare(double share)
 {
-    m_daemons = std::max<uint32_t>(1, daemons);
+    m_share = share;
     shareConnections();
 }
 
@@ -91,7 +91,7 @@
     if (!m_routes)
         return;
     for (const auto& [group, limits] : m_routes->groups) {
-        const auto share = static_cast<uint32_t>(std::lround(limits.connections * sharedConnections / m_daemons));
+        const auto share = static_cast<uint32_t>(std::lround(limits.connections * sharedConnections * m_share));
         groupOf(group).setConnections(std::max<uint32_t>(1, share));
     }
 }
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -22,8 +22,8 @@
     void setRoutes(std::shared_ptr<const RouteTable>);
     void setTargets(std::vector<TargetEntry>);
     void setPrimary(const GroupId&, const PrimaryBelief&);
-    /// Daemons that share the connections to the targets.
-    void setDaemons(uint32_t);
+    /// This daemon's part of the connections to the targets, between 0 and 1.
+    void setShare(double);
 
     bool hasRoutes() const { return m_routes != nullptr; }
     const RouteTable* routes() const { return m_routes.get(); }
@@ -53,7 +53,7 @@
     FailureDomainId m_ownDomain;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<TargetEntry> m_targets;
-    uint32_t m_daemons { 1 };
+    double m_share { 1 };
     std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
     std::unordered_map<CallerSession*, std::weak_ptr<CallerSession>> m_sessions;
     TimerId m_tidyTimer { TimerId::None };
--- a/src/relay/RelayGroupTests.cpp
+++ b/src/relay/RelayGroupTests.cpp
@@ -178,7 +178,7 @@
 TEST_CASE("a daemon keeps to its share of a target's connections", "[relay]")
 {
     RelayScene scene;
-    scene.relay.setDaemons(3);
+    scene.relay.setShare(0.5);
     std::vector<std::unique_ptr<SceneCaller>> callers;
     for (int n = 0; n < 40; ++n) {
         callers.push_back(std::make_unique<SceneCaller>(scene.relay, "orders"));
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -78,6 +78,9 @@
     work.shop = m_job.caller;
     work.workload = ClassName(m_job.route->database.value());
     work.urgency = m_job.route->urgency;
+    // Among routes of one urgency, those with a shorter objective get more of a scarce target.
+    constexpr double weightOfOneMillisecond = 1000;
+    work.classWeight = weightOfOneMillisecond / std::max(1.0, m_job.route->objective.count());
     work.statement = absl::HashOf(m_job.route->database, m_job.opens.has_value(), m_job.isWrite);
     work.arrived = m_job.arrived;
     work.deadline = m_job.arrived + m_job.route->objective;
