Pass statements on to daemons that can run them

Membership now ranks homes for each target; a daemon that is none of them, or cannot use the primary, sends the statement to one as a caller would.

--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -23,6 +23,8 @@
     FailureDomainId failureDomain;
     /// The group that it belongs to, where targets check that; empty elsewhere.
     GroupId group {};
+    /// Another daemon that passes statements on; `group` then names the database.
+    bool isPeer { false };
 };
 
 /// A database group as operators declare it.
--- a/src/connections/PoolCore.cpp
+++ b/src/connections/PoolCore.cpp
@@ -116,6 +116,11 @@
     while (!m_waiters.empty() && !m_idle.empty()) {
         Entry entry = std::move(m_idle.back());
         m_idle.pop_back();
+        // The other end may have closed it meanwhile; what is sent on it would be in doubt without having run.
+        if (!entry.connection->isOpen()) {
+            --m_open;
+            continue;
+        }
         Waiter waiter = std::move(m_waiters.front());
         m_waiters.pop_front();
         m_loop.cancel(waiter.timer);
--- a/src/connections/PoolCore.h
+++ b/src/connections/PoolCore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "connections/ConnectionPool.h"
 #include "base/ResultCode.h"
+#include "connections/ConnectionPool.h"
 #include "connections/ReconnectBackoff.h"
 
 #include <deque>
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -426,7 +426,8 @@
         if (alive.expired())
             return;
         m_isPromoting = false;
-        m_context.log.write("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "answer", !accepted.ok() ? std::string(accepted.status().message()) : *accepted ? "accepted" : "refused" } });
+        m_context.log.write("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "answer", !accepted.ok() ? std::string(accepted.status().message()) : *accepted ? "accepted"
+                                                                                                                                                                                                        : "refused" } });
         if (accepted.ok() && !*accepted)
             m_refused.insert(candidate);
     });
@@ -463,7 +464,8 @@
         if (alive.expired())
             return;
         m_isWriting = false;
-        m_context.log.write("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied" : "another change came first" } });
+        m_context.log.write("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
+                                                                                                                                                                             : "another change came first" } });
         if (demoted && answer.ok() && answer->isApplied)
             demoteTarget(m_context.connector, *demoted, term);
     });
--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -86,7 +86,7 @@
             ++place;
         hasOwn = hasOwn || instance == m_own;
         if (instance != m_own && !entry.lease.addresses.host.empty())
-            m_peers.push_back(entry.lease.addresses);
+            m_peers.push_back({ instance, entry.lease.addresses });
         ++daemons;
     }
     m_place = place;
--- a/src/failover/LeaseBoard.h
+++ b/src/failover/LeaseBoard.h
@@ -27,6 +27,12 @@
     bool isAlive(const InstanceId&, const std::string& incarnation) const;
 };
 
+/// Another living daemon.
+struct Peer {
+    InstanceId instance;
+    PeerAddresses addresses;
+};
+
 /// Which daemons live, read from their leases now and then.
 class LeaseBoard {
 public:
@@ -44,7 +50,7 @@
     /// This daemon's part of what all share, between 0 and 1: half in equal parts, half by callers' sessions.
     double share() const { return m_share; }
     /// Where the other living daemons are reached.
-    const std::vector<PeerAddresses>& peers() const { return m_peers; }
+    const std::vector<Peer>& peers() const { return m_peers; }
     /// This daemon's place among them, the same for all who see the same leases, and another for each group.
     uint32_t rankFor(const GroupId&) const;
 
@@ -59,7 +65,7 @@
     uint32_t m_daemons { 1 };
     uint32_t m_place { 0 };
     double m_share { 1 };
-    std::vector<PeerAddresses> m_peers;
+    std::vector<Peer> m_peers;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -11,9 +11,6 @@
     constexpr Milliseconds silenceRemembered { 3000 };
     constexpr size_t watchersOfGroup = 3;
 
-    /// Length of a ranking: more homes than a target may have at a time, with some to spare for silent ones.
-    constexpr size_t rankedInstances = 8;
-
     bool isSameEntry(const InstanceEntry& a, const InstanceEntry& b)
     {
         return a.instance == b.instance && a.failureDomain == b.failureDomain && a.host == b.host && a.port == b.port
@@ -199,10 +196,10 @@
         const bool isFar = member.entry.failureDomain != preferred;
         candidates.push_back({ { member.entry.isLeaving, isSilent(member), isFar, hashOf(id.value(), seed) }, &id });
     }
-    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(rankedInstances, candidates.size()));
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(homesPerTarget, candidates.size()));
     std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
     std::vector<InstanceId> instances;
-    instances.reserve(rankedInstances);
+    instances.reserve(homesPerTarget);
     for (auto it = candidates.begin(); it != end; ++it)
         instances.push_back(*it->instance);
     return instances;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -13,6 +13,9 @@
 /// themselves, and each rank has its own share of a target's connections.
 class Membership {
 public:
+    /// Homes of a target at most: more than it needs at a time, with some to spare for silent ones.
+    static constexpr size_t homesPerTarget = 8;
+
     Membership(const EventLoop&, InstanceEntry self);
 
     const InstanceEntry& self() const { return m_self; }
--- a/src/net/PollLoop.cpp
+++ b/src/net/PollLoop.cpp
@@ -3,7 +3,6 @@
 #include "base/ResultCode.h"
 #include "net/TimerDescriptor.h"
 
-
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
 #include <Poco/Net/StreamSocketImpl.h>
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -5,13 +5,13 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Timespan.h>
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
 #include <algorithm>
 #include <array>
+#include <istream>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <istream>
 #include <ostream>
 
 namespace parsleypaddle {
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -14,17 +14,18 @@
 
 }
 
-std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, ShopId caller, CallerPort& port)
+std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, ShopId caller, CallerKind kind, CallerPort& port)
 {
-    std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(caller), port));
+    std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(caller), kind, port));
     relay.add(session);
     return session;
 }
 
-CallerSession::CallerSession(Relay& relay, DatabaseId database, ShopId caller, CallerPort& port)
+CallerSession::CallerSession(Relay& relay, DatabaseId database, ShopId caller, CallerKind kind, CallerPort& port)
     : m_relay(relay)
     , m_database(std::move(database))
     , m_caller(std::move(caller))
+    , m_kind(kind)
     , m_port(&port)
     , m_lastUsed(relay.now())
 {
@@ -42,7 +43,7 @@
 
 void CallerSession::dispatch(const RelayStep& step)
 {
-    static constexpr std::array<std::pair<RelayKind, Handler>, 9> handlers { {
+    static constexpr std::array<std::pair<RelayKind, Handler>, 11> handlers { {
         { RelayKind::Begin, &CallerSession::begin },
         { RelayKind::BeginRead, &CallerSession::begin },
         { RelayKind::Commit, &CallerSession::commit },
@@ -52,8 +53,12 @@
         { RelayKind::Execute, &CallerSession::execute },
         { RelayKind::SetValue, &CallerSession::setValue },
         { RelayKind::Prepare, &CallerSession::prepare },
+        { RelayKind::Deallocate, &CallerSession::deallocate },
+        { RelayKind::Reset, &CallerSession::reset },
     } };
     m_isRunning = true;
+    if (step.after)
+        m_after = step.after;
     const bool endsTransaction = step.kind == RelayKind::Commit || step.kind == RelayKind::Rollback;
     if (!m_endedBecause.empty() && !endsTransaction) {
         const std::string why = std::exchange(m_endedBecause, {});
@@ -65,8 +70,6 @@
         if (kind == step.kind)
             return (this->*handler)(step);
     }
-    if (step.kind == RelayKind::Deallocate)
-        return deallocate(step);
     refuseUnknown(step);
 }
 
@@ -156,6 +159,15 @@
     accept();
 }
 
+// Only daemons reset a session: they use one for many callers in turn.
+void CallerSession::reset(const RelayStep& step)
+{
+    if (m_kind != CallerKind::Peer || m_state != TransactionState::Idle)
+        return refuseUnknown(step);
+    m_image = std::make_shared<CallerImage>();
+    accept();
+}
+
 void CallerSession::refuseUnknown(const RelayStep&)
 {
     reject(RelayError::Malformed, "unknown statement");
@@ -184,6 +196,10 @@
     job.caller = m_caller;
     job.image = m_image;
     job.own = m_own;
+    job.isPassedOn = m_kind == CallerKind::Peer;
+    job.step.after.reset();
+    if (const auto after = std::exchange(m_after, std::nullopt); after && job.isPassedOn)
+        job.own = { m_relay.termOf(job.route->group), *after };
     job.arrived = m_relay.now();
     job.done = [weak = weak_from_this(), endsTransaction](RelayResult result) {
         auto self = weak.lock();
@@ -202,7 +218,8 @@
 {
     if (result.transaction)
         m_transaction = std::move(result.transaction);
-    if (result.committed)
+    // A peer's session serves one caller after the other, and the peer keeps their marks.
+    if (result.committed && m_kind == CallerKind::Caller)
         m_own = *result.committed;
     if (endsTransaction) {
         m_transaction.reset();
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -17,12 +17,19 @@
     virtual void close() = 0;
 };
 
+/// Who holds a session.
+enum class CallerKind : uint8_t {
+    Caller,
+    /// Another daemon, for callers of its own: their statements are not passed on again.
+    Peer,
+};
+
 /// A caller's session: it lives as long as the caller's connection, and with it the values, the prepared statements and
 /// at most one transaction. Statements are answered in order.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
     /// `port` is used until leave() is called.
-    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, ShopId caller, CallerPort& port);
+    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort& port);
 
     void handle(RelayStep);
 
@@ -43,7 +50,7 @@
 private:
     using Handler = void (CallerSession::*)(const RelayStep&);
 
-    CallerSession(Relay&, DatabaseId, ShopId caller, CallerPort&);
+    CallerSession(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort&);
 
     void dispatch(const RelayStep&);
     void nextWaiting();
@@ -56,6 +63,7 @@
     void setValue(const RelayStep&);
     void prepare(const RelayStep&);
     void deallocate(const RelayStep&);
+    void reset(const RelayStep&);
     void refuseUnknown(const RelayStep&);
 
     void send(RelayJob);
@@ -70,12 +78,15 @@
     Relay& m_relay;
     DatabaseId m_database;
     ShopId m_caller;
+    CallerKind m_kind;
     CallerPort* m_port;
     std::shared_ptr<const CallerImage> m_image { std::make_shared<CallerImage>() };
     SessionMark m_own;
     TransactionState m_state { TransactionState::Idle };
     /// How the open transaction began; set until its first statement is sent.
     std::optional<RelayKind> m_opens;
+    /// The log that a peer's caller must see, told with a statement or with the begin of its transaction.
+    std::optional<LogMark> m_after;
     std::shared_ptr<const Route> m_transactionRoute;
     std::shared_ptr<RelayTransaction> m_transaction;
     /// Why the transaction was ended between two statements; empty when it was not.
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -3,26 +3,22 @@
 #include "relay/CallerSession.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace parsleypaddle {
 
 namespace {
 
     constexpr Milliseconds tidyInterval { 500 };
-    /// Part of a target's connections that daemons share out. After a loss of power a target still counts the lost
-    /// connections for some seconds, and the daemons that are back need others meanwhile.
-    constexpr double sharedConnections = 0.6;
 
 }
 
-Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, FailureDomainId own)
+Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Membership& membership)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
     , m_log(log)
-    , m_ownDomain(std::move(own))
+    , m_membership(membership)
 {
     tidy();
 }
@@ -82,7 +78,7 @@
 {
     auto& slot = m_groups[group];
     if (!slot)
-        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, m_log, group, m_ownDomain);
+        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, m_log, m_membership, group);
     return *slot;
 }
 
@@ -90,10 +86,8 @@
 {
     if (!m_routes)
         return;
-    for (const auto& [group, limits] : m_routes->groups) {
-        const auto share = static_cast<uint32_t>(std::lround(limits.connections * sharedConnections * m_share));
-        groupOf(group).setConnections(std::max<uint32_t>(1, share));
-    }
+    for (const auto& [group, limits] : m_routes->groups)
+        groupOf(group).setConnections(limits.connections, m_share);
 }
 
 void Relay::run(RelayJob job)
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -15,7 +15,7 @@
 /// One daemon's callers and groups: statements go from the first to the second by the routes in force.
 class Relay {
 public:
-    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, FailureDomainId own);
+    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Membership&);
     ~Relay();
 
     /// Takes over routes that are newer than those in force; older ones are ignored.
@@ -30,8 +30,11 @@
     std::shared_ptr<const Route> routeOf(const DatabaseId&) const;
     Milliseconds transactionIdle() const { return m_routes->transactionIdle; }
     RelayGroup* findGroup(const GroupId&);
+    /// The term of the group's primary as this daemon believes it.
+    Term termOf(const GroupId& group) { return groupOf(group).primary().term; }
 
     void run(RelayJob);
+    RelayGroup& groupOf(const GroupId&);
 
     void add(const std::shared_ptr<CallerSession>&);
     void remove(CallerSession&);
@@ -41,7 +44,6 @@
     Instant now() const { return m_loop.now(); }
 
 private:
-    RelayGroup& groupOf(const GroupId&);
     void shareConnections();
     void tidy();
 
@@ -50,7 +52,7 @@
     const PrimaryLease& m_lease;
     PrimaryObserver& m_observer;
     DecisionLog& m_log;
-    FailureDomainId m_ownDomain;
+    Membership& m_membership;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<TargetEntry> m_targets;
     double m_share { 1 };
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -3,11 +3,19 @@
 #include "relay/RelayRun.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleypaddle {
 
 namespace {
 
+    /// Part of a target's connections that daemons share out. After a loss of power a target still counts the lost
+    /// connections for some seconds, and the daemons that are back need others meanwhile.
+    constexpr double sharedConnections = 0.6;
+    /// With fewer for each daemon, one open transaction would keep a target from all callers of its daemon.
+    constexpr double fewestConnections = 1.5;
+    /// Connections to one other daemon for one database.
+    constexpr uint32_t connectionsToPeer = 8;
     /// Expected time of a statement at a target that has not answered lately.
     constexpr Milliseconds unknownDelay { 20 };
     /// A target in another failure domain must be faster by this to be worth the bytes between failure domains.
@@ -17,14 +25,14 @@
 
 }
 
-RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, GroupId id, FailureDomainId own)
+RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Membership& membership, GroupId id)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
     , m_log(log)
     , m_id(std::move(id))
-    , m_ownDomain(std::move(own))
+    , m_membership(membership)
 {
 }
 
@@ -34,7 +42,7 @@
     for (const auto& entry : entries) {
         auto known = m_targets.find(entry.target.id);
         const bool isSame = known != m_targets.end() && known->second->entry().target.address == entry.target.address;
-        auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_ownDomain.value() + entry.target.id.value()));
+        auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()));
         target->setEntry(entry);
         target->setConnections(m_connections);
         targets.emplace(entry.target.id, std::move(target));
@@ -42,11 +50,14 @@
     m_targets.swap(targets);
 }
 
-void RelayGroup::setConnections(uint32_t connections)
+void RelayGroup::setConnections(uint32_t limit, double share)
 {
-    m_connections = connections;
+    const double shared = limit * sharedConnections;
+    const size_t daemons = m_membership.instances().size();
+    m_isEveryoneHome = shared / static_cast<double>(daemons) >= fewestConnections;
+    m_connections = static_cast<uint32_t>(std::max(1L, std::lround(shared * (m_isEveryoneHome ? share : 1.0 / Membership::homesPerTarget))));
     for (auto& [id, target] : m_targets)
-        target->setConnections(connections);
+        target->setConnections(m_connections);
 }
 
 void RelayGroup::setPrimary(const PrimaryBelief& belief)
@@ -111,33 +122,100 @@
     return job.own.term == m_primary.term ? std::max(*needed, job.own.mark) : needed;
 }
 
-std::vector<ReadPlace> RelayGroup::readPlaces(const RelayJob& job, const std::set<TargetId>& tried) const
+std::optional<ReadPlace> RelayGroup::placeFor(const RelayJob& job, const std::set<TargetId>& tried)
+{
+    return job.needsPrimary() ? primaryPlace(job, tried) : readPlace(job, tried);
+}
+
+std::optional<ReadPlace> RelayGroup::primaryPlace(const RelayJob& job, const std::set<TargetId>& tried)
+{
+    auto target = primaryTarget();
+    if (!target || target->entry().isLeaving || !m_primary.isOpen)
+        return std::nullopt;
+    const bool isUsable = m_lease.isValid() && isHome(target->entry().target) && tried.count(target->entry().target.id) == 0;
+    const bool isReachable = !target->experience().isAvoided(m_loop.now());
+    if (isUsable && (isReachable || job.isPassedOn))
+        return ReadPlace { std::move(target), std::nullopt, true, {} };
+    if (auto place = peerPlace(job, target->entry().target, tried))
+        return place;
+    if (isUsable)
+        return ReadPlace { std::move(target), std::nullopt, true, {} };
+    return std::nullopt;
+}
+
+std::optional<ReadPlace> RelayGroup::readPlace(const RelayJob& job, const std::set<TargetId>& tried)
 {
-    struct Ranked {
-        ReadPlace place;
-        Milliseconds cost;
-    };
     const auto needed = neededMark(job);
-    std::vector<Ranked> ranked;
+    std::optional<ReadPlace> best;
+    Milliseconds least;
     for (const auto& [id, target] : m_targets) {
         const bool isPrimary = id == m_primary.primary;
-        if (tried.count(id) > 0 || target->entry().isLeaving)
+        if (tried.count(id) > 0 || target->entry().isLeaving || (!isPrimary && !needed))
+            continue;
+        const bool isLocal = isHome(target->entry().target) && (!isPrimary || mayUsePrimary());
+        auto place = isLocal ? ReadPlace { target, isPrimary ? std::nullopt : needed, isPrimary, {} } : std::optional<ReadPlace>();
+        if (!place && (!isPrimary || m_primary.isOpen))
+            place = peerPlace(job, target->entry().target, tried);
+        if (!place)
             continue;
-        if (isPrimary ? !mayUsePrimary() : !needed)
+        const Milliseconds cost = costOf(*place->target, isPrimary);
+        if (best && least <= cost)
             continue;
-        ranked.push_back({ { target, isPrimary ? std::nullopt : needed, isPrimary }, costOf(*target, isPrimary) });
+        best = std::move(place);
+        least = cost;
     }
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.cost < b.cost; });
-    std::vector<ReadPlace> places;
-    for (auto& it : ranked)
-        places.push_back(std::move(it.place));
-    return places;
+    return best;
+}
+
+// Passed on to a daemon that holds connections to the target, one in the target's failure domain first: the bytes then
+// cross between failure domains once.
+std::optional<ReadPlace> RelayGroup::peerPlace(const RelayJob& job, const TargetConfiguration& home, const std::set<TargetId>& tried)
+{
+    if (job.isPassedOn)
+        return std::nullopt;
+    for (const auto& instance : m_membership.homesOf(home)) {
+        const InstanceEntry* entry = m_membership.find(instance);
+        if (!entry || entry->port == 0 || instance == m_membership.self().instance || m_membership.isSilent(instance))
+            continue;
+        auto target = peerTarget(job.route->database, *entry);
+        if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
+            continue;
+        const bool keepsOwn = job.route->readRule == ReadRule::ReadYourWrites && job.own.term != Term() && job.own.term == m_primary.term;
+        return ReadPlace { std::move(target), keepsOwn ? std::make_optional(job.own.mark) : std::nullopt, false, instance };
+    }
+    return std::nullopt;
+}
+
+std::shared_ptr<RelayTarget> RelayGroup::peerTarget(const DatabaseId& database, const InstanceEntry& peer)
+{
+    auto& target = m_peers[{ database, peer.instance }];
+    const TargetAddress address { peer.host, peer.port };
+    if (target && target->entry().target.address == address)
+        return target;
+    TargetEntry entry;
+    entry.target = { TargetId("daemon " + peer.instance.value()), address, peer.failureDomain, GroupId(database.value()), true };
+    target = std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(peer.instance.value()));
+    target->setConnections(connectionsToPeer);
+    return target;
+}
+
+void RelayGroup::reportPeer(const InstanceId& peer, bool isReached)
+{
+    if (isReached)
+        m_membership.reportAnswer(peer);
+    else
+        m_membership.reportSilent(peer);
+}
+
+bool RelayGroup::isHome(const TargetConfiguration& target) const
+{
+    return m_isEveryoneHome || m_membership.rankFor(target).has_value();
 }
 
 Milliseconds RelayGroup::costOf(RelayTarget& target, bool isPrimary) const
 {
     Milliseconds cost = target.expectedDelay(unknownDelay);
-    if (target.entry().target.failureDomain != m_ownDomain)
+    if (target.entry().target.failureDomain != m_membership.self().failureDomain)
         cost = cost + otherDomainCost;
     if (isPrimary)
         cost = cost + primaryCost;
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/Membership.h"
 #include "relay/FreshMarks.h"
 #include "relay/PrimaryLease.h"
 #include "relay/RelayJob.h"
@@ -40,17 +41,19 @@
     /// Empty at the primary, which lacks nothing.
     std::optional<LogMark> after;
     bool isPrimary { false };
+    /// Set when another daemon runs it.
+    InstanceId peer;
 };
 
 /// One daemon's use of one database group for its callers.
 class RelayGroup {
 public:
-    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, GroupId, FailureDomainId own);
+    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Membership&, GroupId);
 
     /// Takes over what the platform's list says of the group's targets.
     void setTargets(const std::vector<TargetEntry>&);
-    /// Connections that this daemon may hold at each target.
-    void setConnections(uint32_t);
+    /// `limit`: what one target accepts from all daemons; `share`: this daemon's part of it, between 0 and 1.
+    void setConnections(uint32_t limit, double share);
     /// A belief that names no open primary stops its use at once; statements under way go on.
     void setPrimary(const PrimaryBelief&);
     const PrimaryBelief& primary() const { return m_primary; }
@@ -78,14 +81,20 @@
     /// Whether an answer of a statement that began at the primary of `term` may still be believed.
     bool maySettle(Term term) const { return m_primary.term == term && m_lease.isValid(); }
     std::shared_ptr<RelayTarget> primaryTarget() const;
-    /// Places for a read, best first, without those in `tried`.
-    std::vector<ReadPlace> readPlaces(const RelayJob&, const std::set<TargetId>& tried) const;
+    /// The best place for a statement that has not been tried; nullopt when there is none.
+    std::optional<ReadPlace> placeFor(const RelayJob&, const std::set<TargetId>& tried);
+    void reportPeer(const InstanceId&, bool isReached);
     /// The log that a read needs at a replica; nullopt when no known mark is fresh enough.
     std::optional<LogMark> neededMark(const RelayJob&) const;
     void enter(PrimaryUse&);
     void leave(PrimaryUse&);
 
 private:
+    std::optional<ReadPlace> primaryPlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<ReadPlace> readPlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<ReadPlace> peerPlace(const RelayJob&, const TargetConfiguration& home, const std::set<TargetId>& tried);
+    std::shared_ptr<RelayTarget> peerTarget(const DatabaseId&, const InstanceEntry&);
+    bool isHome(const TargetConfiguration&) const;
     Milliseconds costOf(RelayTarget&, bool isPrimary) const;
 
     EventLoop& m_loop;
@@ -94,10 +103,14 @@
     PrimaryObserver& m_observer;
     DecisionLog& m_log;
     GroupId m_id;
-    FailureDomainId m_ownDomain;
+    Membership& m_membership;
     uint32_t m_connections { 1 };
+    /// Whether there are connections for every daemon at every target.
+    bool m_isEveryoneHome { true };
     PrimaryBelief m_primary;
     std::map<TargetId, std::shared_ptr<RelayTarget>> m_targets;
+    /// Other daemons as places for statements, by database and instance.
+    std::map<std::pair<DatabaseId, InstanceId>, std::shared_ptr<RelayTarget>> m_peers;
     FreshMarks m_marks;
     RetryBudget m_retries;
     std::set<PrimaryUse*> m_uses;
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -42,6 +42,8 @@
     std::optional<RelayKind> opens;
     std::shared_ptr<const CallerImage> image;
     SessionMark own;
+    /// It came from another daemon and is not passed on again.
+    bool isPassedOn { false };
     Instant arrived;
     Done done;
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -45,16 +45,9 @@
 
 void RelayRun::next()
 {
-    if (m_job.needsPrimary()) {
-        auto target = m_group.primaryTarget();
-        if (!target || target->entry().isLeaving || !m_group.mayUsePrimary())
-            return refuse(RelayError::Busy, "the primary is being replaced");
-        return tryAt({ std::move(target), std::nullopt, true });
-    }
-    const auto places = m_group.readPlaces(m_job, m_tried);
-    if (places.empty())
-        return refuse(RelayError::Busy, "no target that is fresh enough can be reached");
-    tryAt(places.front());
+    if (auto place = m_group.placeFor(m_job, m_tried))
+        return tryAt(*place);
+    refuse(RelayError::Busy, m_job.needsPrimary() ? "the primary cannot be used now" : "no target that is fresh enough can be reached");
 }
 
 void RelayRun::tryAt(const ReadPlace& place)
@@ -93,12 +86,12 @@
         m_slot = *std::move(slot);
         return prepare();
     }
-    if (resultCodeOf(slot.status()) == ResultCode::TargetUnreachable) {
-        m_place.target->experience().wasUnreachable(m_group.loop().now());
-        if (m_place.isPrimary)
-            m_group.observer().primaryFailed(m_group.id());
-    }
-    if (!m_job.needsPrimary() && mayTryAgain())
+    const bool isUnreachable = resultCodeOf(slot.status()) == ResultCode::TargetUnreachable;
+    m_use.reset();
+    if (isUnreachable)
+        noteUnreachable();
+    // A full primary is full for every daemon.
+    if ((!m_job.needsPrimary() || isUnreachable) && mayTryAgain())
         return next();
     refuse(RelayError::Busy, std::string(slot.status().message()));
 }
@@ -180,9 +173,7 @@
     const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
     m_isBegun = false;
     m_slot.reset();
-    m_place.target->experience().wasUnreachable(m_group.loop().now());
-    if (m_place.isPrimary)
-        m_group.observer().primaryFailed(m_group.id());
+    noteUnreachable();
     logStatement(m_group, "statement_broken", m_job, m_place.target->entry().target.id, RelayError::None, std::string(status.message()));
     if (m_isSent && !isRepeatable())
         return refuse(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
@@ -193,17 +184,28 @@
     refuse(isSilent ? RelayError::TimedOut : RelayError::Busy, std::string(status.message()));
 }
 
+void RelayRun::noteUnreachable()
+{
+    m_place.target->experience().wasUnreachable(m_group.loop().now());
+    if (m_place.isPrimary)
+        m_group.observer().primaryFailed(m_group.id());
+    if (!m_place.peer.isEmpty())
+        m_group.reportPeer(m_place.peer, false);
+}
+
 void RelayRun::notRun(const RelayAnswer& answer)
 {
     const Instant now = m_group.loop().now();
     releaseSlot();
     m_use.reset();
-    if (answer.error == RelayError::Lagging)
+    const bool isPeer = !m_place.peer.isEmpty();
+    if (answer.error == RelayError::Lagging || isPeer)
         m_place.target->experience().wasBehind(now);
     if (answer.error == RelayError::ReadOnly && m_place.isPrimary)
         m_group.observer().primaryFailed(m_group.id());
-    const bool mayMove = !m_job.needsPrimary() && mayTryAgain();
-    if (mayMove && (answer.error == RelayError::Lagging || m_group.retries().takeRetry(now)))
+    const bool isFull = answer.error == RelayError::Busy && !isPeer;
+    const bool mayMove = (!m_job.needsPrimary() || !isFull) && mayTryAgain();
+    if (mayMove && (isPeer || answer.error == RelayError::Lagging || m_group.retries().takeRetry(now)))
         return next();
     refuse(RelayError::Busy, answer.errorText);
 }
@@ -219,7 +221,7 @@
     noteSuccess(answer);
     m_isBegun = m_isBegun && answer.state != TransactionState::Idle;
     if (m_job.opens && m_job.step.kind != RelayKind::Commit && answer.state == TransactionState::Open)
-        m_result.transaction = RelayTransaction::create(m_group, std::move(m_slot), m_place.isPrimary);
+        m_result.transaction = RelayTransaction::create(m_group, std::move(m_slot), placeOfTransaction());
     finish(std::move(answer));
 }
 
@@ -227,12 +229,25 @@
 {
     const Instant now = m_group.loop().now();
     m_place.target->experience().succeeded(now - m_sentAt, now);
-    if (!m_place.isPrimary || !answer.mark)
+    if (!m_place.peer.isEmpty())
+        m_group.reportPeer(m_place.peer, true);
+    // Another daemon answers for the primary only under its own lease.
+    const bool isFromPrimary = m_place.isPrimary || (!m_place.peer.isEmpty() && m_job.needsPrimary());
+    if (!isFromPrimary || !answer.mark)
         return;
-    m_group.observer().primaryAnswered(m_group.id());
+    if (m_place.isPrimary)
+        m_group.observer().primaryAnswered(m_group.id());
     m_group.marks().note(m_sentAt, *answer.mark);
     if (m_job.isWrite && !m_job.opens)
-        m_result.committed = SessionMark { m_use->term(), *answer.mark };
+        m_result.committed = SessionMark { m_group.primary().term, *answer.mark };
+}
+
+TransactionPlace RelayRun::placeOfTransaction() const
+{
+    if (m_place.isPrimary)
+        return TransactionPlace::Primary;
+    const bool isPassedOn = !m_place.peer.isEmpty() && m_job.opens == RelayKind::Begin;
+    return isPassedOn ? TransactionPlace::PrimaryThroughPeer : TransactionPlace::Elsewhere;
 }
 
 void RelayRun::abandoned()
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/RelayGroup.h"
+#include "relay/RelayTransaction.h"
 
 #include <memory>
 #include <optional>
@@ -28,7 +29,9 @@
     void answered(absl::StatusOr<std::vector<RelayAnswer>>);
     void broken(const absl::Status&);
     void notRun(const RelayAnswer&);
+    void noteUnreachable();
     void succeeded(RelayAnswer);
+    TransactionPlace placeOfTransaction() const;
     void noteSuccess(const RelayAnswer&);
     void abandoned();
     void refuse(RelayError, std::string_view why);
--- a/src/relay/RelayScene.cpp
+++ b/src/relay/RelayScene.cpp
@@ -144,7 +144,7 @@
 }
 
 SceneCaller::SceneCaller(Relay& relay, const std::string& database, const std::string& name)
-    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), *this))
+    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), CallerKind::Caller, *this))
 {
 }
 
@@ -172,7 +172,8 @@
 }
 
 RelayScene::RelayScene()
-    : relay(loop, targets, *this, *this, log, FailureDomainId("domain-one"))
+    : membership(loop, { InstanceId("self"), FailureDomainId("domain-one"), "self", 1, 0, false })
+    , relay(loop, targets, *this, *this, log, membership)
 {
     auto table = std::make_shared<RouteTable>();
     table->version = ConfigurationVersion(1);
@@ -192,7 +193,7 @@
     relay.setRoutes(std::move(table));
     for (const std::string name : { "one", "two", "three" }) {
         TargetEntry entry;
-        entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group") };
+        entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group"), false };
         m_entries.push_back(entry);
     }
     targets[TargetId("one")].isPrimary = true;
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -10,6 +10,8 @@
 
     /// A connection opens within two round trips and the target's set-up, some 15 ms; a silent one is given up then.
     constexpr Milliseconds connectTimeout { 600 };
+    /// Another daemon answers within a round trip.
+    constexpr Milliseconds peerConnectTimeout { 150 };
     /// An idle connection takes a place from the daemons that need one; a new one costs some 15 ms.
     constexpr Milliseconds idleLimit { 3'000 };
     constexpr Milliseconds rollBackTimeout { 1000 };
@@ -27,11 +29,11 @@
         return settings;
     }
 
-    ConnectionPoolSettings poolSettings(uint32_t connections, uint64_t seed)
+    ConnectionPoolSettings poolSettings(bool isPeer, uint64_t seed)
     {
         ConnectionPoolSettings settings;
-        settings.limit = connections;
-        settings.connectTimeout = connectTimeout;
+        settings.limit = 1;
+        settings.connectTimeout = isPeer ? peerConnectTimeout : connectTimeout;
         settings.idleLimit = idleLimit;
         settings.seed = seed;
         return settings;
@@ -82,7 +84,7 @@
 RelayTarget::RelayTarget(EventLoop& loop, TargetConnector& connector, TargetEntry entry, uint64_t seed)
     : m_loop(loop)
     , m_entry(std::move(entry))
-    , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(1, seed)))
+    , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(m_entry.target.isPeer, seed)))
     , m_queue(WorkQueue::create(queueSettings(1)))
 {
 }
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -30,16 +30,17 @@
     RelayTransaction& m_transaction;
 };
 
-std::shared_ptr<RelayTransaction> RelayTransaction::create(RelayGroup& group, std::shared_ptr<RelaySlot> slot, bool isAtPrimary)
+std::shared_ptr<RelayTransaction> RelayTransaction::create(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionPlace place)
 {
-    return std::shared_ptr<RelayTransaction>(new RelayTransaction(group, std::move(slot), isAtPrimary));
+    return std::shared_ptr<RelayTransaction>(new RelayTransaction(group, std::move(slot), place));
 }
 
-RelayTransaction::RelayTransaction(RelayGroup& group, std::shared_ptr<RelaySlot> slot, bool isAtPrimary)
+RelayTransaction::RelayTransaction(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionPlace place)
     : m_group(group)
     , m_slot(std::move(slot))
+    , m_place(place)
 {
-    if (isAtPrimary)
+    if (m_place == TransactionPlace::Primary)
         m_use = std::make_unique<Use>(*this);
 }
 
@@ -137,10 +138,11 @@
 
 void RelayTransaction::committed(RelayAnswer answer)
 {
-    if (m_use && answer.mark) {
-        m_group.observer().primaryAnswered(m_group.id());
+    if (m_place != TransactionPlace::Elsewhere && answer.mark) {
+        if (m_use)
+            m_group.observer().primaryAnswered(m_group.id());
         m_group.marks().note(m_sentAt, *answer.mark);
-        m_result.committed = SessionMark { m_use->term(), *answer.mark };
+        m_result.committed = SessionMark { m_group.primary().term, *answer.mark };
     }
     auto self = shared_from_this();
     m_use.reset();
--- a/src/relay/RelayTransaction.h
+++ b/src/relay/RelayTransaction.h
@@ -6,12 +6,21 @@
 
 namespace parsleypaddle {
 
+/// Where a transaction runs.
+enum class TransactionPlace : uint8_t {
+    Primary,
+    /// At the primary, passed on by another daemon, which answers for its right to use it.
+    PrimaryThroughPeer,
+    /// Where it can only read.
+    Elsewhere,
+};
+
 /// A caller's open transaction: it holds one connection until it ends.
 class RelayTransaction : public std::enable_shared_from_this<RelayTransaction> {
 public:
     using Done = std::function<void(RelayResult)>;
 
-    static std::shared_ptr<RelayTransaction> create(RelayGroup&, std::shared_ptr<RelaySlot>, bool isAtPrimary);
+    static std::shared_ptr<RelayTransaction> create(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionPlace);
     ~RelayTransaction();
 
     /// Runs the next statement, or the commit. Whatever fails ends the transaction.
@@ -23,7 +32,7 @@
 private:
     class Use;
 
-    RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, bool isAtPrimary);
+    RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionPlace);
 
     void send();
     void answered(absl::StatusOr<std::vector<RelayAnswer>>);
@@ -38,6 +47,7 @@
 
     RelayGroup& m_group;
     std::shared_ptr<RelaySlot> m_slot;
+    TransactionPlace m_place;
     std::unique_ptr<Use> m_use;
     RelayJob m_job;
     RelayStep m_step;
--- a/src/relay/StatementLog.cpp
+++ b/src/relay/StatementLog.cpp
@@ -26,7 +26,8 @@
                                  { "error", errorNames.at(static_cast<size_t>(error)) },
                                  { "why", std::string(why) },
                                  { "target", target.value() },
-                                 { "needs", job.needsPrimary() ? "primary" : needed ? textOf(*needed) : "no fresh mark" },
+                                 { "needs", job.needsPrimary() ? "primary" : needed ? textOf(*needed)
+                                                                                    : "no fresh mark" },
                                  { "primary", beliefOf(group.primary()) },
                                  { "lease", group.isLeaseValid() ? "valid" : "ended" },
                                  { "after_ms", std::to_string(static_cast<int64_t>((group.loop().now() - job.arrived).count())) },
--- a/src/targets/TargetPort.h
+++ b/src/targets/TargetPort.h
@@ -2,8 +2,8 @@
 
 #include "configuration/Configuration.h"
 #include "groups/TargetStatus.h"
-#include "targets/RelayStep.h"
 #include "statements/Rows.h"
+#include "targets/RelayStep.h"
 
 #include <absl/status/statusor.h>
 #include <functional>
@@ -81,6 +81,9 @@
 
     virtual void run(const TargetBatch&, Milliseconds timeout, Done) = 0;
 
+    /// False once it is known to be closed.
+    virtual bool isOpen() const { return true; }
+
     /// What the holders of this connection have set up in its session at the target.
     TargetImage& image() { return m_image; }
 
