--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -1,6 +1,6 @@
 #include "failover/LeaseBoard.h"
 
-#include <absl/strings/string_view.h>
+#include <algorithm>
 #include <xxhash.h>
 
 namespace parsleypaddle {
@@ -9,6 +9,10 @@
 
     /// The number of daemons changes seldom, and a share that is off for some seconds only moves connections.
     constexpr Milliseconds refreshInterval { 5000 };
+    /// In a large fleet each daemon reads less often, since every reading brings a row for each.
+    constexpr Milliseconds refreshForEach { 150 };
+    /// What a lease is taken to hold that cannot be read: longer than any that this version writes for its fleet.
+    constexpr Milliseconds unreadableLength { 30'000 };
 
 }
 
@@ -43,7 +47,7 @@
 void LeaseBoard::refresh()
 {
     read([](const absl::StatusOr<LeaseTable>&) {});
-    m_loop.after(refreshInterval, [this, alive = std::weak_ptr<bool>(m_alive)] {
+    m_loop.after(std::max(refreshInterval, refreshForEach * m_daemons), [this, alive = std::weak_ptr<bool>(m_alive)] {
         if (!alive.expired())
             refresh();
     });
@@ -61,7 +65,7 @@
         for (const auto& it : answer->rows) {
             // A lease that cannot be read counts as one that was asked for just now.
             const auto lease = decodeLeaseRow(it.value);
-            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, {}, 0 }, it.version };
+            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, unreadableLength, {}, 0 }, it.version };
         }
         take(table);
         done(table);
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -8,8 +8,13 @@
 
 namespace {
 
-    /// A third of the lease: two renewals may fail before it ends.
-    constexpr Milliseconds renewInterval { 900 };
+    /// The interval of a small fleet. A lease is the longest time for which a daemon that went away delays a change of
+    /// primary, and the longest outage of the platform that leaves primaries in use.
+    constexpr Milliseconds shortestInterval { 900 };
+    /// All daemons together renew 40 times a second at most, a thirtieth of the calls that a large platform allows.
+    constexpr Milliseconds intervalForEach { 25 };
+    /// Two renewals may fail before the lease ends.
+    constexpr double intervalsOfLease = 3.3;
     constexpr Milliseconds retryPause { 250 };
 
 }
@@ -33,6 +38,16 @@
     readOwn();
 }
 
+Milliseconds InstanceLease::renewInterval() const
+{
+    return std::max(shortestInterval, intervalForEach * m_daemons);
+}
+
+Milliseconds InstanceLease::length() const
+{
+    return renewInterval() * intervalsOfLease;
+}
+
 bool InstanceLease::isValid() const
 {
     return !m_isReleased && m_loop.now() < m_validUntil;
@@ -95,17 +110,18 @@
     m_isRenewing = true;
     const Instant sentAt = m_loop.now();
     const Instant askedAt = *m_platformTime + (sentAt - m_platformTimeAskedAt);
+    const Milliseconds length = this->length();
     RowsTransaction transaction;
     transaction.expected.push_back({ controlTable, epochKey, m_epoch });
     transaction.expected.push_back({ leaseTable, m_instance.value(), m_rowVersion });
-    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt, m_addresses, m_countSessions ? m_countSessions() : 0 }) });
-    m_platform.transact(transaction, [this, sentAt, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, askedAt, length, m_addresses, m_countSessions ? m_countSessions() : 0 }) });
+    m_platform.transact(transaction, [this, sentAt, length, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (!alive.expired())
-            renewed(answer, sentAt);
+            renewed(answer, sentAt, length);
     });
 }
 
-void InstanceLease::renewed(const absl::StatusOr<TransactionAnswer>& answer, Instant sentAt)
+void InstanceLease::renewed(const absl::StatusOr<TransactionAnswer>& answer, Instant sentAt, Milliseconds length)
 {
     m_isRenewing = false;
     if (!answer.ok())
@@ -113,11 +129,11 @@
     noteTime(answer->platformTime, sentAt);
     if (answer->isApplied) {
         m_rowVersion = answer->version;
-        m_validUntil = std::max(m_validUntil, sentAt + leaseLength);
+        m_validUntil = std::max(m_validUntil, sentAt + length);
         noteValidity();
         if (std::exchange(m_isDueAgain, false))
             return renew();
-        return schedule(renewInterval);
+        return schedule(renewInterval());
     }
     bool isOwnChanged = true;
     RowVersion own;
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -33,6 +33,9 @@
     const InstanceId& instance() const { return m_instance; }
     const std::string& incarnation() const { return m_incarnation; }
 
+    /// Daemons that renew leases: the more there are, the less often each does, so that the platform is not called more.
+    void setDaemons(uint32_t daemons) { m_daemons = daemons; }
+
     /// Asked at each renewal for the number of callers' sessions.
     void onCountSessions(std::function<uint32_t()> callback) { m_countSessions = std::move(callback); }
 
@@ -43,9 +46,11 @@
     void readOwn();
     void renew();
     void schedule(Milliseconds);
-    void renewed(const absl::StatusOr<TransactionAnswer>&, Instant sentAt);
+    void renewed(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds length);
     void noteTime(Instant platformTime, Instant sentAt);
     void noteValidity();
+    Milliseconds renewInterval() const;
+    Milliseconds length() const;
 
     EventLoop& m_loop;
     PlatformRows& m_platform;
@@ -58,6 +63,7 @@
     RowVersion m_rowVersion;
     RowVersion m_epoch;
     Instant m_validUntil;
+    uint32_t m_daemons { 1 };
     bool m_wasValid { false };
     bool m_isRenewing { false };
     bool m_isDueAgain { false };
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -35,6 +35,7 @@
     Json::Value value(Json::objectValue);
     value["incarnation"] = row.incarnation;
     value["asked_at"] = row.askedAt.sinceEpoch();
+    value["length_ms"] = row.length.count();
     value["failure_domain"] = row.addresses.failureDomain.value();
     value["host"] = row.addresses.host;
     value["platform_port"] = row.addresses.platformPort;
@@ -55,11 +56,13 @@
         return makeError(ResultCode::MalformedInput, "a lease is no JSON object");
     const Json::Value& incarnation = value["incarnation"];
     const Json::Value& askedAt = value["asked_at"];
-    if (!incarnation.isString() || !askedAt.isNumeric())
+    const Json::Value& length = value["length_ms"];
+    if (!incarnation.isString() || !askedAt.isNumeric() || !length.isNumeric())
         return makeError(ResultCode::MissingField, "a lease lacks a field");
     LeaseRow row;
     row.incarnation = incarnation.asString();
     row.askedAt = Instant(askedAt.asDouble());
+    row.length = Milliseconds(length.asDouble());
     row.addresses = decodeAddresses(value);
     row.sessions = value["sessions"].isUInt() ? value["sessions"].asUInt() : 0;
     return row;
--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -25,16 +25,14 @@
     std::string incarnation;
     /// A moment on the platform's clock that is not before the lease was asked for.
     Instant askedAt;
+    /// How long it holds from then on.
+    Milliseconds length;
     /// Where the daemon passes other daemons' calls on to the platform, and where it takes statements.
     PeerAddresses addresses;
     /// Callers' sessions that it holds, by which connections to the targets are shared out.
     uint32_t sessions { 0 };
 };
 
-/// How long a lease holds. It is the longest time for which a daemon that went away can delay a change of primary, and
-/// the longest outage of the platform that leaves primaries in use.
-inline constexpr Milliseconds leaseLength { 3000 };
-
 std::string encodeLeaseRow(const LeaseRow&);
 absl::StatusOr<LeaseRow> decodeLeaseRow(const std::string&);
 
@@ -43,7 +41,7 @@
 {
     // Clocks of instances and platform run at the same rate within a few parts in a thousand.
     constexpr Milliseconds drift { 100 };
-    return row.askedAt + leaseLength + drift < platformNow;
+    return row.askedAt + row.length + drift < platformNow;
 }
 
 }
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -25,7 +25,7 @@
     // A long answer may be waited for in silence, so a path that was cut meanwhile is found by probes.
     constexpr int keepAliveIdleSeconds = 1;
     constexpr int keepAliveIntervalSeconds = 1;
-    constexpr int keepAliveProbes = 2;
+    constexpr int keepAliveProbes = 1;
 
     void setKeepAlive(Poco::Net::StreamSocket& socket)
     {
