--- a/src/platform_http/HttpPlatform.cpp
+++ b/src/platform_http/HttpPlatform.cpp
@@ -41,8 +41,7 @@
 }
 
 HttpPlatform::HttpPlatform(PollLoop& loop, WorkerPool& workers, const HttpPlatformSettings& settings)
-    : m_loop(loop)
-    , m_workers(workers)
+    : m_caller(loop, workers)
     , m_settings(settings)
     , m_onFailure(std::make_shared<std::function<void()>>())
 {
@@ -55,28 +54,11 @@
 
 void HttpPlatform::send(PlatformRequest request, Responded done)
 {
-    // The socket's timeouts bound each step, the timer bounds the whole; whichever comes first is the answer.
-    auto pending = std::make_shared<Responded>(std::move(done));
-    const auto finish = [pending, onFailure = m_onFailure](absl::StatusOr<PlatformResponse> response) {
-        auto function = std::exchange(*pending, nullptr);
-        if (!function)
-            return;
+    m_caller.call(m_settings.host, m_settings.port, m_settings.timeout, std::move(request), [onFailure = m_onFailure, done = std::move(done)](absl::StatusOr<PlatformResponse> response) {
         if (!response.ok() && *onFailure)
             (*onFailure)();
-        function(std::move(response));
-    };
-    const TimerId timer = m_loop.after(m_settings.timeout, [finish] { finish(makeError(ResultCode::PlatformUnavailable, "the platform did not answer in time")); });
-    const bool isTaken = m_workers.submit([&loop = m_loop, timer, finish, settings = m_settings, request = std::move(request)]() -> std::function<void()> {
-        auto response = exchangeWithPlatform(settings.host, settings.port, settings.timeout, request);
-        return [&loop, timer, finish, response = std::move(response)] {
-            loop.cancel(timer);
-            finish(response);
-        };
+        done(std::move(response));
     });
-    if (!isTaken) {
-        m_loop.cancel(timer);
-        m_loop.post([finish] { finish(makeError(ResultCode::PlatformUnavailable, "too many requests to the platform wait already")); });
-    }
 }
 
 void HttpPlatform::read(const std::string& key, ReadDone done)
--- a/src/platform_http/HttpPlatform.h
+++ b/src/platform_http/HttpPlatform.h
@@ -2,6 +2,7 @@
 
 #include "net/PollLoop.h"
 #include "net/WorkerPool.h"
+#include "platform_http/PlatformCaller.h"
 #include "platform_ports/PlatformPorts.h"
 
 namespace parsleypaddle {
@@ -36,8 +37,7 @@
 
     void send(PlatformRequest, Responded);
 
-    PollLoop& m_loop;
-    WorkerPool& m_workers;
+    PlatformCaller m_caller;
     HttpPlatformSettings m_settings;
     std::shared_ptr<std::function<void()>> m_onFailure;
     /// The list as it was last read, with its etag: it is long and seldom changes.
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -79,6 +79,9 @@
         Poco::Net::StreamSocket socket;
         socket.connect(address, std::min(timespanOf(timeout), timespanOf(longestConnect)));
         setKeepAlive(socket);
+        // A session over a connected socket does not pass its own timeouts on to it.
+        socket.setReceiveTimeout(timespanOf(timeout));
+        socket.setSendTimeout(timespanOf(timeout));
         Poco::Net::HTTPClientSession session(socket);
         session.setTimeout(timespanOf(timeout));
         sendRequest(session, address, request);
