--- /dev/null
+++ b/src/failover/FailoverScene.cpp
@@ -0,0 +1,184 @@
+#include "failover/FailoverScene.h"
+
+#include "leases/Epoch.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds promotionTime { 300 };
+    constexpr Milliseconds replicationInterval { 20 };
+
+    std::shared_ptr<const RouteTable> sceneRoutes()
+    {
+        auto table = std::make_shared<RouteTable>();
+        table->version = ConfigurationVersion(1);
+        table->transactionIdle = Milliseconds(3000);
+        table->groups[GroupId("group")].connections = 40;
+        Route route;
+        route.database = DatabaseId("orders");
+        route.group = GroupId("group");
+        route.statementTimeout = Milliseconds(800);
+        route.objective = Milliseconds(200);
+        table->routes[route.database] = std::make_shared<const Route>(route);
+        return table;
+    }
+
+}
+
+void ScenePromotions::promote(const GroupId&, const TargetId& target, const InstanceId& holder, RowVersion fence, Done done)
+{
+    ordered.push_back({ target, holder, fence, m_loop.now() });
+    if (m_targets[target].isDown) {
+        done(false);
+        return;
+    }
+    m_loop.after(promotionTime, [this, target, done] {
+        auto& promoted = m_targets[target];
+        if (!promoted.isPrimary || promoted.term < leading) {
+            leading = leading.next();
+            leadingSince = m_loop.now();
+            promoted.isPrimary = true;
+            promoted.term = leading;
+        }
+        if (!losesAnswers)
+            done(true);
+    });
+    if (losesAnswers)
+        m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("lost")); });
+}
+
+SceneDaemon::SceneDaemon(EventLoop& loop, FakeTables& tables, PromotionPort& promotions, SceneTargets& targets, const std::string& name, const std::string& incarnation)
+    : rows(loop, tables)
+    , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
+    , membership(loop, { InstanceId(name), FailureDomainId("domain-one"), name, 0, 0, false })
+    , lease(loop, rows, InstanceId(name), incarnation, {})
+    , board(loop, rows, InstanceId(name))
+    , keeper({ loop, rows, promotions, targets, lease, board, log })
+    , relay(loop, targets, lease, keeper, log, membership)
+    , control(loop, rows, controlTable, Milliseconds(5000), [this](const RowWatch::Rows& it) { keeper.setRows(it); }, [](const absl::Status&) {})
+{
+}
+
+FailoverScene::FailoverScene(size_t n)
+{
+    targets[TargetId("one")].isPrimary = true;
+    for (const std::string name : { "one", "two", "three" }) {
+        TargetEntry entry;
+        entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group"), false };
+        m_entries.push_back(entry);
+    }
+    daemons.resize(n);
+    for (size_t it = 0; it < n; ++it)
+        start(it);
+    replicate();
+    run(1000);
+}
+
+FailoverScene::~FailoverScene()
+{
+    for (auto& it : daemons)
+        it->rows.isCut = true;
+    loop.advance(Milliseconds(10'000));
+}
+
+void FailoverScene::run(double milliseconds)
+{
+    loop.advance(Milliseconds(milliseconds));
+}
+
+void FailoverScene::start(size_t daemon)
+{
+    const std::string name = "daemon-" + std::to_string(daemon);
+    daemons[daemon] = std::make_unique<SceneDaemon>(loop, tables, promotions, targets, name, std::to_string(++m_incarnations));
+    SceneDaemon& it = *daemons[daemon];
+    it.relay.setRoutes(sceneRoutes());
+    it.lease.start();
+    it.board.start([&it] { it.lease.setDaemons(it.board.daemons()); });
+    it.keeper.start(it.relay);
+    it.keeper.setTargets(m_entries);
+    it.relay.setTargets(m_entries);
+    it.control.start();
+}
+
+void FailoverScene::restart(size_t daemon, double pause)
+{
+    // What an ended process has under way reaches nobody any more.
+    daemons[daemon]->rows.isCut = true;
+    daemons[daemon]->lease.release([] {});
+    ended.push_back(std::move(daemons[daemon]));
+    loop.advance(Milliseconds(pause));
+    start(daemon);
+}
+
+void FailoverScene::spreadEntries()
+{
+    for (auto& it : daemons) {
+        it->keeper.setTargets(m_entries);
+        it->relay.setTargets(m_entries);
+    }
+}
+
+void FailoverScene::setLeaving(const std::string& target)
+{
+    for (auto& it : m_entries)
+        it.isLeaving = it.isLeaving || it.target.id == TargetId(target);
+    spreadEntries();
+}
+
+void FailoverScene::setListed(const std::string& target, bool isListed)
+{
+    m_entries.erase(std::remove_if(m_entries.begin(), m_entries.end(), [&target](const TargetEntry& it) { return it.target.id == TargetId(target); }), m_entries.end());
+    if (isListed) {
+        TargetEntry entry;
+        entry.target = { TargetId(target), { target, 1 }, FailureDomainId("domain-" + target), GroupId("group"), false };
+        m_entries.push_back(entry);
+    }
+    spreadEntries();
+}
+
+RelayError FailoverScene::write(size_t daemon)
+{
+    SceneCaller caller(daemons[daemon]->relay, "orders");
+    const size_t commits = targets.committed.size();
+    const Term leading = promotions.leading;
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    loop.runUntil([&caller] { return !caller.answers.empty(); }, Milliseconds(3000));
+    const RelayError error = caller.answers.empty() ? RelayError::TimedOut : caller.last().error;
+    const bool isAcknowledged = error == RelayError::None && targets.committed.size() > commits;
+    if (isAcknowledged && targets[targets.committed.back().target].term < leading)
+        ++staleWrites;
+    return error;
+}
+
+size_t FailoverScene::openOn(const std::string& target)
+{
+    return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&target](const auto& it) {
+        const PrimaryBelief belief = it->relay.findGroup(GroupId("group"))->primary();
+        return belief.isOpen && belief.primary == TargetId(target);
+    }));
+}
+
+// Replicas follow the primary of the highest term; a primary of a lower one joins them once it was told.
+void FailoverScene::replicate()
+{
+    const SceneTargets::Target* primary = nullptr;
+    for (const char* it : { "one", "two", "three" }) {
+        const auto& target = targets[TargetId(it)];
+        if (target.isPrimary && !target.isDown && !target.isSilent && (!primary || primary->term < target.term))
+            primary = &target;
+    }
+    for (const char* it : { "one", "two", "three" }) {
+        auto& target = targets[TargetId(it)];
+        if (!primary || target.isPrimary || target.isDown || target.isSilent)
+            continue;
+        target.term = primary->term;
+        target.applied = primary->applied;
+        target.received = primary->applied;
+    }
+    loop.after(replicationInterval, [this] { replicate(); });
+}
+
+}
--- /dev/null
+++ b/src/failover/FailoverTests.cpp
@@ -0,0 +1,254 @@
+#include "failover/FailoverScene.h"
+#include "leases/Epoch.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+namespace {
+
+/// Lets every daemon use the primary, as callers do all the time.
+void useEverywhere(FailoverScene& scene)
+{
+    for (size_t it = 0; it < scene.daemons.size(); ++it)
+        scene.write(it);
+}
+
+void runWithTraffic(FailoverScene& scene, double milliseconds)
+{
+    const Instant end = scene.loop.now() + Milliseconds(milliseconds);
+    while (scene.loop.now() < end) {
+        useEverywhere(scene);
+        scene.run(20);
+    }
+}
+
+bool fencesRise(const std::vector<OrderedPromotion>& ordered)
+{
+    for (size_t n = 1; n < ordered.size(); ++n) {
+        const bool isSameHolder = ordered[n].holder == ordered[n - 1].holder;
+        if (ordered[n].fence < ordered[n - 1].fence || (ordered[n].fence == ordered[n - 1].fence && !isSameHolder))
+            return false;
+    }
+    return true;
+}
+
+}
+
+TEST_CASE("daemons agree on the first primary and write to it", "[failover]")
+{
+    FailoverScene scene(3);
+    CHECK(scene.openOn("one") == 3);
+    for (size_t it = 0; it < 3; ++it)
+        CHECK(scene.write(it) == RelayError::None);
+}
+
+TEST_CASE("a primary that crashed is replaced within two seconds", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 2000);
+    CHECK(scene.openOn("one") == 0);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 5);
+    CHECK(scene.write(0) == RelayError::None);
+    CHECK(fencesRise(scene.promotions.ordered));
+}
+
+TEST_CASE("a primary that goes dark is replaced within three seconds", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.targets[TargetId("one")].isSilent = true;
+    runWithTraffic(scene, 3000);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 5);
+    CHECK(scene.write(2) == RelayError::None);
+}
+
+TEST_CASE("a primary that leaves as planned hands over to a replica with its whole log", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.setLeaving("one");
+    scene.run(2500);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 5);
+    CHECK(scene.targets[TargetId("two")].received == scene.targets[TargetId("one")].received);
+    CHECK(scene.write(0) == RelayError::None);
+    CHECK_FALSE(scene.targets[TargetId("one")].isPrimary);
+}
+
+// Pattern: a change begins while one daemon cannot reach the platform; its lease has to run out first.
+TEST_CASE("a daemon that is cut from the platform never writes to a replaced primary", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.daemons[4]->rows.isCut = true;
+    scene.run(100);
+    scene.setLeaving("one");
+    scene.run(600);
+    CHECK(scene.promotions.ordered.empty());
+    runWithTraffic(scene, 5000);
+    CHECK(scene.promotions.ordered.size() == 1);
+    CHECK(scene.write(4) == RelayError::Busy);
+    CHECK(scene.staleWrites == 0);
+    scene.daemons[4]->rows.isCut = false;
+    scene.run(2000);
+    CHECK(scene.write(4) == RelayError::None);
+}
+
+TEST_CASE("one daemon that cannot reach the primary does not have it replaced", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.daemons[0]->keeper.primaryFailed(GroupId("group"));
+    runWithTraffic(scene, 1000);
+    CHECK(scene.promotions.ordered.empty());
+    CHECK(scene.openOn("one") == 5);
+}
+
+// Pattern: targets that still count the connections of lost daemons refuse new ones.
+TEST_CASE("a full primary is not replaced", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.targets[TargetId("one")].isBusy = true;
+    runWithTraffic(scene, 2000);
+    CHECK(scene.promotions.ordered.empty());
+    scene.targets[TargetId("one")].isBusy = false;
+    CHECK(scene.write(0) == RelayError::None);
+}
+
+TEST_CASE("a primary that is back before it was replaced is opened again in its own term", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.daemons[4]->rows.isCut = true;
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 800);
+    CHECK(scene.openOn("one") <= 1);
+    scene.targets[TargetId("one")].isDown = false;
+    scene.run(600);
+    CHECK(scene.promotions.ordered.empty());
+    CHECK(scene.openOn("one") == 5);
+    CHECK(scene.write(0) == RelayError::None);
+}
+
+TEST_CASE("a change whose daemon died is carried out by another, with a greater fence", "[failover]")
+{
+    FailoverScene scene(5);
+    useEverywhere(scene);
+    scene.setLeaving("one");
+    // The owner is found in the record, and dies before it is done.
+    scene.loop.runUntil([&scene] {
+        const std::string* row = scene.tables.find(controlTable, "group/group");
+        return row && decodeGroupRecord(*row)->phase != GroupPhase::Open; }, Milliseconds(2000));
+    const auto record = decodeGroupRecord(*scene.tables.find(controlTable, "group/group"));
+    REQUIRE(record.ok());
+    const size_t owner = static_cast<size_t>(record->owner.value().back() - '0');
+    scene.restart(owner, 300);
+    scene.run(9000);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 5);
+    CHECK(fencesRise(scene.promotions.ordered));
+    CHECK(scene.write(0) == RelayError::None);
+}
+
+TEST_CASE("a promotion whose answer is lost is found out from the target", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.promotions.losesAnswers = true;
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 3000);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 3);
+    CHECK(scene.write(1) == RelayError::None);
+}
+
+// Pattern: the platform is silent for long, and the primary crashes meanwhile.
+TEST_CASE("an outage of the platform ends the leases, and its return brings them back", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    for (auto& it : scene.daemons)
+        it->rows.isCut = true;
+    scene.run(2000);
+    CHECK(scene.write(0) == RelayError::None);
+    scene.run(2000);
+    CHECK(scene.write(0) == RelayError::Busy);
+    scene.targets[TargetId("one")].isDown = true;
+    scene.run(1000);
+    for (auto& it : scene.daemons)
+        it->rows.isCut = false;
+    scene.run(1500);
+    runWithTraffic(scene, 2500);
+    CHECK(scene.write(0) == RelayError::None);
+    CHECK(scene.staleWrites == 0);
+}
+
+TEST_CASE("a lost history does not hide a change", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.tables.forgetHistory();
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 2500);
+    scene.tables.forgetHistory();
+    scene.run(200);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 3);
+}
+
+TEST_CASE("random faults never let a write to a replaced primary through, and fences only rise", "[failover]")
+{
+    const auto seed = GENERATE(range(1U, 31U));
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    FailoverScene scene(5);
+    const std::vector<std::string> names { "one", "two", "three" };
+    for (int step = 0; step < 25; ++step) {
+        const size_t daemon = random() % scene.daemons.size();
+        auto& rows = scene.daemons[daemon]->rows;
+        auto& target = scene.targets[TargetId(names[random() % names.size()])];
+        switch (random() % 7) {
+        case 0:
+            rows.isCut = !rows.isCut;
+            break;
+        case 1:
+            rows.losesAnswers = !rows.losesAnswers;
+            break;
+        case 2:
+            rows.appliesLate = rows.appliesLate > Milliseconds(0) ? Milliseconds(0) : Milliseconds(static_cast<double>(200 + random() % 3000));
+            break;
+        case 3:
+            target.isDown = !target.isDown;
+            break;
+        case 4:
+            target.isSilent = !target.isSilent;
+            break;
+        case 5:
+            scene.restart(daemon, static_cast<double>(50 + random() % 500));
+            break;
+        default:
+            scene.promotions.losesAnswers = !scene.promotions.losesAnswers;
+            break;
+        }
+        for (int n = 0; n < 3; ++n) {
+            scene.write(random() % scene.daemons.size());
+            scene.run(static_cast<double>(random() % 400));
+        }
+    }
+    CHECK(scene.staleWrites == 0);
+    CHECK(fencesRise(scene.promotions.ordered));
+    // Once all is well again, so is the service.
+    for (auto& it : scene.daemons) {
+        it->rows.isCut = false;
+        it->rows.losesAnswers = false;
+        it->rows.appliesLate = Milliseconds(0);
+    }
+    scene.promotions.losesAnswers = false;
+    for (const auto& it : names) {
+        scene.targets[TargetId(it)].isDown = false;
+        scene.targets[TargetId(it)].isSilent = false;
+    }
+    runWithTraffic(scene, 12'000);
+    CHECK(scene.write(0) == RelayError::None);
+}
--- /dev/null
+++ b/src/platform_ports/FakeRows.cpp
@@ -0,0 +1,183 @@
+#include "platform_ports/FakeRows.h"
+
+#include "base/ResultCode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds callTime { 4 };
+    constexpr Milliseconds callTimeout { 900 };
+
+    absl::Status noAnswer()
+    {
+        return makeError(ResultCode::PlatformUnavailable, "no answer");
+    }
+
+}
+
+void FakeTables::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    RowsTransaction transaction;
+    transaction.writes.push_back({ table, key, value });
+    apply(transaction);
+}
+
+void FakeTables::remove(const std::string& table, const std::string& key)
+{
+    RowsTransaction transaction;
+    transaction.removals.push_back({ table, key });
+    apply(transaction);
+}
+
+const std::string* FakeTables::find(const std::string& table, const std::string& key) const
+{
+    auto it = m_rows.find({ table, key });
+    return it == m_rows.end() || it->second.isDeleted ? nullptr : &it->second.value;
+}
+
+void FakeTables::forgetHistory()
+{
+    m_historyFrom = m_version;
+    notify();
+}
+
+RowVersion FakeTables::versionOf(const Name& name) const
+{
+    auto it = m_rows.find(name);
+    return it == m_rows.end() || it->second.isDeleted ? RowVersion() : it->second.version;
+}
+
+TransactionAnswer FakeTables::apply(const RowsTransaction& transaction)
+{
+    TransactionAnswer answer;
+    answer.platformTime = time();
+    answer.isApplied = std::all_of(transaction.expected.begin(), transaction.expected.end(), [this](const RowExpectation& it) { return versionOf({ it.table, it.key }) == it.version; });
+    answer.version = m_version;
+    if (!answer.isApplied) {
+        for (const auto& it : transaction.expected) {
+            if (versionOf({ it.table, it.key }) != RowVersion())
+                answer.rows.push_back({ it.table, it.key, m_rows[{ it.table, it.key }].value, versionOf({ it.table, it.key }) });
+        }
+        return answer;
+    }
+    m_version = m_version.next();
+    answer.version = m_version;
+    for (const auto& it : transaction.writes)
+        m_rows[{ it.table, it.key }] = { it.value, m_version, false };
+    for (const auto& it : transaction.removals)
+        m_rows[{ it.table, it.key }] = { "", m_version, true };
+    notify();
+    return answer;
+}
+
+RowsAnswer FakeTables::readAll(const std::string& table) const
+{
+    RowsAnswer answer;
+    answer.version = m_version;
+    answer.platformTime = time();
+    for (const auto& [name, row] : m_rows) {
+        if (name.first == table && !row.isDeleted)
+            answer.rows.push_back({ table, name.second, row.value, row.version });
+    }
+    return answer;
+}
+
+RowsAnswer FakeTables::changes(const std::string& table, RowVersion after) const
+{
+    RowsAnswer answer;
+    answer.version = m_version;
+    answer.platformTime = time();
+    answer.isHistoryLost = after < m_historyFrom;
+    for (const auto& [name, row] : m_rows) {
+        if (name.first == table && row.version > after)
+            answer.rows.push_back({ table, name.second, row.value, row.version, row.isDeleted });
+    }
+    std::sort(answer.rows.begin(), answer.rows.end(), [](const StoredRow& a, const StoredRow& b) { return a.version < b.version; });
+    return answer;
+}
+
+void FakeTables::notify()
+{
+    const auto watchers = std::exchange(m_watchers, {});
+    for (const auto& weak : watchers) {
+        if (auto watcher = weak.lock())
+            (*watcher)();
+    }
+}
+
+FakeRows::FakeRows(EventLoop& loop, FakeTables& tables)
+    : m_loop(loop)
+    , m_tables(tables)
+{
+}
+
+void FakeRows::readAll(const std::string& table, RowsDone done)
+{
+    if (isCut) {
+        m_loop.after(callTimeout, [done] { done(noAnswer()); });
+        return;
+    }
+    m_loop.after(callTime, [this, table, done, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired())
+            done(m_tables.readAll(table));
+    });
+}
+
+void FakeRows::transact(const RowsTransaction& transaction, TransactionDone done)
+{
+    const bool isLost = isCut || losesAnswers || appliesLate > Milliseconds(0);
+    if (!isCut) {
+        m_loop.after(callTime + appliesLate, [this, transaction, done, isLost, alive = std::weak_ptr<bool>(m_alive)] {
+            const TransactionAnswer answer = m_tables.apply(transaction);
+            if (!isLost && !alive.expired())
+                done(answer);
+        });
+    }
+    if (isLost)
+        m_loop.after(callTimeout, [done] { done(noAnswer()); });
+}
+
+/// A watch that waits for a change.
+struct FakeRows::Watch {
+    RowsDone done;
+    std::shared_ptr<std::function<void()>> notified;
+};
+
+void FakeRows::watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone done)
+{
+    if (isCut) {
+        m_loop.after(callTimeout, [done] { done(noAnswer()); });
+        return;
+    }
+    auto watch = std::make_shared<Watch>();
+    watch->done = std::move(done);
+    watch->notified = std::make_shared<std::function<void()>>();
+    const auto answer = [this, table, after, weak = std::weak_ptr<bool>(m_alive)](const std::shared_ptr<Watch>& it) {
+        if (weak.expired())
+            return;
+        if (auto function = std::exchange(it->done, nullptr))
+            m_loop.after(callTime, [this, table, after, weak, function] {
+                if (!weak.expired())
+                    function(isCut ? absl::StatusOr<RowsAnswer>(noAnswer()) : m_tables.changes(table, after));
+            });
+    };
+    std::weak_ptr<Watch> weakWatch = watch;
+    *watch->notified = [this, table, after, answer, weakWatch] {
+        auto it = weakWatch.lock();
+        if (!it)
+            return;
+        const RowsAnswer changes = m_tables.changes(table, after);
+        if (!changes.rows.empty() || changes.isHistoryLost)
+            answer(it);
+        else
+            m_tables.m_watchers.push_back(it->notified);
+    };
+    (*watch->notified)();
+    m_loop.after(wait, [watch, answer] { answer(watch); });
+}
+
+}
--- /dev/null
+++ b/src/platform_ports/FakeRows.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// The platform's tables for tests: linearizable rows with versions and watches.
+class FakeTables {
+public:
+    explicit FakeTables(EventLoop& loop)
+        : m_loop(loop)
+    {
+    }
+
+    /// Writes a row as operators and targets do.
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    const std::string* find(const std::string& table, const std::string& key) const;
+
+    /// Forgets which rows changed when, so that watches have to read anew.
+    void forgetHistory();
+
+private:
+    friend class FakeRows;
+
+    struct Row {
+        std::string value;
+        RowVersion version;
+        bool isDeleted { false };
+    };
+    using Name = std::pair<std::string, std::string>;
+
+    RowVersion versionOf(const Name&) const;
+    TransactionAnswer apply(const RowsTransaction&);
+    RowsAnswer readAll(const std::string& table) const;
+    RowsAnswer changes(const std::string& table, RowVersion after) const;
+    Instant time() const { return Instant(m_loop.now().sinceEpoch() - clockOffset); }
+    void notify();
+
+    /// The platform's clock has a zero of its own.
+    static constexpr double clockOffset = 1'600'000'000'000.0;
+
+    EventLoop& m_loop;
+    std::map<Name, Row> m_rows;
+    RowVersion m_version { 1 };
+    RowVersion m_historyFrom;
+    std::vector<std::weak_ptr<std::function<void()>>> m_watchers;
+};
+
+/// One daemon's way to the tables, with faults.
+class FakeRows final : public PlatformRows {
+public:
+    FakeRows(EventLoop&, FakeTables&);
+
+    void readAll(const std::string& table, RowsDone) override;
+    void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) override;
+    void transact(const RowsTransaction&, TransactionDone) override;
+
+    /// Nothing arrives and nothing is answered.
+    bool isCut { false };
+    /// Transactions are applied, and their answers are lost.
+    bool losesAnswers { false };
+    /// Transactions are applied so much later, if their conditions still hold then, and their answers are lost.
+    Milliseconds appliesLate;
+
+private:
+    struct Watch;
+
+    EventLoop& m_loop;
+    FakeTables& m_tables;
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+}
