--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -58,7 +58,8 @@
     , board(loop, rows, InstanceId(name))
     , keeper({ loop, rows, promotions, targets, lease, board, log })
     , relay(loop, targets, lease, keeper, log, membership)
-    , control(loop, rows, controlTable, Milliseconds(5000), [this](const RowWatch::Rows& it) { keeper.setRows(it); }, [](const absl::Status&) {})
+    , control(
+          loop, rows, controlTable, Milliseconds(5000), [this](const RowWatch::Rows& it) { keeper.setRows(it); }, [](const absl::Status&) {})
 {
 }
 
--- a/src/failover/FailoverScene.h
+++ b/src/failover/FailoverScene.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "failover/PrimaryKeeper.h"
 #include "directory/RowWatch.h"
+#include "failover/PrimaryKeeper.h"
 #include "platform_ports/FakeRows.h"
 #include "relay/RelayScene.h"
 
