--- a/src/net/TcpListener.cpp
+++ b/src/net/TcpListener.cpp
@@ -18,15 +18,15 @@
         socket.bind(Poco::Net::SocketAddress(host, port), true);
         socket.listen(backlog);
         socket.setBlocking(false);
-        return std::unique_ptr<TcpListener>(new TcpListener(loop, std::move(socket), std::move(accepted)));
+        return std::unique_ptr<TcpListener>(new TcpListener(loop, socket, std::move(accepted)));
     } catch (const Poco::Exception& ec) {
         return absl::UnavailableError("cannot listen on " + host + ":" + std::to_string(port) + ": " + ec.displayText());
     }
 }
 
-TcpListener::TcpListener(PollLoop& loop, Poco::Net::ServerSocket socket, Accepted accepted)
+TcpListener::TcpListener(PollLoop& loop, const Poco::Net::ServerSocket& socket, Accepted accepted)
     : m_loop(loop)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
     , m_accepted(std::move(accepted))
 {
     m_loop.watch(m_socket.impl()->sockfd(), Readiness::Read, [this](Readiness) { accept(); });
--- a/src/net/TcpListener.h
+++ b/src/net/TcpListener.h
@@ -18,7 +18,7 @@
     ~TcpListener();
 
 private:
-    TcpListener(PollLoop&, Poco::Net::ServerSocket, Accepted);
+    TcpListener(PollLoop&, const Poco::Net::ServerSocket&, Accepted);
 
     void accept();
 
--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -39,7 +39,7 @@
         Poco::Net::StreamSocket socket;
         socket.connectNB(Poco::Net::SocketAddress(host, port));
         setUp(socket);
-        std::shared_ptr<TcpStream> stream(new TcpStream(loop, std::move(socket)));
+        std::shared_ptr<TcpStream> stream(new TcpStream(loop, socket));
         stream->m_waitsToWrite = true;
         return stream;
     } catch (const Poco::Exception& ec) {
@@ -47,9 +47,9 @@
     }
 }
 
-std::shared_ptr<TcpStream> TcpStream::adopt(PollLoop& loop, Poco::Net::StreamSocket socket)
+std::shared_ptr<TcpStream> TcpStream::adopt(PollLoop& loop, const Poco::Net::StreamSocket& socket)
 {
-    std::shared_ptr<TcpStream> stream(new TcpStream(loop, std::move(socket)));
+    std::shared_ptr<TcpStream> stream(new TcpStream(loop, socket));
     try {
         setUp(stream->m_socket);
     } catch (const Poco::Exception&) {
@@ -59,9 +59,9 @@
     return stream;
 }
 
-TcpStream::TcpStream(PollLoop& loop, Poco::Net::StreamSocket socket)
+TcpStream::TcpStream(PollLoop& loop, const Poco::Net::StreamSocket& socket)
     : m_loop(loop)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
 {
 }
 
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -24,7 +24,7 @@
     /// Starts to connect; bytes sent before it is open are kept. Error: an address that cannot be used.
     static absl::StatusOr<std::shared_ptr<TcpStream>> connect(PollLoop&, const std::string& host, uint16_t port);
     /// Takes over an accepted connection.
-    static std::shared_ptr<TcpStream> adopt(PollLoop&, Poco::Net::StreamSocket);
+    static std::shared_ptr<TcpStream> adopt(PollLoop&, const Poco::Net::StreamSocket&);
     ~TcpStream();
 
     /// Both are called from the loop; `closed` once, also when the connection could not be opened.
@@ -39,7 +39,7 @@
     size_t unsent() const { return m_unsent.size(); }
 
 private:
-    TcpStream(PollLoop&, Poco::Net::StreamSocket);
+    TcpStream(PollLoop&, const Poco::Net::StreamSocket&);
 
     void ready(Readiness);
     bool receive();
