--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -57,7 +57,7 @@
     , lease(loop, rows, InstanceId(name), incarnation, {})
     , board(loop, rows, InstanceId(name))
     , keeper({ loop, rows, promotions, targets, lease, board, log })
-    , relay(loop, targets, lease, keeper, log, membership)
+    , relay(loop, targets, lease, keeper, log, metrics, membership)
     , control(
           loop, rows, controlTable, Milliseconds(5000), [this](const RowWatch::Rows& it) { keeper.setRows(it); }, [](const absl::Status&) {})
 {
--- a/src/failover/FailoverScene.h
+++ b/src/failover/FailoverScene.h
@@ -48,6 +48,7 @@
     FakeRows rows;
     std::vector<std::string> logLines;
     DecisionLog log;
+    Metrics metrics { MetricsLimits {} };
     Membership membership;
     InstanceLease lease;
     LeaseBoard board;
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -12,12 +12,13 @@
 
 }
 
-Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Membership& membership)
+Relay::Relay(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Metrics& metrics, Membership& membership)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
     , m_log(log)
+    , m_metrics(metrics)
     , m_membership(membership)
 {
     tidy();
@@ -78,7 +79,7 @@
 {
     auto& slot = m_groups[group];
     if (!slot)
-        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, m_log, m_membership, group);
+        slot = std::make_unique<RelayGroup>(m_loop, m_connector, m_lease, m_observer, m_log, m_metrics, m_membership, group);
     return *slot;
 }
 
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -15,7 +15,7 @@
 /// One daemon's callers and groups: statements go from the first to the second by the routes in force.
 class Relay {
 public:
-    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Membership&);
+    Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Metrics&, Membership&);
     ~Relay();
 
     /// Takes over routes that are newer than those in force; older ones are ignored.
@@ -52,6 +52,7 @@
     const PrimaryLease& m_lease;
     PrimaryObserver& m_observer;
     DecisionLog& m_log;
+    Metrics& m_metrics;
     Membership& m_membership;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<TargetEntry> m_targets;
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -25,12 +25,13 @@
 
 }
 
-RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Membership& membership, GroupId id)
+RelayGroup::RelayGroup(EventLoop& loop, TargetConnector& connector, const PrimaryLease& lease, PrimaryObserver& observer, DecisionLog& log, Metrics& metrics, Membership& membership, GroupId id)
     : m_loop(loop)
     , m_connector(connector)
     , m_lease(lease)
     , m_observer(observer)
     , m_log(log)
+    , m_metrics(metrics)
     , m_id(std::move(id))
     , m_membership(membership)
 {
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -7,6 +7,7 @@
 #include "relay/RelayTarget.h"
 #include "scheduling/RetryBudget.h"
 #include "telemetry/DecisionLog.h"
+#include "telemetry/Metrics.h"
 
 #include <map>
 #include <memory>
@@ -48,7 +49,7 @@
 /// One daemon's use of one database group for its callers.
 class RelayGroup {
 public:
-    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Membership&, GroupId);
+    RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Metrics&, Membership&, GroupId);
 
     /// Takes over what the platform's list says of the group's targets.
     void setTargets(const std::vector<TargetEntry>&);
@@ -73,6 +74,7 @@
     EventLoop& loop() { return m_loop; }
     PrimaryObserver& observer() { return m_observer; }
     DecisionLog& log() { return m_log; }
+    Metrics& metrics() { return m_metrics; }
     bool isLeaseValid() const { return m_lease.isValid(); }
     const GroupId& id() const { return m_id; }
     RetryBudget& retries() { return m_retries; }
@@ -102,6 +104,7 @@
     const PrimaryLease& m_lease;
     PrimaryObserver& m_observer;
     DecisionLog& m_log;
+    Metrics& m_metrics;
     GroupId m_id;
     Membership& m_membership;
     uint32_t m_connections { 1 };
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -291,6 +291,7 @@
     m_isDone = true;
     m_use.reset();
     releaseSlot();
+    measureStatement(m_group, m_job, answer.error);
     m_result.answer = std::move(answer);
     m_job.done(std::move(m_result));
 }
--- a/src/relay/RelayScene.cpp
+++ b/src/relay/RelayScene.cpp
@@ -173,7 +173,7 @@
 
 RelayScene::RelayScene()
     : membership(loop, { InstanceId("self"), FailureDomainId("domain-one"), "self", 1, 0, false })
-    , relay(loop, targets, *this, *this, log, membership)
+    , relay(loop, targets, *this, *this, log, metrics, membership)
 {
     auto table = std::make_shared<RouteTable>();
     table->version = ConfigurationVersion(1);
--- a/src/relay/RelayScene.h
+++ b/src/relay/RelayScene.h
@@ -112,6 +112,7 @@
     uint32_t primaryAnswers { 0 };
     uint32_t primaryFailures { 0 };
     std::vector<std::string> logLines;
+    Metrics metrics { MetricsLimits {} };
     Membership membership;
     DecisionLog log { loop, "scene", [this](const std::string& line) { logLines.push_back(line); } };
     Relay relay;
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -180,6 +180,7 @@
 void RelayTransaction::finish(RelayAnswer answer)
 {
     m_isRunning = false;
+    measureStatement(m_group, m_job, answer.error);
     m_result.answer = std::move(answer);
     auto done = std::move(m_job.done);
     done(std::move(m_result));
--- a/src/relay/StatementLog.cpp
+++ b/src/relay/StatementLog.cpp
@@ -1,5 +1,7 @@
 #include "relay/StatementLog.h"
 
+#include "base/ResultCode.h"
+
 #include <array>
 
 namespace parsleypaddle {
@@ -8,6 +10,33 @@
 
     constexpr std::array<const char*, 13> errorNames { "none", "busy", "aborted", "lagging", "read_only", "misrouted", "too_many_connections", "unknown_database", "malformed", "unknown_statement", "failed", "in_doubt", "timed_out" };
 
+    struct ErrorCode {
+        RelayError error;
+        ResultCode code;
+    };
+
+    /// Errors as the metrics tell them; all others are unknown outcomes.
+    constexpr std::array<ErrorCode, 9> errorCodes { {
+        { RelayError::None, ResultCode::Done },
+        { RelayError::Busy, ResultCode::Overloaded },
+        { RelayError::Aborted, ResultCode::TransactionEnded },
+        { RelayError::Lagging, ResultCode::TargetBehind },
+        { RelayError::ReadOnly, ResultCode::NoPrimary },
+        { RelayError::UnknownDatabase, ResultCode::UnknownDatabase },
+        { RelayError::UnknownStatement, ResultCode::UnknownResource },
+        { RelayError::Failed, ResultCode::StatementFailed },
+        { RelayError::TimedOut, ResultCode::TargetSilent },
+    } };
+
+    ResultCode codeOf(RelayError error)
+    {
+        for (const auto& it : errorCodes) {
+            if (it.error == error)
+                return it.code;
+        }
+        return ResultCode::OutcomeUnknown;
+    }
+
     std::string beliefOf(const PrimaryBelief& belief)
     {
         return belief.primary.value() + " in term " + std::to_string(belief.term.value()) + (belief.isOpen ? ", open" : ", being replaced");
@@ -34,4 +63,15 @@
                              });
 }
 
+void measureStatement(RelayGroup& group, const RelayJob& job, RelayError error)
+{
+    RequestMeasure measure;
+    measure.shop = job.caller;
+    measure.workload = ClassName(job.route->database.value());
+    measure.code = codeOf(error);
+    measure.total = group.loop().now() - job.arrived;
+    measure.wasRead = !job.isWrite && !job.opens;
+    group.metrics().noteRequest(measure);
+}
+
 }
