--- a/src/pq/PipelineStep.cpp
+++ b/src/pq/PipelineStep.cpp
@@ -92,6 +92,9 @@
         return recoveryPipeline();
     case TargetOperation::Settle:
         return { check("begin", "BEGIN"), guardWrite(batch), ledgerSettle(batch), commit(), status() };
+    case TargetOperation::Relay:
+        // Relayed sessions speak another protocol; this connector is never given one.
+        break;
     }
     return {};
 }
