--- /dev/null
+++ b/src/directory/TargetRoster.cpp
@@ -0,0 +1,53 @@
+#include "directory/TargetRoster.h"
+
+#include <algorithm>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Two seconds for a living target to be back in the list, and some to hear of it.
+    constexpr Milliseconds missingGrace { 2500 };
+
+}
+
+void TargetRoster::take(std::vector<TargetEntry> listed, Instant now)
+{
+    for (auto& [id, known] : m_known) {
+        if (!known.missingSince)
+            known.missingSince = now;
+    }
+    for (auto& it : listed) {
+        const TargetId id = it.target.id;
+        m_known[id] = { std::move(it), std::nullopt };
+    }
+}
+
+std::vector<TargetEntry> TargetRoster::targets(Instant now)
+{
+    std::vector<TargetEntry> targets;
+    for (auto it = m_known.begin(); it != m_known.end();) {
+        const auto& missingSince = it->second.missingSince;
+        if (missingSince && *missingSince + missingGrace <= now) {
+            it = m_known.erase(it);
+            continue;
+        }
+        targets.push_back(it->second.entry);
+        ++it;
+    }
+    return targets;
+}
+
+std::optional<Instant> TargetRoster::nextChange() const
+{
+    std::optional<Instant> next;
+    for (const auto& [id, known] : m_known) {
+        if (!known.missingSince)
+            continue;
+        const Instant end = *known.missingSince + missingGrace;
+        next = next ? std::min(*next, end) : end;
+    }
+    return next;
+}
+
+}
--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -90,7 +90,7 @@
     loop.advance(Milliseconds(milliseconds));
 }
 
-void FailoverScene::start(size_t daemon)
+void FailoverScene::start(size_t daemon, double listDelay)
 {
     const std::string name = "daemon-" + std::to_string(daemon);
     daemons[daemon] = std::make_unique<SceneDaemon>(loop, tables, promotions, targets, name, std::to_string(++m_incarnations));
@@ -99,19 +99,21 @@
     it.lease.start();
     it.board.start([&it] { it.lease.setDaemons(it.board.daemons()); });
     it.keeper.start(it.relay);
-    it.keeper.setTargets(m_entries);
-    it.relay.setTargets(m_entries);
+    loop.after(Milliseconds(listDelay), [this, &it] {
+        it.keeper.setTargets(m_entries);
+        it.relay.setTargets(m_entries);
+    });
     it.control.start();
 }
 
-void FailoverScene::restart(size_t daemon, double pause)
+void FailoverScene::restart(size_t daemon, double pause, double listDelay)
 {
     // What an ended process has under way reaches nobody any more.
     daemons[daemon]->rows.isCut = true;
     daemons[daemon]->lease.release([] {});
     ended.push_back(std::move(daemons[daemon]));
     loop.advance(Milliseconds(pause));
-    start(daemon);
+    start(daemon, listDelay);
 }
 
 void FailoverScene::spreadEntries()
--- a/src/failover/FailoverScene.h
+++ b/src/failover/FailoverScene.h
@@ -65,7 +65,8 @@
 
     void run(double milliseconds);
     /// Ends the process of a daemon without a word, and starts another one in its place after `pause`.
-    void restart(size_t daemon, double pause);
+    /// It hears the platform's list `listDelay` after its start.
+    void restart(size_t daemon, double pause, double listDelay = 0);
     void setLeaving(const std::string& target);
     /// Adds or removes a target in the platform's list.
     void setListed(const std::string& target, bool isListed);
@@ -84,7 +85,7 @@
     uint32_t staleWrites { 0 };
 
 private:
-    void start(size_t daemon);
+    void start(size_t daemon, double listDelay = 0);
     void spreadEntries();
     void replicate();
 
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -97,6 +97,30 @@
     CHECK(scene.write(4) == RelayError::None);
 }
 
+TEST_CASE("a primary that is gone from the platform's list is replaced", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.targets[TargetId("one")].isDown = true;
+    scene.setListed("one", false);
+    scene.run(3000);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 3);
+    scene.setListed("one", true);
+    scene.targets[TargetId("one")].isDown = false;
+    CHECK(scene.write(0) == RelayError::None);
+}
+
+// Pattern: a daemon starts and hears of the primaries before it has read the list of targets.
+TEST_CASE("a daemon that has not read the list yet misses no primary", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.restart(0, 100, 1500);
+    scene.run(3000);
+    CHECK(scene.promotions.ordered.empty());
+    CHECK(scene.openOn("one") == 3);
+}
+
 TEST_CASE("one daemon that cannot reach the primary does not have it replaced", "[failover]")
 {
     FailoverScene scene(5);
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// A target that is missing from the platform's list may be back within two seconds after an outage of the platform.
-    constexpr Milliseconds missingGrace { 2500 };
     /// Daemons begin a change one after the other, so that they do not all write at once.
     constexpr Milliseconds stagger { 80 };
     /// Statements and transactions at a primary that leaves as planned have this long to end.
@@ -85,6 +83,7 @@
 void GroupKeeper::setEntries(std::vector<TargetEntry> entries)
 {
     m_entries = std::move(entries);
+    m_isListed = true;
 }
 
 void GroupKeeper::primaryAnswered()
@@ -121,7 +120,8 @@
 {
     if (!m_isReleased)
         release(group);
-    if (m_isWriting)
+    // Before the list was read every primary would seem to be missing.
+    if (m_isWriting || !m_isListed)
         return;
     if (!m_record)
         return bootstrap();
@@ -182,7 +182,7 @@
     const Milliseconds turn = stagger * m_context.board.rankFor(m_group);
     if (m_leavingSince && now >= *m_leavingSince + turn)
         return beginChange(true, "the primary is leaving");
-    if (m_missingSince && now >= *m_missingSince + missingGrace + turn)
+    if (m_missingSince && now >= *m_missingSince + turn)
         return beginChange(false, "the primary is missing from the platform's list");
     const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
     if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion)
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -80,6 +80,8 @@
     RowVersion m_epoch;
     Instant m_recordSince;
     std::vector<TargetEntry> m_entries;
+    /// Whether the platform's list of targets is known.
+    bool m_isListed { false };
     std::set<InstanceId> m_suspicions;
 
     // Of an open primary.
--- a/src/failover/PrimaryKeeper.cpp
+++ b/src/failover/PrimaryKeeper.cpp
@@ -44,8 +44,11 @@
 GroupKeeper& PrimaryKeeper::keeperOf(const GroupId& group)
 {
     auto& keeper = m_keepers[group];
-    if (!keeper)
+    if (!keeper) {
         keeper = std::make_unique<GroupKeeper>(m_context, group);
+        if (m_areTargetsKnown)
+            keeper->setEntries({});
+    }
     return *keeper;
 }
 
@@ -73,6 +76,7 @@
 
 void PrimaryKeeper::setTargets(const std::vector<TargetEntry>& entries)
 {
+    m_areTargetsKnown = true;
     std::map<GroupId, std::vector<TargetEntry>> byGroup;
     for (const auto& it : entries)
         byGroup[it.target.group].push_back(it);
--- a/src/failover/PrimaryKeeper.h
+++ b/src/failover/PrimaryKeeper.h
@@ -34,6 +34,7 @@
     std::map<GroupId, std::unique_ptr<GroupKeeper>> m_keepers;
     RowVersion m_epoch;
     bool m_isKnown { false };
+    bool m_areTargetsKnown { false };
     TimerId m_timer { TimerId::None };
 };
 
