--- a/src/tool/Commands.cpp
+++ b/src/tool/Commands.cpp
@@ -18,6 +18,7 @@
         { "group list", "", 0, "prints the database groups and their targets", {}, runGroupList },
         { "status", "", 0, "prints each daemon's version in force and each group's term, primary, lag and home", {}, runStatus },
         { "explain group", "DATABASE", 1, "prints what was decided on a group, when and why", {}, runExplainGroup },
+        { "explain log", "REQUEST-ID FILE", 2, "prints the story of a request from daemons' log lines in a file (- for standard input)", {}, runExplainLog },
         { "explain", "REQUEST-ID", 1, "prints what was decided on a request, when and why", {}, runExplainRequest },
         { "drain", "", 0, "makes the one daemon named by --daemon leave once its requests have ended", {}, runDrain },
     };
--- a/src/tool/Commands.h
+++ b/src/tool/Commands.h
@@ -36,6 +36,7 @@
 ExitCode runStatus(ToolContext&);
 ExitCode runExplainRequest(ToolContext&);
 ExitCode runExplainGroup(ToolContext&);
+ExitCode runExplainLog(ToolContext&);
 ExitCode runDrain(ToolContext&);
 
 }
--- a/src/tool/ToolTests.cpp
+++ b/src/tool/ToolTests.cpp
@@ -4,6 +4,7 @@
 #include "operations/Operations.h"
 #include "tool/Commands.h"
 
+#include <Poco/TemporaryFile.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
@@ -304,7 +305,6 @@
     CHECK(loadKey(path).value() == "bare");
     std::ofstream(path) << "\n";
     CHECK(resultCodeOf(loadKey(path).status()) == ResultCode::KeyRefused);
-    std::remove(path.c_str());
     CHECK_FALSE(loadKey("no-such-file").ok());
 }
 
@@ -322,3 +322,25 @@
         CHECK(page.find(group) != std::string::npos);
     }
 }
+
+TEST_CASE("explain log tells a request's story with the beliefs that decided it", "[tool]")
+{
+    ToolFixture fixture;
+    const Poco::TemporaryFile file;
+    const std::string& path = file.path();
+    std::ofstream(path) << R"(33.1 b {"at_ms":1000,"instance":"b","event":"lease_lost"}
+not a line of ours
+{"at_ms":900,"instance":"a","event":"primary_record","group":"g","phase":"1"}
+{"at_ms":950,"instance":"a","event":"primary_record","group":"other","phase":"1"}
+{"at_ms":1100,"instance":"b","event":"statement_refused","group":"g","request":"r1","why":"the primary cannot be used now"}
+{"at_ms":1200,"instance":"b","event":"lease_gained"}
+)";
+    CHECK(fixture.run({ "explain", "log", "r1", path }) == ExitCode::Done);
+    const std::string out = fixture.out.str();
+    CHECK(out.find("primary_record") < out.find("lease_lost"));
+    CHECK(out.find("lease_lost") < out.find("the primary cannot be used now"));
+    CHECK_FALSE(contains(fixture.out, "lease_gained"));
+    CHECK_FALSE(contains(fixture.out, "other"));
+    CHECK(fixture.run({ "explain", "log", "r2", path }) == ExitCode::NotFound);
+    std::remove(path.c_str());
+}
