--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -185,10 +185,11 @@
     if (m_missingSince && now >= *m_missingSince + turn)
         return beginChange(false, "the primary is missing from the platform's list");
     const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
+    const bool isMost = m_suspicions.size() * 2 > m_context.board.daemons();
+    if (isSuspect && isMost)
+        return beginChange(false, "most daemons cannot reach the primary");
     if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion)
         return noteSuspicion(true);
-    if (isSuspect && m_suspicions.size() * 2 > m_context.board.daemons())
-        return beginChange(false, "most daemons cannot reach the primary");
     if (m_isToProbe && entry)
         probePrimary();
 }
