--- a/src/tool/ExplainLog.cpp
+++ b/src/tool/ExplainLog.cpp
@@ -65,8 +65,10 @@
         for (const auto& name : line.fields.getMemberNames()) {
             const bool isColumn = name == "at_ms" || name == "instance" || name == "event" || name == "group";
             const std::string value = line.fields[name].isString() ? line.fields[name].asString() : "";
-            if (!isColumn && !value.empty())
-                details += (details.empty() ? "" : ", ") + name + "=" + value;
+            if (isColumn || value.empty())
+                continue;
+            details += details.empty() ? "" : ", ";
+            details.append(name).append("=").append(value);
         }
         return details;
     }
