Remove what nothing asks any more of the row watch and the platform's path

Cause: TargetRoster took over the grace of lapsed targets, so the watch's note since when the platform answers had no reader; neither had PlatformPath::isDirect. No behaviour changes: directory-tests and failover-tests pass as before.

--- a/src/directory/PlatformPath.h
+++ b/src/directory/PlatformPath.h
@@ -30,8 +30,6 @@
     /// How the call went that chose `way`.
     void report(const Way&, bool isReached, Instant now);
 
-    bool isDirect() const { return m_failures == 0; }
-
 private:
     TargetAddress m_direct;
     std::vector<TargetAddress> m_peers;
--- a/src/directory/RowWatch.cpp
+++ b/src/directory/RowWatch.cpp
@@ -87,10 +87,6 @@
 void RowWatch::answered(const absl::Status& status)
 {
     const bool isReached = status.ok();
-    if (isReached && !m_reachedSince)
-        m_reachedSince = m_loop.now();
-    if (!isReached)
-        m_reachedSince.reset();
     if (isReached == !m_isLost)
         return;
     m_isLost = !isReached;
--- a/src/directory/RowWatch.h
+++ b/src/directory/RowWatch.h
@@ -24,8 +24,6 @@
 
     /// Whether the table was read at least once.
     bool isKnown() const { return m_isKnown; }
-    /// Since when the platform answers without a failure; unset while it does not.
-    std::optional<Instant> reachedSince() const { return m_reachedSince; }
 
 private:
     void readAll();
@@ -43,7 +41,6 @@
     Rows m_rows;
     RowVersion m_version;
     bool m_isKnown { false };
-    std::optional<Instant> m_reachedSince;
     bool m_isLost { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
