Count the platform's failures at one moment once, and wait long only on a proven way

While frontend-almadies-2 was cut from the other daemons the platform reset all its connections. The three watches broke at once and counted as three failures in a row, so the direct way was left for 4 s; each watch through a silent peer took its whole wait and timeout (3.9 s). The daemon followed the configuration again only 5 s later.

--- a/src/directory/PlatformPath.cpp
+++ b/src/directory/PlatformPath.cpp
@@ -23,31 +23,41 @@
 PlatformPath::Way PlatformPath::choose(Instant now)
 {
     if (m_failures == 0 || m_peers.empty())
-        return { m_direct, true };
+        return { m_direct, true, m_failures == 0, now };
     if (now >= m_nextDirect) {
         // One call at a time tries; the others go on through peers.
         m_nextDirect = now + longestPause;
-        return { m_direct, true };
+        return { m_direct, true, false, now };
     }
-    return { m_peers[m_peer % m_peers.size()], false };
+    return { m_peers[m_peer % m_peers.size()], false, m_isPeerProven, now };
 }
 
 void PlatformPath::report(const Way& way, bool isReached, Instant now)
 {
     if (!way.isDirect) {
-        if (!isReached)
-            m_peer = m_random();
+        m_isPeerProven = isReached;
+        if (isReached)
+            return;
+        m_peer = m_random();
+        // Neither way is known to work now: the platform may be back, and only this daemon cut from the others.
+        m_nextDirect = std::min(m_nextDirect, std::max(now, m_failedAt + firstPause));
         return;
     }
     if (isReached) {
         m_failures = 0;
         return;
     }
+    // What broke together is one failure, however many calls were under way.
+    if (m_failures > 0 && way.chosenAt <= m_failedAt)
+        return;
     const double doublings = std::min(m_failures, 8U);
     ++m_failures;
+    m_failedAt = now;
     m_nextDirect = now + std::min(firstPause * std::exp2(doublings), longestPause);
-    if (m_failures == 1)
+    if (m_failures == 1) {
         m_peer = m_random();
+        m_isPeerProven = false;
+    }
 }
 
 }
--- a/src/directory/PlatformPath.h
+++ b/src/directory/PlatformPath.h
@@ -17,6 +17,9 @@
     struct Way {
         TargetAddress address;
         bool isDirect { true };
+        /// Whether the last call that went this way was answered; where not, a call should not wait long.
+        bool isProven { true };
+        Instant chosenAt;
     };
 
     /// `seed` spreads the daemons that are refused over those that are not.
@@ -33,8 +36,11 @@
 private:
     TargetAddress m_direct;
     std::vector<TargetAddress> m_peers;
+    /// Failures of the direct way in a row.
     uint32_t m_failures { 0 };
+    Instant m_failedAt;
     Instant m_nextDirect;
+    bool m_isPeerProven { false };
     size_t m_peer { 0 };
     std::mt19937_64 m_random;
 };
