--- a/src/directory/PlatformPath.cpp
+++ b/src/directory/PlatformPath.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -32,24 +33,22 @@
     return { m_peers[m_peer % m_peers.size()], false, m_isPeerProven, now };
 }
 
-void PlatformPath::report(const Way& way, bool isReached, Instant now)
+bool PlatformPath::report(const Way& way, bool isReached, Instant now)
 {
     if (!way.isDirect) {
-        m_isPeerProven = isReached;
+        const bool wasProven = std::exchange(m_isPeerProven, isReached);
         if (isReached)
-            return;
+            return !wasProven;
         m_peer = m_random();
         // Neither way is known to work now: the platform may be back, and only this daemon cut from the others.
         m_nextDirect = std::min(m_nextDirect, std::max(now, m_failedAt + firstPause));
-        return;
-    }
-    if (isReached) {
-        m_failures = 0;
-        return;
+        return false;
     }
+    if (isReached)
+        return std::exchange(m_failures, 0) > 0;
     // What broke together is one failure, however many calls were under way.
     if (m_failures > 0 && way.chosenAt <= m_failedAt)
-        return;
+        return false;
     const double doublings = std::min(m_failures, 8U);
     ++m_failures;
     m_failedAt = now;
@@ -58,6 +57,7 @@
         m_peer = m_random();
         m_isPeerProven = false;
     }
+    return false;
 }
 
 }
--- a/src/directory/PlatformPath.h
+++ b/src/directory/PlatformPath.h
@@ -30,8 +30,8 @@
 
     Way choose(Instant now);
 
-    /// How the call went that chose `way`.
-    void report(const Way&, bool isReached, Instant now);
+    /// How the call went that chose `way`. Returns whether it shows that the platform is reached again after it was not.
+    bool report(const Way&, bool isReached, Instant now);
 
 private:
     TargetAddress m_direct;
--- a/src/directory/PlatformPathTests.cpp
+++ b/src/directory/PlatformPathTests.cpp
@@ -62,6 +62,18 @@
     CHECK(path.choose(Instant(17300)).isDirect);
 }
 
+TEST_CASE("the first answer after a loss tells that the platform is back, by whichever way", "[directory]")
+{
+    PlatformPath path({ "platform", 1 }, 7);
+    path.setPeers({ { "a", 1 } });
+    CHECK_FALSE(path.report(path.choose(Instant(0)), true, Instant(5)));
+    CHECK_FALSE(path.report(path.choose(Instant(10)), false, Instant(20)));
+    CHECK(path.report(path.choose(Instant(30)), true, Instant(40)));
+    CHECK_FALSE(path.report(path.choose(Instant(50)), true, Instant(60)));
+    CHECK(path.report(path.choose(Instant(1100)), true, Instant(1110)));
+    CHECK_FALSE(path.report(path.choose(Instant(1120)), true, Instant(1130)));
+}
+
 TEST_CASE("a way is proven by its last call, so that nothing waits long on one that may be silent", "[directory]")
 {
     PlatformPath path({ "platform", 1 }, 7);
--- a/src/directory/RowWatch.cpp
+++ b/src/directory/RowWatch.cpp
@@ -21,13 +21,28 @@
 
 void RowWatch::start()
 {
-    readAll();
+    ask();
+}
+
+void RowWatch::renew(Instant asked)
+{
+    if (m_asked && *m_asked < asked)
+        ask();
+}
+
+void RowWatch::ask()
+{
+    m_asked = std::make_shared<Instant>(m_loop.now());
+    if (m_isKnown)
+        watch();
+    else
+        readAll();
 }
 
 void RowWatch::readAll()
 {
-    m_platform.readAll(m_table, [this, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
-        if (alive.expired())
+    m_platform.readAll(m_table, [this, asked = std::weak_ptr<Instant>(m_asked)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (asked.expired())
             return;
         answered(answer.status());
         if (!answer.ok())
@@ -38,26 +53,28 @@
         m_version = answer->version;
         m_isKnown = true;
         m_changed(m_rows);
-        watch();
+        ask();
     });
 }
 
 void RowWatch::watch()
 {
-    m_platform.watch(m_table, m_version, m_wait, [this, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
-        if (alive.expired())
+    m_platform.watch(m_table, m_version, m_wait, [this, asked = std::weak_ptr<Instant>(m_asked)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (asked.expired())
             return;
         answered(answer.status());
         if (!answer.ok())
             return retry();
-        if (answer->isHistoryLost)
-            return readAll();
+        if (answer->isHistoryLost) {
+            m_isKnown = false;
+            return ask();
+        }
         for (const auto& it : answer->rows)
             take(it);
         m_version = std::max(m_version, answer->version);
         if (!answer->rows.empty())
             m_changed(m_rows);
-        watch();
+        ask();
     });
 }
 
@@ -74,13 +91,9 @@
 
 void RowWatch::retry()
 {
-    m_loop.after(retryPause, [this, alive = std::weak_ptr<bool>(m_alive)] {
-        if (alive.expired())
-            return;
-        if (m_isKnown)
-            watch();
-        else
-            readAll();
+    m_loop.after(retryPause, [this, asked = std::weak_ptr<Instant>(m_asked)] {
+        if (!asked.expired())
+            ask();
     });
 }
 
--- a/src/directory/RowWatch.h
+++ b/src/directory/RowWatch.h
@@ -22,10 +22,15 @@
 
     void start();
 
+    /// Asks anew, unless it asked at or after `asked`: the platform has just answered a call of that moment after it was away,
+    /// and a watch from before may hang until its wait is over.
+    void renew(Instant asked);
+
     /// Whether the table was read at least once.
     bool isKnown() const { return m_isKnown; }
 
 private:
+    void ask();
     void readAll();
     void watch();
     void retry();
@@ -42,7 +47,8 @@
     RowVersion m_version;
     bool m_isKnown { false };
     bool m_isLost { false };
-    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+    /// When it asked last; lives as long as that question is the one whose answer counts.
+    std::shared_ptr<Instant> m_asked;
 };
 
 }
--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -61,6 +61,7 @@
     , control(
           loop, rows, controlTable, Milliseconds(5000), [this](const RowWatch::Rows& it) { keeper.setRows(it); }, [](const absl::Status&) {})
 {
+    rows.onReachedAgain([this](Instant sent) { control.renew(sent); });
 }
 
 FailoverScene::FailoverScene(size_t n)
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -115,8 +115,22 @@
 {
 }
 
-void FakeRows::readAll(const std::string& table, RowsDone done)
+template <typename Answer>
+std::function<void(absl::StatusOr<Answer>)> FakeRows::noted(std::function<void(absl::StatusOr<Answer>)> done)
 {
+    return [this, done = std::move(done), sent = m_loop.now(), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<Answer>& answer) {
+        if (alive.expired())
+            return;
+        const bool wasLost = std::exchange(m_isLost, !answer.ok());
+        done(answer);
+        if (wasLost && answer.ok())
+            tellReachedAgain(sent);
+    };
+}
+
+void FakeRows::readAll(const std::string& table, RowsDone unnoted)
+{
+    const RowsDone done = noted<RowsAnswer>(std::move(unnoted));
     if (isCut) {
         m_loop.after(callTimeout, [done] { done(noAnswer()); });
         return;
@@ -127,8 +141,9 @@
     });
 }
 
-void FakeRows::transact(const RowsTransaction& transaction, TransactionDone done)
+void FakeRows::transact(const RowsTransaction& transaction, TransactionDone unnoted)
 {
+    const TransactionDone done = noted<TransactionAnswer>(std::move(unnoted));
     const bool isLost = isCut || losesAnswers || appliesLate > Milliseconds(0);
     if (!isCut) {
         m_loop.after(callTime + appliesLate, [this, transaction, done, isLost, alive = std::weak_ptr<bool>(m_alive)] {
@@ -147,10 +162,12 @@
     std::shared_ptr<std::function<void()>> notified;
 };
 
-void FakeRows::watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone done)
+void FakeRows::watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone unnoted)
 {
+    RowsDone done = noted<RowsAnswer>(std::move(unnoted));
+    // Silence shows only when the wait is over.
     if (isCut) {
-        m_loop.after(callTimeout, [done] { done(noAnswer()); });
+        m_loop.after(wait + callTimeout, [done] { done(noAnswer()); });
         return;
     }
     auto watch = std::make_shared<Watch>();
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -71,8 +71,13 @@
 private:
     struct Watch;
 
+    /// The answer's way back, which notes whether the platform is lost.
+    template <typename Answer>
+    std::function<void(absl::StatusOr<Answer>)> noted(std::function<void(absl::StatusOr<Answer>)>);
+
     EventLoop& m_loop;
     FakeTables& m_tables;
+    bool m_isLost { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -148,6 +148,15 @@
     virtual void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) = 0;
 
     virtual void transact(const RowsTransaction&, TransactionDone) = 0;
+
+    /// Called when a call is answered after others were not, with the moment at which it was sent.
+    void onReachedAgain(std::function<void(Instant)> function) { m_reachedAgain = std::move(function); }
+
+protected:
+    void tellReachedAgain(Instant sent) { m_reachedAgain(sent); }
+
+private:
+    std::function<void(Instant)> m_reachedAgain { [](Instant) {} };
 };
 
 /// Appoints the primary of a group. The platform promotes whomever it is told to, so the caller makes sure that only one
