Let a large fleet share the homes of whole groups, and spend retries on peers' refusals

Refusals of peers were also tried again without the retry budget. Ruled out: places at targets (some 150 refusals), connections to peers (some 50).

--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -118,9 +118,23 @@
     return ranked(target.id.value(), target.failureDomain);
 }
 
+const std::vector<InstanceId>& Membership::homesOf(const GroupId& group) const
+{
+    return ranked(group.value(), FailureDomainId());
+}
+
 std::optional<uint32_t> Membership::rankFor(const TargetConfiguration& target) const
 {
-    const auto& homes = homesOf(target);
+    return placeIn(homesOf(target));
+}
+
+std::optional<uint32_t> Membership::rankFor(const GroupId& group) const
+{
+    return placeIn(homesOf(group));
+}
+
+std::optional<uint32_t> Membership::placeIn(const std::vector<InstanceId>& homes) const
+{
     auto it = std::find(homes.begin(), homes.end(), m_self.instance);
     if (it == homes.end())
         return std::nullopt;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -47,8 +47,12 @@
     /// the others; silent ones behind those, leaving ones last.
     const std::vector<InstanceId>& homesOf(const TargetConfiguration&) const;
 
+    /// The first few daemons that may be the home of a whole group, over all failure domains, by the same order.
+    const std::vector<InstanceId>& homesOf(const GroupId&) const;
+
     /// This daemon's place in homesOf(); nullopt when it is not a member.
     std::optional<uint32_t> rankFor(const TargetConfiguration&) const;
+    std::optional<uint32_t> rankFor(const GroupId&) const;
 
     /// Grows with each change of the ranking, the end of a remembered silence included.
     uint64_t generation() const;
@@ -63,6 +67,7 @@
     };
 
     bool isSilent(const Member&) const;
+    std::optional<uint32_t> placeIn(const std::vector<InstanceId>& homes) const;
     void setChanged() const;
     void forgetOldSilences() const;
     const std::vector<InstanceId>& ranked(const std::string& key, const FailureDomainId& preferred) const;
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -34,6 +34,7 @@
     , m_metrics(metrics)
     , m_id(std::move(id))
     , m_membership(membership)
+    , m_firstHome(std::hash<std::string>()(membership.self().instance.value()))
 {
 }
 
@@ -125,6 +126,9 @@
 
 std::optional<ReadPlace> RelayGroup::placeFor(const RelayJob& job, const std::set<TargetId>& tried)
 {
+    // What another daemon passes on is run here even if this one does not see itself as a home: it may see other daemons silent.
+    if (!isHome() && !job.isPassedOn)
+        return homePlace(job, tried);
     return job.needsPrimary() ? primaryPlace(job, tried) : readPlace(job, tried);
 }
 
@@ -133,7 +137,7 @@
     auto target = primaryTarget();
     if (!target || target->entry().isLeaving || !m_primary.isOpen)
         return std::nullopt;
-    const bool isUsable = m_lease.isValid() && isHome(target->entry().target) && tried.count(target->entry().target.id) == 0;
+    const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
     const bool isReachable = !target->experience().isAvoided(m_loop.now());
     if (isUsable && (isReachable || job.isPassedOn))
         return ReadPlace { std::move(target), std::nullopt, true, {} };
@@ -153,9 +157,9 @@
         const bool isPrimary = id == m_primary.primary;
         if (tried.count(id) > 0 || target->entry().isLeaving || (!isPrimary && !needed))
             continue;
-        const bool isLocal = isHome(target->entry().target) && (!isPrimary || mayUsePrimary());
+        const bool isLocal = !isPrimary || mayUsePrimary();
         auto place = isLocal ? ReadPlace { target, isPrimary ? std::nullopt : needed, isPrimary, {} } : std::optional<ReadPlace>();
-        if (!place && (!isPrimary || m_primary.isOpen))
+        if (!place && m_primary.isOpen)
             place = peerPlace(job, target->entry().target, tried);
         if (!place)
             continue;
@@ -168,23 +172,48 @@
     return best;
 }
 
-// Passed on to a daemon that holds connections to the target, one in the target's failure domain first: the bytes then
-// cross between failure domains once.
-std::optional<ReadPlace> RelayGroup::peerPlace(const RelayJob& job, const TargetConfiguration& home, const std::set<TargetId>& tried)
+// One in the target's failure domain first: the bytes then cross between failure domains once.
+std::optional<ReadPlace> RelayGroup::peerPlace(const RelayJob& job, const TargetConfiguration& target, const std::set<TargetId>& tried)
 {
     if (job.isPassedOn)
         return std::nullopt;
-    for (const auto& instance : m_membership.homesOf(home)) {
-        const InstanceEntry* entry = m_membership.find(instance);
-        if (!entry || entry->port == 0 || instance == m_membership.self().instance || m_membership.isSilent(instance))
+    for (const auto& it : m_isEveryoneHome ? m_membership.homesOf(target) : m_membership.homesOf(m_id)) {
+        if (auto place = placeAt(it, job, tried))
+            return place;
+    }
+    return std::nullopt;
+}
+
+// A home in this daemon's failure domain can serve reads at a replica there, so that nothing crosses.
+std::optional<ReadPlace> RelayGroup::homePlace(const RelayJob& job, const std::set<TargetId>& tried)
+{
+    const auto& homes = m_membership.homesOf(m_id);
+    std::optional<ReadPlace> best;
+    Milliseconds least;
+    for (size_t n = 0; n < homes.size(); ++n) {
+        // Each daemon begins elsewhere, so that equal homes get equal parts.
+        auto place = placeAt(homes[(m_firstHome + n) % homes.size()], job, tried);
+        if (!place)
             continue;
-        auto target = peerTarget(job.route->database, *entry);
-        if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
+        const Milliseconds cost = costOf(*place->target, false);
+        if (best && least <= cost)
             continue;
-        const bool keepsOwn = job.route->readRule == ReadRule::ReadYourWrites && job.own.term != Term() && job.own.term == m_primary.term;
-        return ReadPlace { std::move(target), keepsOwn ? std::make_optional(job.own.mark) : std::nullopt, false, instance };
+        best = std::move(place);
+        least = cost;
     }
-    return std::nullopt;
+    return best;
+}
+
+std::optional<ReadPlace> RelayGroup::placeAt(const InstanceId& peer, const RelayJob& job, const std::set<TargetId>& tried)
+{
+    const InstanceEntry* entry = m_membership.find(peer);
+    if (!entry || entry->port == 0 || peer == m_membership.self().instance || m_membership.isSilent(peer))
+        return std::nullopt;
+    auto target = peerTarget(job.route->database, *entry);
+    if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
+        return std::nullopt;
+    const bool keepsOwn = job.route->readRule == ReadRule::ReadYourWrites && job.own.term != Term() && job.own.term == m_primary.term;
+    return ReadPlace { std::move(target), keepsOwn ? std::make_optional(job.own.mark) : std::nullopt, false, peer };
 }
 
 std::shared_ptr<RelayTarget> RelayGroup::peerTarget(const DatabaseId& database, const InstanceEntry& peer)
@@ -208,9 +237,9 @@
         m_membership.reportSilent(peer);
 }
 
-bool RelayGroup::isHome(const TargetConfiguration& target) const
+bool RelayGroup::isHome() const
 {
-    return m_isEveryoneHome || m_membership.rankFor(target).has_value();
+    return m_isEveryoneHome || m_membership.rankFor(m_id).has_value();
 }
 
 Milliseconds RelayGroup::costOf(RelayTarget& target, bool isPrimary) const
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -94,9 +94,13 @@
 private:
     std::optional<ReadPlace> primaryPlace(const RelayJob&, const std::set<TargetId>& tried);
     std::optional<ReadPlace> readPlace(const RelayJob&, const std::set<TargetId>& tried);
-    std::optional<ReadPlace> peerPlace(const RelayJob&, const TargetConfiguration& home, const std::set<TargetId>& tried);
+    /// Another daemon that may pass the statement on to `target`.
+    std::optional<ReadPlace> peerPlace(const RelayJob&, const TargetConfiguration& target, const std::set<TargetId>& tried);
+    /// A home of the group, in a large fleet.
+    std::optional<ReadPlace> homePlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<ReadPlace> placeAt(const InstanceId& peer, const RelayJob&, const std::set<TargetId>& tried);
     std::shared_ptr<RelayTarget> peerTarget(const DatabaseId&, const InstanceEntry&);
-    bool isHome(const TargetConfiguration&) const;
+    bool isHome() const;
     Milliseconds costOf(RelayTarget&, bool isPrimary) const;
 
     EventLoop& m_loop;
@@ -107,8 +111,11 @@
     Metrics& m_metrics;
     GroupId m_id;
     Membership& m_membership;
+    /// Where this daemon begins among a group's homes.
+    size_t m_firstHome;
     uint32_t m_connections { 1 };
-    /// Whether there are connections for every daemon at every target.
+    /// Whether there are connections for every daemon at every target; else a few homes hold those of the whole group, since
+    /// only daemons that use the primary know how fresh a replica has to be.
     bool m_isEveryoneHome { true };
     PrimaryBelief m_primary;
     std::map<TargetId, std::shared_ptr<RelayTarget>> m_targets;
--- a/src/relay/RelayGroupTests.cpp
+++ b/src/relay/RelayGroupTests.cpp
@@ -6,6 +6,18 @@
 
 namespace {
 
+/// Lists so many other daemons in turn over two failure domains that a target has no connection for each.
+void listFleet(RelayScene& scene, int daemons)
+{
+    PlatformList list;
+    for (int n = 0; n < daemons; ++n) {
+        const std::string name = "daemon-" + std::to_string(n);
+        list.instances.push_back({ InstanceId(name), FailureDomainId(n % 2 == 0 ? "domain-one" : "domain-two"), name, 1, 0, false });
+    }
+    scene.membership.setList(list);
+    scene.relay.setShare(1.0 / daemons);
+}
+
 /// Lets the daemon see the primary's mark, which reads at replicas need.
 void seeMark(RelayScene& scene)
 {
@@ -212,3 +224,55 @@
     CHECK(caller.last().error == RelayError::Busy);
     CHECK(scene.ran("WRITE 1 a").empty());
 }
+
+// Pattern: fewer connections to a target than daemons. Seen on chausse-cloud-grown, quiet-1: daemons that held connections to a
+// replica only knew no mark, and refused 38,000 reads that others passed on to them.
+TEST_CASE("in a large fleet a daemon holds connections to all targets of a group or to none", "[relay]")
+{
+    std::map<std::string, int> holders;
+    for (int self = 0; self < 40; ++self) {
+        RelayScene scene("daemon-" + std::to_string(self));
+        listFleet(scene, 40);
+        for (const std::string target : { "one", "two", "three" }) {
+            // Reads fall to whichever target answers.
+            for (const std::string name : { "one", "two", "three" })
+                scene.targets[TargetId(name)].isBusy = name != target;
+            SceneCaller caller(scene.relay, "prices");
+            caller.send(RelayKind::Read, "READ");
+            scene.run(300);
+            holders[target] += scene.targets[TargetId(target)].mostConnections > 0 ? 1 : 0;
+        }
+    }
+    CHECK(holders["one"] == static_cast<int>(Membership::homesPerTarget));
+    CHECK(holders["two"] == holders["one"]);
+    CHECK(holders["three"] == holders["one"]);
+}
+
+TEST_CASE("in a large fleet a statement goes to a home of its group in the caller's failure domain", "[relay]")
+{
+    RelayScene scene;
+    listFleet(scene, 40);
+    REQUIRE_FALSE(scene.membership.rankFor(GroupId("group")));
+    SceneCaller caller(scene.relay, "prices");
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(300);
+    REQUIRE(scene.ran("READ 1").size() == 1);
+    const std::string place = scene.ran("READ 1")[0].target.value();
+    const InstanceEntry* home = scene.membership.find(InstanceId(place.substr(std::string("daemon ").size())));
+    REQUIRE(home);
+    CHECK(home->failureDomain == FailureDomainId("domain-one"));
+}
+
+// Pattern: a daemon sees homes silent that others hear, and passes work on to one that does not rank as a home for itself.
+TEST_CASE("what another daemon passes on is run by whichever daemon gets it", "[relay]")
+{
+    RelayScene scene;
+    listFleet(scene, 40);
+    REQUIRE_FALSE(scene.membership.rankFor(GroupId("group")));
+    SceneCaller peer(scene.relay, "prices", "shop", CallerKind::Peer);
+    peer.send(RelayKind::Read, "READ 1");
+    scene.run(300);
+    CHECK(peer.last().error == RelayError::None);
+    REQUIRE(scene.ran("READ 1").size() == 1);
+    CHECK(scene.ran("READ 1")[0].target == TargetId("one"));
+}
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -205,7 +205,7 @@
         m_group.observer().primaryFailed(m_group.id());
     const bool isFull = answer.error == RelayError::Busy && !isPeer;
     const bool mayMove = (!m_job.needsPrimary() || !isFull) && mayTryAgain();
-    if (mayMove && (isPeer || answer.error == RelayError::Lagging || m_group.retries().takeRetry(now)))
+    if (mayMove && (answer.error == RelayError::Lagging || m_group.retries().takeRetry(now)))
         return next();
     refuse(RelayError::Busy, answer.errorText);
 }
--- a/src/relay/RelayScene.cpp
+++ b/src/relay/RelayScene.cpp
@@ -143,8 +143,8 @@
     });
 }
 
-SceneCaller::SceneCaller(Relay& relay, const std::string& database, const std::string& name)
-    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), CallerKind::Caller, *this))
+SceneCaller::SceneCaller(Relay& relay, const std::string& database, const std::string& name, CallerKind kind)
+    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), kind, *this))
 {
 }
 
@@ -171,8 +171,8 @@
         session->leave();
 }
 
-RelayScene::RelayScene()
-    : membership(loop, { InstanceId("self"), FailureDomainId("domain-one"), "self", 1, 0, false })
+RelayScene::RelayScene(const std::string& self)
+    : membership(loop, { InstanceId(self), FailureDomainId("domain-one"), self, 1, 0, false })
     , relay(loop, targets, *this, *this, log, metrics, membership)
 {
     auto table = std::make_shared<RouteTable>();
--- a/src/relay/RelayScene.h
+++ b/src/relay/RelayScene.h
@@ -68,7 +68,7 @@
 /// A caller for tests: collects the answers of one session.
 class SceneCaller final : public CallerPort {
 public:
-    SceneCaller(Relay&, const std::string& database, const std::string& name = "shop");
+    SceneCaller(Relay&, const std::string& database, const std::string& name = "shop", CallerKind = CallerKind::Caller);
     ~SceneCaller() override;
 
     void answer(const RelayAnswer& answer) override { answers.push_back(answer); }
@@ -91,7 +91,7 @@
 /// "prices" within 1500 ms, "proofs" also its own writes.
 class RelayScene : public PrimaryLease, public PrimaryObserver {
 public:
-    RelayScene();
+    explicit RelayScene(const std::string& self = "self");
     /// Lets everything under way end, since it refers to the parts of the scene.
     ~RelayScene() override { loop.advance(Milliseconds(10'000)); }
 
