Count as voters on a primary the daemons heard lately, and read again who they are

Now a voter is a daemon that renewed within half of its lease, and daemons that suspect read the leases again every 0.5 s.

--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -189,6 +189,25 @@
     CHECK(scene.write(1) == RelayError::None);
 }
 
+// Pattern: half of the daemons are cut off while the primary crashes. Seen as incident inc-8376 of vizitka-sofia, where the others
+// counted the cut ones as voters for up to 5 s after their leases had ended.
+TEST_CASE("half of the daemons replace a primary as soon as the leases of the cut half have ended", "[failover]")
+{
+    // The moment of the crash against the reading of leases decides, so several are tried.
+    for (const double wait : { 100, 1000, 2000, 3000, 4000 }) {
+        CAPTURE(wait);
+        FailoverScene scene(6);
+        scene.run(wait);
+        useEverywhere(scene);
+        for (size_t it = 3; it < 6; ++it)
+            scene.daemons[it]->rows.isCut = true;
+        scene.targets[TargetId("one")].isDown = true;
+        runWithTraffic(scene, 7500);
+        CHECK(scene.write(0) == RelayError::None);
+        CHECK(scene.staleWrites == 0);
+    }
+}
+
 // Pattern: the platform is silent for some seconds. Seen as incident inc-8376 of vizitka-sofia, where leases of 3 s ended every
 // write for the rest of the outage.
 TEST_CASE("writes go on through a short outage of the platform", "[failover]")
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -18,6 +18,10 @@
     /// A primary that leaves statements unanswered for so long, and answers no other one, is asked over a new connection.
     /// Statements take some tens of milliseconds, the longest some hundreds.
     constexpr Milliseconds silencePatience { 300 };
+    /// The first daemons that suspect a primary read so often who is left to agree with them, those behind them less often: in a
+    /// large fleet each reading is long.
+    constexpr Milliseconds voterReview { 500 };
+    constexpr double laterPerRank = 0.2;
     /// Pause after a suspicion could not be written.
     constexpr Milliseconds suspicionRetry { 300 };
     /// The owner of a change that takes longer is checked.
@@ -178,9 +182,13 @@
     if (m_missingSince && now >= *m_missingSince + turn)
         return beginChange(false, "the primary is missing from the platform's list");
     const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
-    const bool isMost = m_suspicions.size() * 2 > m_context.board.daemons();
+    const bool isMost = m_suspicions.size() * 2 > m_context.board.voters();
     if (isSuspect && isMost)
         return beginChange(false, "most daemons cannot reach the primary");
+    if (isSuspect && m_isSuspicionWritten && now >= m_nextVoterReview) {
+        m_nextVoterReview = now + voterReview * (1 + m_context.board.rankFor(m_group) * laterPerRank);
+        m_context.board.read([](const absl::StatusOr<LeaseTable>&) {});
+    }
     if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion)
         return noteSuspicion(true);
     if (m_isToProbe && entry)
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -91,6 +91,7 @@
     Instant m_lastAnswer;
     bool m_isSuspicionWritten { false };
     Instant m_nextSuspicion;
+    Instant m_nextVoterReview;
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
 
--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -75,6 +75,7 @@
 void LeaseBoard::take(const LeaseTable& table)
 {
     uint32_t daemons = 0;
+    uint32_t voters = 0;
     uint32_t place = 0;
     double sessions = 0;
     double ownSessions = 0;
@@ -92,9 +93,13 @@
         if (instance != m_own && !entry.lease.addresses.host.empty())
             m_peers.push_back({ instance, entry.lease.addresses });
         ++daemons;
+        // A daemon renews several times within half of its lease.
+        if (table.platformTime - entry.lease.askedAt <= entry.lease.length * 0.5)
+            ++voters;
     }
     m_place = place;
     m_daemons = hasOwn ? daemons : daemons + 1;
+    m_voters = std::max(1U, voters);
     // Callers come and go faster than leases are read, so they decide only in part.
     constexpr double equalPart = 0.5;
     const double equalShare = 1.0 / m_daemons;
