Take the target that took over the lead in the same term, and try failed candidates again

Its primary left and crashed; the platform put a new target with the transferred log in its place, which leads in the same term (3). A change took only leaders of a later term, ordered its promotion, which does nothing for who leads already, gave it up after 3 s, and had nobody left. Ruled out: the platform's stale tables (all daemons had the record and the list). The new line primary_candidates shows what the targets say of themselves at each turn of a change.

--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -37,7 +37,7 @@
     }
     m_loop.after(promotionTime, [this, target, done] {
         auto& promoted = m_targets[target];
-        if (!promoted.isPrimary || promoted.term < leading) {
+        if (!hasNoEffect && (!promoted.isPrimary || promoted.term < leading)) {
             leading = leading.next();
             leadingSince = m_loop.now();
             promoted.isPrimary = true;
--- a/src/failover/FailoverScene.h
+++ b/src/failover/FailoverScene.h
@@ -30,6 +30,8 @@
     void promote(const GroupId&, const TargetId&, const InstanceId& holder, RowVersion fence, Done) override;
 
     bool losesAnswers { false };
+    /// Orders are accepted, and nothing comes of them.
+    bool hasNoEffect { false };
     std::vector<OrderedPromotion> ordered;
     /// The term that leads, and since when.
     Term leading { 1 };
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -189,6 +189,38 @@
     CHECK(scene.write(1) == RelayError::None);
 }
 
+// Pattern: a primary that leaves hands its log and its lead to a new target, in its own term. Seen in deploy/days/platform-forgets.toml on
+// chausse-cloud: the platform does nothing for who leads already, so the successor never led a later term, and the group stayed closed.
+TEST_CASE("a target that took over the lead in the same term is the primary", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.targets[TargetId("one")].isDown = true;
+    scene.targets[TargetId("three")].isDown = true;
+    scene.setListed("one", false);
+    scene.targets[TargetId("two")].isPrimary = true;
+    scene.promotions.hasNoEffect = true;
+    runWithTraffic(scene, 3000);
+    CHECK(scene.openOn("two") == 3);
+    CHECK(scene.write(0) == RelayError::None);
+}
+
+// Pattern: replicas that cannot lead yet; the last one was given up once, and nobody was asked ever after.
+TEST_CASE("candidates that all failed are tried again", "[failover]")
+{
+    FailoverScene scene(3);
+    useEverywhere(scene);
+    scene.promotions.hasNoEffect = true;
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 9000);
+    CHECK(scene.write(0) == RelayError::Busy);
+    scene.promotions.hasNoEffect = false;
+    runWithTraffic(scene, 4000);
+    CHECK(scene.write(0) == RelayError::None);
+    CHECK(scene.staleWrites == 0);
+    CHECK(fencesRise(scene.promotions.ordered));
+}
+
 // Pattern: half of the daemons are cut off while the primary crashes. Seen as incident inc-8376 of vizitka-sofia, where the others
 // counted the cut ones as voters for up to 5 s after their leases had ended.
 TEST_CASE("half of the daemons replace a primary as soon as the leases of the cut half have ended", "[failover]")
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -63,6 +63,8 @@
     bool isPrimaryBack() const;
     void awaitRelease();
     void probeAll();
+    bool isSuccessor(const TargetId&, const std::optional<RoleReport>&) const;
+    void logCandidates();
     void choose();
     void promote();
     void followPromotion();
@@ -106,6 +108,7 @@
     bool m_isRoundComplete { false };
     std::map<TargetId, ProbeResult> m_probes;
     std::set<TargetId> m_refused;
+    std::string m_lastCandidates;
     bool m_isPromoting { false };
     Instant m_nextPromotion;
     Instant m_nextProbe;
--- a/src/failover/GroupKeeperChange.cpp
+++ b/src/failover/GroupKeeperChange.cpp
@@ -100,18 +100,49 @@
     return best;
 }
 
+// One line for each change of what the targets say of themselves, not for each round.
+void GroupKeeper::logCandidates()
+{
+    std::string text;
+    for (const auto& [id, probe] : m_probes) {
+        text += (text.empty() ? "" : ", ") + id.value();
+        if (!probe.report)
+            text += probe.isAlive ? " full" : " silent";
+        else
+            text += std::string(probe.report->isPrimary ? " primary" : " replica") + " in term " + std::to_string(probe.report->term.value()) + " received " + textOf(probe.report->received);
+        if (m_refused.count(id) > 0)
+            text += " given up";
+    }
+    if (text == m_lastCandidates)
+        return;
+    m_lastCandidates = text;
+    m_context.log.write("primary_candidates", { { "group", m_group.value() }, { "targets", text } });
+}
+
+// A target that the platform put in the place of the old primary has its log, and leads in the same term.
+bool GroupKeeper::isSuccessor(const TargetId& target, const std::optional<RoleReport>& report) const
+{
+    if (!report || !report->isPrimary)
+        return false;
+    return report->term > m_record->term || (report->term == m_record->term && target != m_record->primary);
+}
+
 void GroupKeeper::choose()
 {
     m_isRoundComplete = false;
+    logCandidates();
     for (const auto& [id, probe] : m_probes) {
-        if (probe.report && probe.report->isPrimary && probe.report->term > m_record->term)
-            return write(opened(id, probe.report->term), false, "a target leads in a later term");
+        if (isSuccessor(id, probe.report))
+            return write(opened(id, probe.report->term), false, "a target leads already");
     }
     auto oldProbe = m_probes.find(m_record->primary);
     const bool oldLeads = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
     const auto best = mostCompleteReplica();
-    if (!best)
+    if (!best) {
+        // Whoever could not lead before may be able to now, and there is nobody else.
+        m_refused.clear();
         return;
+    }
     const bool isComplete = !oldLeads || !(m_probes[*best].report->received < oldProbe->second.report->received);
     if (!isComplete && m_context.loop.now() < m_recordSince + plannedRelease + catchUp)
         return;
@@ -142,8 +173,7 @@
         if (alive.expired())
             return;
         m_isProbing = false;
-        const bool leads = result.report && result.report->isPrimary && version == m_version && result.report->term > m_record->term;
-        if (leads)
+        if (version == m_version && isSuccessor(id, result.report))
             write(opened(id, result.report->term), false, "the candidate leads");
     });
 }
