--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -19,7 +19,7 @@
     /// Expected time of a statement at a target that has not answered lately.
     constexpr Milliseconds unknownDelay { 20 };
     /// A target in another failure domain must be faster by this to be worth the bytes between failure domains.
-    constexpr Milliseconds otherDomainCost { 10 };
+    constexpr Milliseconds otherDomainCost { 30 };
     /// The primary must be faster by this for a read that a replica may serve, since only it can serve writes.
     constexpr Milliseconds primaryCost { 15 };
 
