--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -124,7 +124,7 @@
     return job.own.term == m_primary.term ? std::max(*needed, job.own.mark) : needed;
 }
 
-std::optional<ReadPlace> RelayGroup::placeFor(const RelayJob& job, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::placeFor(const RelayJob& job, const std::set<TargetId>& tried)
 {
     // What another daemon passes on is run here even if this one does not see itself as a home: it may see other daemons silent.
     if (!isHome() && !job.isPassedOn)
@@ -132,7 +132,7 @@
     return job.needsPrimary() ? primaryPlace(job, tried) : readPlace(job, tried);
 }
 
-std::optional<ReadPlace> RelayGroup::primaryPlace(const RelayJob& job, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::primaryPlace(const RelayJob& job, const std::set<TargetId>& tried)
 {
     auto target = primaryTarget();
     if (!target || target->entry().isLeaving || !m_primary.isOpen)
@@ -140,25 +140,25 @@
     const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
     const bool isReachable = !target->experience().isAvoided(m_loop.now());
     if (isUsable && (isReachable || job.isPassedOn))
-        return ReadPlace { std::move(target), std::nullopt, true, {} };
+        return StatementPlace { std::move(target), std::nullopt, true, {} };
     if (auto place = peerPlace(job, target->entry().target, tried))
         return place;
     if (isUsable)
-        return ReadPlace { std::move(target), std::nullopt, true, {} };
+        return StatementPlace { std::move(target), std::nullopt, true, {} };
     return std::nullopt;
 }
 
-std::optional<ReadPlace> RelayGroup::readPlace(const RelayJob& job, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::readPlace(const RelayJob& job, const std::set<TargetId>& tried)
 {
     const auto needed = neededMark(job);
-    std::optional<ReadPlace> best;
+    std::optional<StatementPlace> best;
     Milliseconds least;
     for (const auto& [id, target] : m_targets) {
         const bool isPrimary = id == m_primary.primary;
         if (tried.count(id) > 0 || target->entry().isLeaving || (!isPrimary && !needed))
             continue;
         const bool isLocal = !isPrimary || mayUsePrimary();
-        auto place = isLocal ? ReadPlace { target, isPrimary ? std::nullopt : needed, isPrimary, {} } : std::optional<ReadPlace>();
+        auto place = isLocal ? StatementPlace { target, isPrimary ? std::nullopt : needed, isPrimary, {} } : std::optional<StatementPlace>();
         if (!place && m_primary.isOpen)
             place = peerPlace(job, target->entry().target, tried);
         if (!place)
@@ -173,7 +173,7 @@
 }
 
 // One in the target's failure domain first: the bytes then cross between failure domains once.
-std::optional<ReadPlace> RelayGroup::peerPlace(const RelayJob& job, const TargetConfiguration& target, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::peerPlace(const RelayJob& job, const TargetConfiguration& target, const std::set<TargetId>& tried)
 {
     if (job.isPassedOn)
         return std::nullopt;
@@ -185,10 +185,10 @@
 }
 
 // A home in this daemon's failure domain can serve reads at a replica there, so that nothing crosses.
-std::optional<ReadPlace> RelayGroup::homePlace(const RelayJob& job, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::homePlace(const RelayJob& job, const std::set<TargetId>& tried)
 {
     const auto& homes = m_membership.homesOf(m_id);
-    std::optional<ReadPlace> best;
+    std::optional<StatementPlace> best;
     Milliseconds least;
     for (size_t n = 0; n < homes.size(); ++n) {
         // Each daemon begins elsewhere, so that equal homes get equal parts.
@@ -204,7 +204,7 @@
     return best;
 }
 
-std::optional<ReadPlace> RelayGroup::placeAt(const InstanceId& peer, const RelayJob& job, const std::set<TargetId>& tried)
+std::optional<StatementPlace> RelayGroup::placeAt(const InstanceId& peer, const RelayJob& job, const std::set<TargetId>& tried)
 {
     const InstanceEntry* entry = m_membership.find(peer);
     if (!entry || entry->port == 0 || peer == m_membership.self().instance || m_membership.isSilent(peer))
@@ -213,7 +213,7 @@
     if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
         return std::nullopt;
     const bool keepsOwn = job.route->readRule == ReadRule::ReadYourWrites && job.own.term != Term() && job.own.term == m_primary.term;
-    return ReadPlace { std::move(target), keepsOwn ? std::make_optional(job.own.mark) : std::nullopt, false, peer };
+    return StatementPlace { std::move(target), keepsOwn ? std::make_optional(job.own.mark) : std::nullopt, false, peer };
 }
 
 std::shared_ptr<RelayTarget> RelayGroup::peerTarget(const DatabaseId& database, const InstanceEntry& peer)
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -36,8 +36,8 @@
     virtual void primaryFailed(const GroupId&) = 0;
 };
 
-/// The place where a read may run, and the log it needs there.
-struct ReadPlace {
+/// A place where a statement may run, and the log that a read needs there.
+struct StatementPlace {
     std::shared_ptr<RelayTarget> target;
     /// Empty at the primary, which lacks nothing.
     std::optional<LogMark> after;
@@ -84,7 +84,7 @@
     bool maySettle(Term term) const { return m_primary.term == term && m_lease.isValid(); }
     std::shared_ptr<RelayTarget> primaryTarget() const;
     /// The best place for a statement that has not been tried; nullopt when there is none.
-    std::optional<ReadPlace> placeFor(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> placeFor(const RelayJob&, const std::set<TargetId>& tried);
     void reportPeer(const InstanceId&, bool isReached);
     /// The log that a read needs at a replica; nullopt when no known mark is fresh enough.
     std::optional<LogMark> neededMark(const RelayJob&) const;
@@ -92,13 +92,13 @@
     void leave(PrimaryUse&);
 
 private:
-    std::optional<ReadPlace> primaryPlace(const RelayJob&, const std::set<TargetId>& tried);
-    std::optional<ReadPlace> readPlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> primaryPlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> readPlace(const RelayJob&, const std::set<TargetId>& tried);
     /// Another daemon that may pass the statement on to `target`.
-    std::optional<ReadPlace> peerPlace(const RelayJob&, const TargetConfiguration& target, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> peerPlace(const RelayJob&, const TargetConfiguration& target, const std::set<TargetId>& tried);
     /// A home of the group, in a large fleet.
-    std::optional<ReadPlace> homePlace(const RelayJob&, const std::set<TargetId>& tried);
-    std::optional<ReadPlace> placeAt(const InstanceId& peer, const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> homePlace(const RelayJob&, const std::set<TargetId>& tried);
+    std::optional<StatementPlace> placeAt(const InstanceId& peer, const RelayJob&, const std::set<TargetId>& tried);
     std::shared_ptr<RelayTarget> peerTarget(const DatabaseId&, const InstanceEntry&);
     bool isHome() const;
     Milliseconds costOf(RelayTarget&, bool isPrimary) const;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -50,7 +50,7 @@
     refuse(RelayError::Busy, m_job.needsPrimary() ? "the primary cannot be used now" : "no target that is fresh enough can be reached");
 }
 
-void RelayRun::tryAt(const ReadPlace& place)
+void RelayRun::tryAt(const StatementPlace& place)
 {
     ++m_attempts;
     m_place = place;
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -21,7 +21,7 @@
     RelayRun(RelayGroup&, RelayJob);
 
     void next();
-    void tryAt(const ReadPlace&);
+    void tryAt(const StatementPlace&);
     void acquired(absl::StatusOr<std::shared_ptr<RelaySlot>>);
     void prepare();
     void prepared(absl::StatusOr<std::vector<RelayAnswer>>);
@@ -50,7 +50,7 @@
     RelayJob m_job;
     std::set<TargetId> m_tried;
     uint32_t m_attempts { 0 };
-    ReadPlace m_place;
+    StatementPlace m_place;
     std::shared_ptr<RelaySlot> m_slot;
     std::unique_ptr<Use> m_use;
     std::string m_preparedName;
