--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -201,6 +201,7 @@
     if (const auto after = std::exchange(m_after, std::nullopt); after && job.isPassedOn)
         job.own = { m_relay.termOf(job.route->group), *after };
     job.arrived = m_relay.now();
+    job.asker = weak_from_this();
     job.done = [weak = weak_from_this(), endsTransaction](RelayResult result) {
         auto self = weak.lock();
         if (self)
--- a/src/relay/CallerSessionTests.cpp
+++ b/src/relay/CallerSessionTests.cpp
@@ -63,6 +63,25 @@
     CHECK(scene.targets.committed[0].text == "WRITE 3 c");
 }
 
+// Pattern: callers give up and leave while their work waits for a scarce target.
+TEST_CASE("work that waits for a place is dropped when its caller leaves", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].delay = Milliseconds(30);
+    std::vector<std::unique_ptr<SceneCaller>> callers;
+    for (int n = 0; n < 40; ++n) {
+        callers.push_back(std::make_unique<SceneCaller>(scene.relay, "orders"));
+        callers.back()->send(RelayKind::Write, "WRITE " + std::to_string(n) + " a");
+    }
+    scene.run(40);
+    const size_t sent = scene.targets[TargetId("one")].connections;
+    REQUIRE(sent > 0);
+    REQUIRE(sent < callers.size());
+    callers.clear();
+    scene.run(1000);
+    CHECK(scene.targets.committed.size() <= sent);
+}
+
 TEST_CASE("a caller that leaves during the first statement of a transaction leaves none open", "[relay]")
 {
     RelayScene scene;
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -45,6 +45,8 @@
     /// It came from another daemon and is not passed on again.
     bool isPassedOn { false };
     Instant arrived;
+    /// Ends with the session that asked: work that was not sent by then need not run.
+    std::weak_ptr<const void> asker;
     Done done;
 
     /// Whether only the primary may run it.
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -82,6 +82,8 @@
 
 void RelayRun::acquired(absl::StatusOr<std::shared_ptr<RelaySlot>> slot)
 {
+    if (m_job.asker.expired())
+        return refuse(RelayError::Busy, "the caller left before it was sent");
     if (slot.ok()) {
         m_slot = *std::move(slot);
         return prepare();
