Ask a few jurors about a lost primary, gather changes of targets, and say when to come back

Each suspicion of a daemon wakes the control watch of all 91, so a crashed primary cost some 8,000 calls; each of 24 targets that starts wakes them too. Ruled out: leases and watches at rest, some 83 calls a second of 222.

--- a/src/directory/RowWatch.cpp
+++ b/src/directory/RowWatch.cpp
@@ -46,7 +46,7 @@
             return;
         answered(answer.status());
         if (!answer.ok())
-            return retry();
+            return askAfter(retryPause);
         m_rows.clear();
         for (const auto& it : answer->rows)
             m_rows[it.key] = it;
@@ -64,7 +64,7 @@
             return;
         answered(answer.status());
         if (!answer.ok())
-            return retry();
+            return askAfter(retryPause);
         if (answer->isHistoryLost) {
             m_isKnown = false;
             return ask();
@@ -72,9 +72,10 @@
         for (const auto& it : answer->rows)
             take(it);
         m_version = std::max(m_version, answer->version);
-        if (!answer->rows.empty())
-            m_changed(m_rows);
-        ask();
+        if (answer->rows.empty())
+            return ask();
+        m_changed(m_rows);
+        askAfter(m_pause);
     });
 }
 
@@ -89,9 +90,11 @@
         m_rows[row.key] = row;
 }
 
-void RowWatch::retry()
+void RowWatch::askAfter(Milliseconds pause)
 {
-    m_loop.after(retryPause, [this, asked = std::weak_ptr<Instant>(m_asked)] {
+    if (pause == Milliseconds(0))
+        return ask();
+    m_loop.after(pause, [this, asked = std::weak_ptr<Instant>(m_asked)] {
         if (!asked.expired())
             ask();
     });
--- a/src/directory/RowWatch.h
+++ b/src/directory/RowWatch.h
@@ -22,6 +22,9 @@
 
     void start();
 
+    /// After a change it waits so long before it asks for the next ones, which then come together; none at first.
+    void setPause(Milliseconds pause) { m_pause = pause; }
+
     /// Asks anew, unless it asked at or after `asked`: the platform has just answered a call of that moment after it was away,
     /// and a watch from before may hang until its wait is over.
     void renew(Instant asked);
@@ -33,7 +36,7 @@
     void ask();
     void readAll();
     void watch();
-    void retry();
+    void askAfter(Milliseconds pause);
     void answered(const absl::Status&);
     void take(const StoredRow&);
 
@@ -41,6 +44,7 @@
     PlatformRows& m_platform;
     std::string m_table;
     Milliseconds m_wait;
+    Milliseconds m_pause;
     Changed m_changed;
     Reached m_reached;
     Rows m_rows;
--- a/src/directory/RowWatchTests.cpp
+++ b/src/directory/RowWatchTests.cpp
@@ -17,7 +17,8 @@
     FakeRows rows { loop, tables };
     size_t known { 0 };
     int losses { 0 };
-    RowWatch watch { loop, rows, "op", wait, [this](const RowWatch::Rows& it) { known = it.size(); }, [this](const absl::Status& it) { losses += it.ok() ? 0 : 1; } };
+    int told { 0 };
+    RowWatch watch { loop, rows, "op", wait, [this](const RowWatch::Rows& it) { known = it.size(); ++told; }, [this](const absl::Status& it) { losses += it.ok() ? 0 : 1; } };
 
     WatchScene()
     {
@@ -41,6 +42,23 @@
     CHECK(scene.losses == 0);
 }
 
+// Pattern: targets start one after the other before a large fleet, and each of them wakes every daemon's watch.
+TEST_CASE("changes that come shortly after each other are told together where a pause is set", "[directory]")
+{
+    WatchScene scene;
+    scene.watch.setPause(Milliseconds(400));
+    scene.watch.start();
+    scene.loop.advance(Milliseconds(20));
+    const int before = scene.told;
+    for (int n = 0; n < 20; ++n) {
+        scene.tables.put("op", std::to_string(n), "1");
+        scene.loop.advance(Milliseconds(50));
+    }
+    scene.loop.advance(Milliseconds(500));
+    CHECK(scene.known == 20);
+    CHECK(scene.told - before <= 4);
+}
+
 TEST_CASE("a watch whose history is forgotten reads anew", "[directory]")
 {
     WatchScene scene;
--- a/src/failover/FailoverScene.cpp
+++ b/src/failover/FailoverScene.cpp
@@ -157,6 +157,17 @@
     return error;
 }
 
+size_t FailoverScene::suspicionsWritten() const
+{
+    size_t n = 0;
+    for (const auto& it : daemons) {
+        n += static_cast<size_t>(std::count_if(it->logLines.begin(), it->logLines.end(), [](const std::string& line) {
+            return line.find("primary_suspicion") != std::string::npos && line.find("\"suspect\":\"yes\"") != std::string::npos;
+        }));
+    }
+    return n;
+}
+
 size_t FailoverScene::openOn(const std::string& target)
 {
     return static_cast<size_t>(std::count_if(daemons.begin(), daemons.end(), [&target](const auto& it) {
--- a/src/failover/FailoverScene.h
+++ b/src/failover/FailoverScene.h
@@ -75,6 +75,8 @@
     /// Runs a write at a daemon and gives its error, None when it was acknowledged.
     RelayError write(size_t daemon);
     size_t openOn(const std::string& target);
+    /// Suspicions that the daemons have written so far, by their logs.
+    size_t suspicionsWritten() const;
 
     VirtualLoop loop;
     FakeTables tables { loop };
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -66,6 +66,20 @@
     CHECK(scene.write(2) == RelayError::None);
 }
 
+// Pattern: a primary crashes before a large fleet. Each suspicion wakes the watch of every daemon: 91 of them cost 8,000 calls.
+TEST_CASE("in a large fleet a few daemons decide that a primary is lost", "[failover]")
+{
+    FailoverScene scene(40);
+    // Everybody has read everybody's lease.
+    runWithTraffic(scene, 8000);
+    const size_t before = scene.suspicionsWritten();
+    scene.targets[TargetId("one")].isDown = true;
+    runWithTraffic(scene, 2500);
+    CHECK(scene.openOn("two") + scene.openOn("three") == 40);
+    CHECK(scene.suspicionsWritten() - before <= 9);
+    CHECK(scene.staleWrites == 0);
+}
+
 TEST_CASE("a primary that leaves as planned hands over to a replica with its whole log", "[failover]")
 {
     FailoverScene scene(5);
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -20,7 +20,7 @@
     constexpr Milliseconds silencePatience { 300 };
     /// The first daemons that suspect a primary read so often who is left to agree with them, those behind them less often: in a
     /// large fleet each reading is long.
-    constexpr Milliseconds voterReview { 500 };
+    constexpr Milliseconds jurorReview { 500 };
     constexpr double laterPerRank = 0.2;
     /// Pause after a suspicion could not be written.
     constexpr Milliseconds suspicionRetry { 300 };
@@ -52,6 +52,7 @@
         m_failedProbes = 0;
         m_isToProbe = false;
         m_isSuspicionWritten = false;
+        m_nextJurorReview = Instant();
         m_missingSince.reset();
         m_leavingSince.reset();
         m_refused.clear();
@@ -182,19 +183,28 @@
     if (m_missingSince && now >= *m_missingSince + turn)
         return beginChange(false, "the primary is missing from the platform's list");
     const bool isSuspect = m_failedProbes >= failedProbesForSuspicion;
-    const bool isMost = m_suspicions.size() * 2 > m_context.board.voters();
-    if (isSuspect && isMost)
+    if (isSuspect && isLostToMost())
         return beginChange(false, "most daemons cannot reach the primary");
-    if (isSuspect && m_isSuspicionWritten && now >= m_nextVoterReview) {
-        m_nextVoterReview = now + voterReview * (1 + m_context.board.rankFor(m_group) * laterPerRank);
-        m_context.board.read([](const absl::StatusOr<LeaseTable>&) {});
+    if (isSuspect && now >= m_nextJurorReview) {
+        // The first review comes after the suspicions of all who are there.
+        if (m_nextJurorReview != Instant())
+            m_context.board.read([](const absl::StatusOr<LeaseTable>&) {});
+        m_nextJurorReview = now + jurorReview * (1 + m_context.board.rankFor(m_group) * laterPerRank);
     }
-    if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion)
+    const bool isJuror = isSuspect && m_context.board.jurorsOf(m_group).count(m_context.lease.instance()) > 0;
+    if (isJuror && !m_isSuspicionWritten && now >= m_nextSuspicion)
         return noteSuspicion(true);
     if (m_isToProbe && entry)
         probePrimary();
 }
 
+bool GroupKeeper::isLostToMost() const
+{
+    const auto jurors = m_context.board.jurorsOf(m_group);
+    const auto n = std::count_if(jurors.begin(), jurors.end(), [this](const InstanceId& it) { return m_suspicions.count(it) > 0; });
+    return static_cast<size_t>(n) * 2 > jurors.size();
+}
+
 void GroupKeeper::probePrimary()
 {
     const Instant now = m_context.loop.now();
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -54,6 +54,7 @@
     void release(RelayGroup&);
     void bootstrap();
     void watchPrimary(const RelayGroup&);
+    bool isLostToMost() const;
     void probePrimary();
     void primaryProbed(const ProbeResult&);
     void noteSuspicion(bool isSuspect);
@@ -93,7 +94,7 @@
     Instant m_lastAnswer;
     bool m_isSuspicionWritten { false };
     Instant m_nextSuspicion;
-    Instant m_nextVoterReview;
+    Instant m_nextJurorReview;
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
 
--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds refreshInterval { 5000 };
     /// In a large fleet each daemon reads less often, since every reading brings a row for each.
     constexpr Milliseconds refreshForEach { 150 };
+    /// Every suspicion wakes every daemon's watch, so a large fleet cannot ask all. A failure domain holds no majority of nine drawn from
+    /// several.
+    constexpr size_t mostJurors = 9;
     /// What a lease is taken to hold that cannot be read: longer than any that this version writes for its fleet.
     constexpr Milliseconds unreadableLength { 30'000 };
 
@@ -75,12 +78,12 @@
 void LeaseBoard::take(const LeaseTable& table)
 {
     uint32_t daemons = 0;
-    uint32_t voters = 0;
     uint32_t place = 0;
     double sessions = 0;
     double ownSessions = 0;
     bool hasOwn = false;
     m_peers.clear();
+    m_heard.clear();
     for (const auto& [instance, entry] : table.entries) {
         if (hasEnded(entry.lease, table.platformTime))
             continue;
@@ -95,11 +98,10 @@
         ++daemons;
         // A daemon renews several times within half of its lease.
         if (table.platformTime - entry.lease.askedAt <= entry.lease.length * 0.5)
-            ++voters;
+            m_heard.push_back(instance);
     }
     m_place = place;
     m_daemons = hasOwn ? daemons : daemons + 1;
-    m_voters = std::max(1U, voters);
     // Callers come and go faster than leases are read, so they decide only in part.
     constexpr double equalPart = 0.5;
     const double equalShare = 1.0 / m_daemons;
@@ -108,6 +110,24 @@
         m_changed();
 }
 
+std::set<InstanceId> LeaseBoard::jurorsOf(const GroupId& group) const
+{
+    const uint64_t seed = XXH64(group.value().data(), group.value().size(), 0);
+    std::vector<std::pair<uint64_t, InstanceId>> drawn;
+    const auto draw = [&](const InstanceId& it) { drawn.emplace_back(XXH64(it.value().data(), it.value().size(), seed), it); };
+    for (const auto& it : m_heard)
+        draw(it);
+    // This daemon is there even where its own lease was not read yet.
+    if (std::find(m_heard.begin(), m_heard.end(), m_own) == m_heard.end())
+        draw(m_own);
+    std::sort(drawn.begin(), drawn.end());
+    drawn.resize(std::min(drawn.size(), mostJurors));
+    std::set<InstanceId> jurors;
+    for (auto& it : drawn)
+        jurors.insert(std::move(it.second));
+    return jurors;
+}
+
 uint32_t LeaseBoard::rankFor(const GroupId& group) const
 {
     const uint64_t hash = XXH64(group.value().data(), group.value().size(), 0);
--- a/src/failover/LeaseBoard.h
+++ b/src/failover/LeaseBoard.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,9 @@
 
     /// Daemons whose leases have not ended, this one included.
     uint32_t daemons() const { return m_daemons; }
-    /// Those of them that were heard lately, whose word on a primary can be had.
-    uint32_t voters() const { return m_voters; }
+    /// The daemons whose word decides whether a group's primary is lost: a few of those heard lately, spread by hash over all failure
+    /// domains; all of them in a small fleet.
+    std::set<InstanceId> jurorsOf(const GroupId&) const;
     /// This daemon's part of what all share, between 0 and 1: half in equal parts, half by callers' sessions.
     double share() const { return m_share; }
     /// Where the other living daemons are reached.
@@ -65,7 +67,7 @@
     InstanceId m_own;
     std::function<void()> m_changed;
     uint32_t m_daemons { 1 };
-    uint32_t m_voters { 1 };
+    std::vector<InstanceId> m_heard;
     uint32_t m_place { 0 };
     double m_share { 1 };
     std::vector<Peer> m_peers;
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -18,6 +18,10 @@
     constexpr uint32_t connectionsToPeer = 8;
     /// Expected time of a statement at a target that has not answered lately.
     constexpr Milliseconds unknownDelay { 20 };
+    /// A change of primary among healthy daemons takes so long: its promotion some 600 ms, finding out the rest.
+    constexpr Milliseconds changeOfPrimary { 1000 };
+    /// Nobody is asked back sooner than a queue can move on by a few statements.
+    constexpr Milliseconds soonestReturn { 50 };
     /// A target in another failure domain must be faster by this to be worth the bytes between failure domains.
     constexpr Milliseconds otherDomainCost { 30 };
     /// The primary must be faster by this for a read that a replica may serve, since only it can serve writes.
@@ -229,6 +233,14 @@
     return target;
 }
 
+Milliseconds RelayGroup::comeBackAfter(const RelayTarget* target) const
+{
+    if (!mayUsePrimary())
+        return changeOfPrimary;
+    const Milliseconds delay = target ? target->expectedDelay(unknownDelay) : unknownDelay;
+    return std::min(std::max(delay, soonestReturn), changeOfPrimary);
+}
+
 void RelayGroup::reportPeer(const InstanceId& peer, bool isReached)
 {
     if (isReached)
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -85,6 +85,8 @@
     std::shared_ptr<RelayTarget> primaryTarget() const;
     /// The best place for a statement that has not been tried; nullopt when there is none.
     std::optional<StatementPlace> placeFor(const RelayJob&, const std::set<TargetId>& tried);
+    /// When a refused statement may be worth another try; `target`: where it was refused, null when nowhere.
+    Milliseconds comeBackAfter(const RelayTarget* target) const;
     void reportPeer(const InstanceId&, bool isReached);
     /// The log that a read needs at a replica; nullopt when no known mark is fresh enough.
     std::optional<LogMark> neededMark(const RelayJob&) const;
--- a/src/relay/RelayGroupTests.cpp
+++ b/src/relay/RelayGroupTests.cpp
@@ -214,6 +214,21 @@
     CHECK(caller.last().error == RelayError::None);
 }
 
+TEST_CASE("a refusal says when to come back", "[relay]")
+{
+    RelayScene scene;
+    scene.targets[TargetId("one")].isBusy = true;
+    SceneCaller caller(scene.relay, "orders");
+    caller.send(RelayKind::Write, "WRITE 1 a");
+    scene.run(300);
+    REQUIRE(caller.last().error == RelayError::Busy);
+    CHECK_THAT(caller.last().errorText, Catch::EndsWith("; come back in 50 ms"));
+    scene.setPrimary("one", 1, false);
+    caller.send(RelayKind::Write, "WRITE 2 a");
+    scene.run(300);
+    CHECK_THAT(caller.last().errorText, Catch::EndsWith("; come back in 1000 ms"));
+}
+
 TEST_CASE("a write that a full primary refuses is told as not run", "[relay]")
 {
     RelayScene scene;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -284,6 +284,10 @@
     RelayAnswer answer;
     answer.error = error;
     answer.errorText = std::string(why);
+    if (error == RelayError::Busy) {
+        const auto pause = static_cast<int64_t>(m_group.comeBackAfter(m_place.target.get()).count());
+        answer.errorText += "; come back in " + std::to_string(pause) + " ms";
+    }
     finish(std::move(answer));
 }
 
