Keep a table known while it is read anew

A lost history made the daemon not ready until the table was read again, although what it knew before is still used. Found by reading; the test of the lost history now asks for it in between.

--- a/src/directory/RowWatch.cpp
+++ b/src/directory/RowWatch.cpp
@@ -33,7 +33,7 @@
 void RowWatch::ask()
 {
     m_asked = std::make_shared<Instant>(m_loop.now());
-    if (m_isKnown)
+    if (m_isCurrent)
         watch();
     else
         readAll();
@@ -52,6 +52,7 @@
             m_rows[it.key] = it;
         m_version = answer->version;
         m_isKnown = true;
+        m_isCurrent = true;
         m_changed(m_rows);
         ask();
     });
@@ -66,7 +67,7 @@
         if (!answer.ok())
             return askAfter(retryPause);
         if (answer->isHistoryLost) {
-            m_isKnown = false;
+            m_isCurrent = false;
             return ask();
         }
         for (const auto& it : answer->rows)
--- a/src/directory/RowWatch.h
+++ b/src/directory/RowWatch.h
@@ -50,6 +50,8 @@
     Rows m_rows;
     RowVersion m_version;
     bool m_isKnown { false };
+    /// Whether the platform still tells what changed since the last reading.
+    bool m_isCurrent { false };
     bool m_isLost { false };
     /// When it asked last; lives as long as that question is the one whose answer counts.
     std::shared_ptr<Instant> m_asked;
--- a/src/directory/RowWatchTests.cpp
+++ b/src/directory/RowWatchTests.cpp
@@ -69,6 +69,9 @@
     scene.tables.put("op", "b", "1");
     scene.tables.put("op", "c", "1");
     scene.tables.forgetHistory();
+    scene.loop.advance(Milliseconds(6));
+    // What was read before is still there meanwhile.
+    CHECK(scene.watch.isKnown());
     scene.loop.advance(Milliseconds(50));
     CHECK(scene.known == 2);
 }
