--- a/src/relay/RelayDrain.cpp
+++ b/src/relay/RelayDrain.cpp
@@ -24,13 +24,13 @@
 {
 }
 
-void RelayDrain::start(std::function<void()> done)
+void RelayDrain::start(DrainSteps steps)
 {
     if (m_isDraining)
         return;
     m_isDraining = true;
     m_startedAt = m_loop.now();
-    m_done = std::move(done);
+    m_steps = std::move(steps);
     m_loop.after(balancerDelay, [this] { step(); });
 }
 
@@ -57,7 +57,9 @@
 {
     for (const auto& it : m_relay.allSessions())
         it->close();
-    m_done();
+    // A statement that came while the lease is given back would be read and never answered.
+    m_steps.stopListening();
+    m_steps.releaseLease(m_steps.stopped);
 }
 
 }
--- a/src/relay/RelayDrain.h
+++ b/src/relay/RelayDrain.h
@@ -7,6 +7,15 @@
 
 namespace parsleypaddle {
 
+/// What ends a daemon once its relay is empty, in the order of its use.
+struct DrainSteps {
+    /// From then on nothing is taken in.
+    std::function<void()> stopListening;
+    /// Gives the lease back and calls what it is given, also when the platform does not answer.
+    std::function<void(std::function<void()>)> releaseLease;
+    std::function<void()> stopped;
+};
+
 /// Empties a relay before its daemon stops: sessions are closed between two statements, a few at a time, so that their
 /// callers do not all come back to the other daemons at once.
 class RelayDrain {
@@ -16,8 +25,8 @@
 
     bool isDraining() const { return m_isDraining; }
 
-    /// Calls `done` once no session is left, or when time is short.
-    void start(std::function<void()> done);
+    /// Takes the steps once no session is left, or when time is short.
+    void start(DrainSteps);
 
 private:
     void step();
@@ -28,7 +37,7 @@
     Milliseconds m_grace;
     bool m_isDraining { false };
     Instant m_startedAt;
-    std::function<void()> m_done;
+    DrainSteps m_steps;
 };
 
 }
