Draw jurors from every failure domain, and let whoever suspects first call them

Cause, found by reading: in a large fleet only the homes of a group use its primary, and jurors were drawn without regard to them. Where no home was a juror (44% of groups at 91 daemons, by the draw) nobody wrote the first suspicion, so a crashed primary was replaced only once it left the platform's list. Drawn by hash alone, one failure domain of four could hold five of nine jurors. Now any daemon writes the first suspicion, 100 ms after it suspects if no juror has; jurors come from each failure domain in turn; and only jurors and users of a primary probe it, since 91 new connections every 80 ms would hold the slots of one that is only slow.

--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -80,6 +80,25 @@
     CHECK(scene.staleWrites == 0);
 }
 
+// Pattern: in a large fleet only the homes of a group use its primary, and they need not be its jurors. Found by reading.
+TEST_CASE("jurors are called by a daemon that is none", "[failover]")
+{
+    FailoverScene scene(40);
+    runWithTraffic(scene, 8000);
+    const auto jurors = scene.daemons[0]->board.jurorsOf(GroupId("group"));
+    REQUIRE(jurors.size() == 9);
+    size_t user = 0;
+    while (jurors.count(scene.daemons[user]->lease.instance()) > 0)
+        ++user;
+    scene.run(1000);
+    scene.targets[TargetId("one")].isDown = true;
+    for (int n = 0; n < 100; ++n) {
+        scene.write(user);
+        scene.run(20);
+    }
+    CHECK(scene.write(user) == RelayError::None);
+}
+
 TEST_CASE("a primary that leaves as planned hands over to a replica with its whole log", "[failover]")
 {
     FailoverScene scene(5);
--- a/src/failover/GroupKeeper.cpp
+++ b/src/failover/GroupKeeper.cpp
@@ -22,6 +22,8 @@
     /// large fleet each reading is long.
     constexpr Milliseconds jurorReview { 500 };
     constexpr double laterPerRank = 0.2;
+    /// Jurors that suspect a primary as well have written so by then.
+    constexpr Milliseconds jurorsHeadStart { 100 };
     /// Pause after a suspicion could not be written.
     constexpr Milliseconds suspicionRetry { 300 };
     /// The owner of a change that takes longer is checked.
@@ -74,7 +76,8 @@
 {
     m_suspicions = std::move(suspicions);
     m_isSuspicionWritten = m_suspicions.count(m_context.lease.instance()) > 0;
-    if (!m_suspicions.empty())
+    // In a large fleet a primary that is only slow must not be asked by everybody.
+    if (!m_suspicions.empty() && isJuror())
         m_isToProbe = true;
 }
 
@@ -187,17 +190,29 @@
         return beginChange(false, "most daemons cannot reach the primary");
     if (isSuspect && now >= m_nextJurorReview) {
         // The first review comes after the suspicions of all who are there.
-        if (m_nextJurorReview != Instant())
+        if (m_nextJurorReview == Instant())
+            m_suspectSince = now;
+        else
             m_context.board.read([](const absl::StatusOr<LeaseTable>&) {});
         m_nextJurorReview = now + jurorReview * (1 + m_context.board.rankFor(m_group) * laterPerRank);
     }
-    const bool isJuror = isSuspect && m_context.board.jurorsOf(m_group).count(m_context.lease.instance()) > 0;
-    if (isJuror && !m_isSuspicionWritten && now >= m_nextSuspicion)
+    if (isSuspect && !m_isSuspicionWritten && now >= m_nextSuspicion && isSuspicionWanted())
         return noteSuspicion(true);
     if (m_isToProbe && entry)
         probePrimary();
 }
 
+// Jurors may not use the primary themselves, so the first suspicion on record calls them, whoever writes it.
+bool GroupKeeper::isSuspicionWanted() const
+{
+    return isJuror() || (m_suspicions.empty() && m_context.loop.now() >= m_suspectSince + jurorsHeadStart);
+}
+
+bool GroupKeeper::isJuror() const
+{
+    return m_context.board.jurorsOf(m_group).count(m_context.lease.instance()) > 0;
+}
+
 bool GroupKeeper::isLostToMost() const
 {
     const auto jurors = m_context.board.jurorsOf(m_group);
@@ -226,6 +241,7 @@
     const bool isDeposed = result.report && (!result.report->isPrimary || result.report->term != m_record->term);
     if (result.isAlive && !isDeposed) {
         m_failedProbes = 0;
+        m_nextJurorReview = Instant();
         // Others who cannot reach it may be right about their own paths.
         m_isToProbe = false;
         if (m_isSuspicionWritten)
--- a/src/failover/GroupKeeper.h
+++ b/src/failover/GroupKeeper.h
@@ -54,6 +54,9 @@
     void release(RelayGroup&);
     void bootstrap();
     void watchPrimary(const RelayGroup&);
+    /// Whether this daemon's suspicion is worth its price.
+    bool isSuspicionWanted() const;
+    bool isJuror() const;
     bool isLostToMost() const;
     void probePrimary();
     void primaryProbed(const ProbeResult&);
@@ -94,6 +97,7 @@
     Instant m_lastAnswer;
     bool m_isSuspicionWritten { false };
     Instant m_nextSuspicion;
+    Instant m_suspectSince;
     Instant m_nextJurorReview;
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
--- a/src/failover/LeaseBoard.cpp
+++ b/src/failover/LeaseBoard.cpp
@@ -11,8 +11,7 @@
     constexpr Milliseconds refreshInterval { 5000 };
     /// In a large fleet each daemon reads less often, since every reading brings a row for each.
     constexpr Milliseconds refreshForEach { 150 };
-    /// Every suspicion wakes every daemon's watch, so a large fleet cannot ask all. A failure domain holds no majority of nine drawn from
-    /// several.
+    /// Every suspicion wakes every daemon's watch, so a large fleet cannot ask all.
     constexpr size_t mostJurors = 9;
     /// What a lease is taken to hold that cannot be read: longer than any that this version writes for its fleet.
     constexpr Milliseconds unreadableLength { 30'000 };
@@ -88,8 +87,10 @@
         if (hasEnded(entry.lease, table.platformTime))
             continue;
         sessions += entry.lease.sessions;
-        if (instance == m_own)
+        if (instance == m_own) {
             ownSessions = entry.lease.sessions;
+            m_ownDomain = entry.lease.addresses.failureDomain;
+        }
         if (instance < m_own)
             ++place;
         hasOwn = hasOwn || instance == m_own;
@@ -98,7 +99,7 @@
         ++daemons;
         // A daemon renews several times within half of its lease.
         if (table.platformTime - entry.lease.askedAt <= entry.lease.length * 0.5)
-            m_heard.push_back(instance);
+            m_heard.emplace_back(instance, entry.lease.addresses.failureDomain);
     }
     m_place = place;
     m_daemons = hasOwn ? daemons : daemons + 1;
@@ -113,18 +114,20 @@
 std::set<InstanceId> LeaseBoard::jurorsOf(const GroupId& group) const
 {
     const uint64_t seed = XXH64(group.value().data(), group.value().size(), 0);
-    std::vector<std::pair<uint64_t, InstanceId>> drawn;
-    const auto draw = [&](const InstanceId& it) { drawn.emplace_back(XXH64(it.value().data(), it.value().size(), seed), it); };
-    for (const auto& it : m_heard)
-        draw(it);
+    std::map<FailureDomainId, std::map<uint64_t, InstanceId>> byDomain;
     // This daemon is there even where its own lease was not read yet.
-    if (std::find(m_heard.begin(), m_heard.end(), m_own) == m_heard.end())
-        draw(m_own);
-    std::sort(drawn.begin(), drawn.end());
-    drawn.resize(std::min(drawn.size(), mostJurors));
+    byDomain[m_ownDomain][XXH64(m_own.value().data(), m_own.value().size(), seed)] = m_own;
+    for (const auto& [instance, domain] : m_heard)
+        byDomain[domain][XXH64(instance.value().data(), instance.value().size(), seed)] = instance;
+    // One of each failure domain in turn, so that none of three or more holds a majority.
     std::set<InstanceId> jurors;
-    for (auto& it : drawn)
-        jurors.insert(std::move(it.second));
+    while (jurors.size() < mostJurors && !byDomain.empty()) {
+        for (auto it = byDomain.begin(); it != byDomain.end() && jurors.size() < mostJurors;) {
+            jurors.insert(it->second.begin()->second);
+            it->second.erase(it->second.begin());
+            it = it->second.empty() ? byDomain.erase(it) : std::next(it);
+        }
+    }
     return jurors;
 }
 
--- a/src/failover/LeaseBoard.h
+++ b/src/failover/LeaseBoard.h
@@ -48,8 +48,8 @@
 
     /// Daemons whose leases have not ended, this one included.
     uint32_t daemons() const { return m_daemons; }
-    /// The daemons whose word decides whether a group's primary is lost: a few of those heard lately, spread by hash over all failure
-    /// domains; all of them in a small fleet.
+    /// The daemons whose word decides whether a group's primary is lost: a few of those heard lately, of every failure
+    /// domain; all of them in a small fleet.
     std::set<InstanceId> jurorsOf(const GroupId&) const;
     /// This daemon's part of what all share, between 0 and 1: half in equal parts, half by callers' sessions.
     double share() const { return m_share; }
@@ -67,7 +67,9 @@
     InstanceId m_own;
     std::function<void()> m_changed;
     uint32_t m_daemons { 1 };
-    std::vector<InstanceId> m_heard;
+    /// Daemons heard lately, with their failure domains.
+    std::vector<std::pair<InstanceId, FailureDomainId>> m_heard;
+    FailureDomainId m_ownDomain;
     uint32_t m_place { 0 };
     double m_share { 1 };
     std::vector<Peer> m_peers;
