Read and write the rows of leases and groups with the project's JSON functions

Cause: the change had written the parsing and writing of JSON text again for lease rows, group records and the platform's bodies, beside parseJsonObject and writeJson of src/statements. The copies built a reader and a writer for every row, of which a reading of all leases has one for each daemon, and let the parser's exception for deep nesting through. Rows that this project writes itself are read strictly: duplicate keys, text behind the object or more than 16 levels count as malformed, as any other form did before. The platform's bodies keep their own, more tolerant reader (platform/JsonFields.h). Ruled out: one reader for both, since bodies of the platform may hold what this project does not know.

--- a/src/failover/GroupRecord.cpp
+++ b/src/failover/GroupRecord.cpp
@@ -1,12 +1,10 @@
 #include "failover/GroupRecord.h"
 
 #include "base/ResultCode.h"
+#include "statements/JsonText.h"
 
 #include <algorithm>
 #include <array>
-#include <json/reader.h>
-#include <json/writer.h>
-#include <memory>
 
 namespace parsleypaddle {
 
@@ -35,19 +33,15 @@
     value["owner"] = record.owner.value();
     value["incarnation"] = record.ownerIncarnation;
     value["candidate"] = record.candidate.value();
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    return writeJson(value);
 }
 
 absl::StatusOr<GroupRecord> decodeGroupRecord(const std::string& text)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject())
+    const auto object = parseJsonObject(text);
+    if (!object.ok())
         return makeError(ResultCode::MalformedInput, "a group's record is no JSON object");
+    const Json::Value& value = *object;
     for (const char* it : { "phase", "primary", "owner", "incarnation", "candidate" }) {
         if (!value[it].isString())
             return makeError(ResultCode::MissingField, std::string("a group's record lacks ") + it);
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -1,10 +1,7 @@
 #include "leases/LeaseRow.h"
 
 #include "base/ResultCode.h"
-
-#include <json/reader.h>
-#include <json/writer.h>
-#include <memory>
+#include "statements/JsonText.h"
 
 namespace parsleypaddle {
 
@@ -41,19 +38,15 @@
     value["platform_port"] = row.addresses.platformPort;
     value["caller_port"] = row.addresses.callerPort;
     value["sessions"] = row.sessions;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    return writeJson(value);
 }
 
 absl::StatusOr<LeaseRow> decodeLeaseRow(const std::string& text)
 {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value value;
-    std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors) || !value.isObject())
+    const auto object = parseJsonObject(text);
+    if (!object.ok())
         return makeError(ResultCode::MalformedInput, "a lease is no JSON object");
+    const Json::Value& value = *object;
     const Json::Value& incarnation = value["incarnation"];
     const Json::Value& askedAt = value["asked_at"];
     const Json::Value& length = value["length_ms"];
