Let sessions wait until a daemon knows the routes, instead of denying databases that exist

Cause: after a loss of power callers reach daemons that have not read the configuration yet. Such a daemon answered NODB for every database. Ruled out: being not ready (the balancer uses all daemons of a failure domain when none is ready), a closed listener (callers lose an attempt). Change: a session waits for the first routes for at most a second, then is refused as busy. Test on virtual time in src/relay.

--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -3,12 +3,15 @@
 #include "relay/CallerSession.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleypaddle {
 
 namespace {
 
     constexpr Milliseconds idleCheckInterval { 500 };
+    /// Callers give up an attempt to open a session after two seconds, and need time for another one.
+    constexpr Milliseconds maxRouteWait { 1000 };
 
 }
 
@@ -27,6 +30,7 @@
 Relay::~Relay()
 {
     m_loop.cancel(m_idleCheckTimer);
+    m_loop.cancel(m_routeWaitTimer);
 }
 
 void Relay::setRoutes(std::shared_ptr<const RouteTable> routes)
@@ -38,6 +42,23 @@
         findOrCreateGroup(group);
     setTargets(m_targets);
     applyConnectionShare();
+    endRouteWaits(true);
+}
+
+void Relay::awaitRoutes(std::function<void(bool areKnown)> done)
+{
+    if (m_routes)
+        return done(true);
+    m_routeWaits.push_back(std::move(done));
+    if (m_routeWaitTimer == TimerId::None)
+        m_routeWaitTimer = m_loop.after(maxRouteWait, [this] { endRouteWaits(false); });
+}
+
+void Relay::endRouteWaits(bool areKnown)
+{
+    m_loop.cancel(std::exchange(m_routeWaitTimer, TimerId::None));
+    for (const auto& it : std::exchange(m_routeWaits, {}))
+        it(areKnown);
 }
 
 void Relay::setTargets(std::vector<TargetEntry> targets)
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -4,9 +4,11 @@
 #include "directory/TargetEntry.h"
 #include "relay/RelayGroup.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace parsleypaddle {
 
@@ -26,6 +28,9 @@
     void setConnectionShare(double);
 
     bool hasRoutes() const { return m_routes != nullptr; }
+    /// Calls `done` once the routes are known, or after a second without them. A daemon that has just started does not know
+    /// which databases exist, so it must not deny one.
+    void awaitRoutes(std::function<void(bool areKnown)> done);
     const RouteTable* routes() const { return m_routes.get(); }
     std::shared_ptr<const Route> routeOf(const DatabaseId&) const;
     /// How long an open transaction may stay idle before it is rolled back.
@@ -47,6 +52,7 @@
 private:
     void applyConnectionShare();
     void endIdleTransactions();
+    void endRouteWaits(bool areKnown);
 
     EventLoop& m_loop;
     TargetConnector& m_connector;
@@ -61,6 +67,9 @@
     std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
     std::unordered_map<CallerSession*, std::weak_ptr<CallerSession>> m_sessions;
     TimerId m_idleCheckTimer { TimerId::None };
+    /// What waits for the first routes.
+    std::vector<std::function<void(bool)>> m_routeWaits;
+    TimerId m_routeWaitTimer { TimerId::None };
 };
 
 }
--- a/src/relay/RelayGroupTests.cpp
+++ b/src/relay/RelayGroupTests.cpp
@@ -294,3 +294,28 @@
     REQUIRE(scene.ran("READ 1").size() == 1);
     CHECK(scene.ran("READ 1")[0].target == TargetId("one"));
 }
+
+// After a loss of power daemons receive sessions before they have read the configuration. They denied databases that exist.
+TEST_CASE("what waits for the routes goes on when they are known, or is given up after a second", "[relay]")
+{
+    RelayFixture scene;
+    Relay relay(scene.loop, scene.targets, scene, scene, scene.log, scene.metrics, scene.membership);
+    int known = 0;
+    int unknown = 0;
+    const auto count = [&](bool areKnown) { ++(areKnown ? known : unknown); };
+    relay.awaitRoutes(count);
+    scene.run(990);
+    CHECK(unknown == 0);
+    scene.run(20);
+    CHECK(unknown == 1);
+    relay.awaitRoutes(count);
+    relay.awaitRoutes(count);
+    scene.run(100);
+    auto routes = std::make_shared<RouteTable>(*scene.relay.routes());
+    relay.setRoutes(std::move(routes));
+    CHECK(known == 2);
+    relay.awaitRoutes(count);
+    CHECK(known == 3);
+    scene.run(2000);
+    CHECK(unknown == 1);
+}
