--- /dev/null
+++ b/src/distribution/DistributionFixture.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "base/VirtualLoop.h"
+#include "directory/TableWatch.h"
+#include "distribution/SourceRole.h"
+#include "fleet/NodeLoop.h"
+#include "leases/Epoch.h"
+#include "platform_ports/FakeRows.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace parsleypaddle {
+
+/// Table with the configuration of the tests, one row whose value is a number that grows.
+inline constexpr const char* testConfigurationTable = "configuration";
+inline constexpr const char* testConfigurationKey = "newest";
+
+class DistributionDaemon;
+
+/// Channels between the daemons of a test, by host name.
+class FakePeerNetwork {
+public:
+    explicit FakePeerNetwork(VirtualLoop& loop)
+        : m_loop(loop)
+    {
+    }
+
+    std::shared_ptr<PeerChannel> connect(DistributionDaemon& from, const std::string& host, PeerChannelCallbacks);
+
+    /// The process at this host, if it runs.
+    std::map<std::string, DistributionDaemon*> processes;
+    /// Hosts that are cut off from all others: what is sent to them or by them is lost, without a sign.
+    std::set<std::string> silentHosts;
+    /// Makes the present channels of a host silent for good, while new ones work.
+    void silenceChannels(const std::string& host);
+    /// Closes all channels of a host, as the kernel does when its process ends.
+    void closeChannels(const std::string& host);
+    /// Lines delivered so far, and their bytes.
+    uint64_t lines { 0 };
+    uint64_t bytes { 0 };
+
+private:
+    class Channel;
+    struct Link;
+
+    void deliver(const std::shared_ptr<Link>&, size_t toEnd, std::function<void()>);
+
+    VirtualLoop& m_loop;
+    std::vector<std::weak_ptr<Link>> m_links;
+};
+
+/// One process of a daemon with the parts that read the platform and hold leases. It stops using primaries as soon as it sees that
+/// a change has begun.
+class DistributionDaemon final : public PeerConnector {
+public:
+    DistributionDaemon(VirtualLoop&, FakeTables&, FakePeerNetwork&, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed);
+    ~DistributionDaemon() override;
+
+    void start(bool isFirstStart);
+    std::shared_ptr<PeerChannel> connect(const PeerEndpoint&, PeerChannelCallbacks) override;
+
+    bool hasLogged(const std::string& event) const;
+
+    FakePeerNetwork& network;
+    std::string name;
+    NodeLoop loop;
+    FakeRows rows;
+    std::vector<std::string> logLines;
+    DecisionLog log;
+    SharedRows sharedRows;
+    InstanceLease lease;
+    LeaseMonitor leaseMonitor;
+    SourceService service;
+    SourceRole role;
+    TableWatch controlWatch;
+    TableWatch configurationWatch;
+    /// The newest configuration, and whether an older one was ever seen after it.
+    int configuration { 0 };
+    bool hasGoneBack { false };
+};
+
+/// A fleet in virtual time that starts for the first time.
+class DistributionFixture {
+public:
+    DistributionFixture(size_t daemons, size_t domains, uint64_t seed = 1);
+    ~DistributionFixture();
+
+    void run(double milliseconds) { loop.advance(Milliseconds(milliseconds)); }
+    /// Ends a process without notice. With `losesPower` its channels are not closed.
+    void kill(size_t daemon, bool losesPower = false);
+    /// Starts a new process of an instance that was killed.
+    void restart(size_t daemon);
+    /// Stops a process as planned: it sends its subscribers elsewhere, and releases its lease `drain` later.
+    void stop(size_t daemon, double drain = 3000);
+
+    void writeConfiguration(int number);
+    /// Begins a change of primary. Returns the version of the epoch row.
+    RowVersion beginChange();
+    /// Time until no daemon can use the primary any more according to the leases, or `limit`.
+    Milliseconds waitForRelease(RowVersion epoch, double limit = 20'000);
+    /// Number of processes, frozen ones included, that could use a primary whose change began with `epoch`.
+    size_t countUsing(RowVersion epoch) const;
+
+    std::vector<size_t> holders() const;
+    std::vector<size_t> subscribersOf(size_t holder) const;
+    size_t countValidLeases() const;
+    size_t countConfiguration(int number) const;
+    uint64_t calls() const;
+    bool hasAnyGoneBack() const;
+
+    VirtualLoop loop;
+    FakeTables tables { loop };
+    FakePeerNetwork network { loop };
+    std::vector<std::unique_ptr<DistributionDaemon>> daemons;
+
+private:
+    void start(size_t daemon, bool isFirstStart);
+
+    size_t m_domains;
+    uint64_t m_seed;
+    uint64_t m_incarnations { 0 };
+    uint64_t m_callsOfEnded { 0 };
+    FakeRows m_observer { loop, tables };
+    /// Processes that have ended. They are kept because pending callbacks still refer to them.
+    std::vector<std::unique_ptr<DistributionDaemon>> m_ended;
+};
+
+}
--- /dev/null
+++ b/src/distribution/DistributionTests.cpp
@@ -0,0 +1,363 @@
+#include "distribution/DistributionFixture.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+namespace {
+
+/// Runs the fleet and returns whether all daemons held valid leases at every 20 ms of it.
+bool keepsLeases(DistributionFixture& fixture, double milliseconds, size_t expected)
+{
+    bool areValid = true;
+    for (double it = 0; it < milliseconds; it += 20) {
+        fixture.run(20);
+        areValid = areValid && fixture.countValidLeases() >= expected;
+    }
+    return areValid;
+}
+
+size_t holderWithSubscribers(const DistributionFixture& fixture)
+{
+    for (const size_t it : fixture.holders()) {
+        if (!fixture.subscribersOf(it).empty())
+            return it;
+    }
+    FAIL("no holder has subscribers");
+    return 0;
+}
+
+}
+
+// The load that a fleet of hundreds of daemons puts on the platform must not grow with their number: 40 calls a second at 295
+// daemons in 6 failure domains.
+TEST_CASE("in a quiet fleet only the holders call the platform, whatever its size", "[distribution]")
+{
+    const size_t n = GENERATE(295, 460);
+    DistributionFixture fixture(n, 6);
+    CHECK(fixture.holders().size() >= 18);
+    CHECK(fixture.holders().size() <= 24);
+    CHECK(fixture.countValidLeases() == n);
+    fixture.run(30'000);
+    CHECK(fixture.holders().size() == 18);
+    const uint64_t before = fixture.calls();
+    fixture.run(60'000);
+    CHECK(static_cast<double>(fixture.calls() - before) / 60 <= 40);
+}
+
+TEST_CASE("the first start of 295 daemons costs two calls a daemon besides those of the holders", "[distribution]")
+{
+    DistributionFixture fixture(295, 6);
+    // Each holder reads four tables, watches three, and renews its row.
+    CHECK(fixture.calls() <= 295 * 2 + 24 * 60);
+}
+
+TEST_CASE("a small fleet has holders only", "[distribution]")
+{
+    DistributionFixture fixture(9, 4);
+    fixture.run(30'000);
+    CHECK(fixture.holders().size() == 9);
+    CHECK(fixture.countValidLeases() == 9);
+}
+
+TEST_CASE("a change of configuration reaches every daemon at once and costs a call a holder", "[distribution]")
+{
+    DistributionFixture fixture(295, 6);
+    fixture.run(30'000);
+    const uint64_t before = fixture.calls();
+    fixture.writeConfiguration(2);
+    fixture.run(100);
+    CHECK(fixture.countConfiguration(2) == 295);
+    CHECK(fixture.calls() - before <= size_t { 18 } * 3);
+}
+
+TEST_CASE("all daemons stop using a primary within 100 ms of the change, at a few calls a holder", "[distribution]")
+{
+    DistributionFixture fixture(295, 6);
+    fixture.run(30'000);
+    const uint64_t before = fixture.calls();
+    const RowVersion epoch = fixture.beginChange();
+    CHECK(fixture.waitForRelease(epoch) <= Milliseconds(100));
+    CHECK(fixture.countUsing(epoch) == 0);
+    CHECK(fixture.countValidLeases() == 295);
+    CHECK(fixture.calls() - before <= size_t { 18 } * 5);
+}
+
+TEST_CASE("subscribers of a killed source keep their leases through another one", "[distribution]")
+{
+    const bool losesPower = GENERATE(false, true);
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.kill(source, losesPower);
+    CHECK(keepsLeases(fixture, 5000, 23));
+    fixture.writeConfiguration(2);
+    fixture.run(100);
+    CHECK(fixture.countConfiguration(2) == 23);
+}
+
+TEST_CASE("subscribers whose channels fall silent subscribe anew and keep their leases", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.network.silenceChannels("daemon-" + std::to_string(source));
+    CHECK(keepsLeases(fixture, 5000, 24));
+    fixture.writeConfiguration(2);
+    fixture.run(100);
+    CHECK(fixture.countConfiguration(2) == 24);
+}
+
+// A failure domain loses all its holders at once, with or without their channels being closed.
+TEST_CASE("other daemons become holders when all holders of a failure domain are lost", "[distribution]")
+{
+    const bool losesPower = GENERATE(false, true);
+    DistributionFixture fixture(40, 2);
+    for (const size_t it : fixture.holders()) {
+        if (it % 2 == 0)
+            fixture.kill(it, losesPower);
+    }
+    const auto remaining = static_cast<size_t>(std::count_if(fixture.daemons.begin(), fixture.daemons.end(), [](const auto& it) { return it != nullptr; }));
+    fixture.run(losesPower ? 5000 : 2500);
+    CHECK(fixture.countValidLeases() == remaining);
+    fixture.run(20'000);
+    CHECK(fixture.holders().size() == 6);
+    fixture.writeConfiguration(2);
+    fixture.run(100);
+    CHECK(fixture.countConfiguration(2) == remaining);
+}
+
+// All machines lose power and start again within 0.4 s of each other, while the platform still lists the holders of before.
+TEST_CASE("all daemons that restart at once serve again within a second", "[distribution]")
+{
+    DistributionFixture fixture(295, 6);
+    fixture.run(20'000);
+    for (size_t it = 0; it < 295; ++it)
+        fixture.kill(it, true);
+    fixture.run(600);
+    const uint64_t before = fixture.calls();
+    for (size_t it = 0; it < 295; ++it) {
+        fixture.restart((it * 7) % 295);
+        fixture.run(400.0 / 295);
+    }
+    fixture.run(300);
+    CHECK(fixture.countValidLeases() >= 280);
+    fixture.run(700);
+    CHECK(fixture.countValidLeases() == 295);
+    CHECK(fixture.countConfiguration(1) == 295);
+    CHECK(fixture.holders().size() <= 24);
+    CHECK(fixture.calls() - before <= 295 * 3);
+}
+
+TEST_CASE("a planned stop of a source interrupts no subscriber's lease and delays no later change", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.daemons[source]->role.stopServing();
+    CHECK(keepsLeases(fixture, 3000, 24));
+    fixture.stop(source, 0);
+    const RowVersion epoch = fixture.beginChange();
+    CHECK(fixture.waitForRelease(epoch) <= Milliseconds(100));
+    CHECK(fixture.countUsing(epoch) == 0);
+}
+
+TEST_CASE("a change waits for the grant of a frozen subscriber and for no longer", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    const size_t frozen = fixture.subscribersOf(source).front();
+    fixture.daemons[frozen]->loop.setPaused(true);
+    const RowVersion epoch = fixture.beginChange();
+    const Milliseconds wait = fixture.waitForRelease(epoch);
+    CHECK(fixture.countUsing(epoch) == 0);
+    CHECK(wait <= Milliseconds(3000));
+    // The other daemons keep their leases meanwhile.
+    CHECK(keepsLeases(fixture, 3000, 23));
+    fixture.daemons[frozen]->loop.setPaused(false);
+    CHECK(fixture.countUsing(epoch) == 0);
+    fixture.run(2000);
+    CHECK(fixture.countValidLeases() == 24);
+}
+
+TEST_CASE("a change waits for the row of a frozen source, whose subscribers move on", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.daemons[source]->loop.setPaused(true);
+    CHECK(keepsLeases(fixture, 3000, 23));
+    const RowVersion epoch = fixture.beginChange();
+    CHECK(fixture.waitForRelease(epoch) <= Milliseconds(7000));
+    CHECK(fixture.countUsing(epoch) == 0);
+    fixture.daemons[source]->loop.setPaused(false);
+    for (int it = 0; it < 200; ++it) {
+        fixture.run(20);
+        CHECK(fixture.countUsing(epoch) == 0);
+    }
+}
+
+// A source is killed and starts again under its name, while its subscribers hold grants of the earlier process and have not heard
+// of the change.
+TEST_CASE("a new process does not replace a row under which grants may last", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    for (const size_t it : fixture.subscribersOf(source))
+        fixture.daemons[it]->loop.setPaused(true);
+    fixture.kill(source);
+    fixture.restart(source);
+    const RowVersion epoch = fixture.beginChange();
+    fixture.waitForRelease(epoch);
+    CHECK(fixture.countUsing(epoch) == 0);
+    CHECK(fixture.hasAnyGoneBack() == false);
+}
+
+TEST_CASE("a subscriber that restarts under its name is served again at once", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    const size_t subscriber = fixture.subscribersOf(source).front();
+    fixture.kill(subscriber);
+    fixture.writeConfiguration(2);
+    fixture.restart(subscriber);
+    fixture.run(600);
+    CHECK(fixture.countValidLeases() == 24);
+    CHECK(fixture.countConfiguration(2) == 24);
+}
+
+TEST_CASE("subscribers of a source that is cut off from the platform receive changes through another one", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.daemons[source]->rows.isCut = true;
+    fixture.run(4500);
+    fixture.writeConfiguration(2);
+    fixture.run(100);
+    CHECK(fixture.countConfiguration(2) >= 23);
+    CHECK(fixture.countValidLeases() == 24);
+}
+
+TEST_CASE("a daemon becomes a holder when no source of its failure domain reaches the platform", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    for (const size_t it : fixture.holders()) {
+        if (it % 2 == 0)
+            fixture.daemons[it]->rows.isCut = true;
+    }
+    fixture.run(6000);
+    fixture.writeConfiguration(2);
+    fixture.run(1500);
+    CHECK(fixture.countConfiguration(2) >= 21);
+    CHECK(fixture.countValidLeases() >= 21);
+}
+
+TEST_CASE("leases last through an outage of the platform of four seconds, and the daemons do not press on it", "[distribution]")
+{
+    DistributionFixture fixture(295, 6);
+    fixture.run(30'000);
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    const uint64_t before = fixture.calls();
+    CHECK(keepsLeases(fixture, 4000, 295));
+    fixture.run(4000);
+    CHECK(static_cast<double>(fixture.calls() - before) / 8 <= 90);
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = false;
+    fixture.run(4000);
+    CHECK(fixture.countValidLeases() == 295);
+    fixture.run(30'000);
+    CHECK(fixture.holders().size() <= 24);
+}
+
+TEST_CASE("no daemon returns to an older configuration when its source changes", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    int number = 1;
+    for (int it = 0; it < 40; ++it) {
+        fixture.writeConfiguration(++number);
+        const auto holders = fixture.holders();
+        // Some holders hear of the changes later than others.
+        fixture.daemons[holders[static_cast<size_t>(it) % holders.size()]]->rows.isCut = it % 2 == 0;
+        fixture.network.closeChannels("daemon-" + std::to_string(holders[static_cast<size_t>(it * 7) % holders.size()]));
+        fixture.run(300);
+    }
+    CHECK_FALSE(fixture.hasAnyGoneBack());
+}
+
+TEST_CASE("input that is not a message of the protocol closes the channel and nothing else", "[distribution]")
+{
+    const std::string line = GENERATE(as<std::string> {}, "", "GET / HTTP/1.1", "{}", "[[[[[[[[[[[[[[[[[[[[[[[[", R"({"v":2,"kind":"renew"})", R"({"v":1,"kind":"renew","number":1,"epoch":1,"sessions":1})",
+        R"({"v":1,"kind":"rows","id":1,"version":1,"platform_time":1,"history_lost":false,"rows":[{}]})", R"({"v":1,"kind":"subscribe","instance":"x"})", R"({"v":1,"kind":"grant","number":-1})", "\xff\xfe");
+    DistributionFixture fixture(4, 1);
+    const size_t holder = fixture.holders().front();
+    bool isClosed = false;
+    auto channel = fixture.network.connect(*fixture.daemons[(holder + 1) % 4], "daemon-" + std::to_string(holder), { [](std::string_view) {}, [&isClosed] { isClosed = true; } });
+    channel->send(line);
+    fixture.run(10);
+    CHECK(isClosed);
+    CHECK(fixture.daemons[holder]->hasLogged("peer_message_rejected"));
+    CHECK(fixture.countValidLeases() == 4);
+}
+
+// Kills, losses of power, freezes, cuts from the platform, silent channels, restarts under the same name, and planned stops, while
+// configurations and changes of primary are written.
+TEST_CASE("under random faults no daemon uses a primary after all leases say that it is released", "[distribution]")
+{
+    const auto seed = static_cast<uint64_t>(GENERATE(range(1, 25)));
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    DistributionFixture fixture(18, 2, seed);
+    int number = 1;
+    for (int round = 0; round < 12; ++round) {
+        const auto one = [&random] { return static_cast<size_t>(random() % 18); };
+        for (int it = 0; it < 3; ++it) {
+            const size_t daemon = one();
+            auto& process = fixture.daemons[daemon];
+            switch (random() % 7) {
+            case 0:
+                fixture.kill(daemon, random() % 2 == 0);
+                break;
+            case 1:
+                if (process)
+                    process->loop.setPaused(true);
+                break;
+            case 2:
+                if (process)
+                    process->rows.isCut = true;
+                break;
+            case 3:
+                if (process)
+                    process->rows.losesAnswers = true;
+                break;
+            case 4:
+                fixture.network.silenceChannels("daemon-" + std::to_string(daemon));
+                break;
+            case 5:
+                if (process)
+                    process->rows.appliesLate = Milliseconds(1500);
+                break;
+            default:
+                fixture.network.silentHosts.insert("daemon-" + std::to_string(daemon));
+            }
+        }
+        fixture.run(static_cast<double>(random() % 2000));
+        fixture.writeConfiguration(++number);
+        const RowVersion epoch = fixture.beginChange();
+        const bool isReleased = fixture.waitForRelease(epoch, 12'000) < Milliseconds(12'000);
+        CHECK(isReleased);
+        for (size_t it = 0; it < 18; ++it) {
+            if (random() % 2 == 0)
+                continue;
+            fixture.restart(it);
+            auto& process = fixture.daemons[it];
+            process->loop.setPaused(false);
+            process->rows.isCut = false;
+            process->rows.losesAnswers = false;
+            process->rows.appliesLate = Milliseconds(0);
+            fixture.network.silentHosts.erase("daemon-" + std::to_string(it));
+        }
+        for (int it = 0; it < 50; ++it) {
+            REQUIRE((!isReleased || fixture.countUsing(epoch) == 0));
+            fixture.run(40);
+        }
+        REQUIRE_FALSE(fixture.hasAnyGoneBack());
+    }
+}
--- /dev/null
+++ b/src/distribution/SharedRows.cpp
@@ -0,0 +1,163 @@
+#include "distribution/SharedRows.h"
+
+namespace parsleypaddle {
+
+SharedRows::SharedRows(EventLoop& loop, PlatformRows& platform, const std::vector<std::string>& tables)
+    : m_loop(loop)
+    , m_platform(platform)
+    , m_platformAnsweredAt(loop.now())
+{
+    for (const auto& it : tables)
+        m_copies[it];
+}
+
+void SharedRows::readAll(const std::string& table, RowsDone done)
+{
+    if (!isDistributed(table))
+        return m_platform.readAll(table, std::move(done));
+    add({ { ++m_lastId, table, m_copies[table].rows.version(), true }, {}, std::move(done) });
+}
+
+void SharedRows::watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone done)
+{
+    if (!isDistributed(table))
+        return m_platform.watch(table, after, wait, std::move(done));
+    add({ { ++m_lastId, table, after, false }, wait, std::move(done) });
+}
+
+void SharedRows::transact(const RowsTransaction& transaction, TransactionDone done)
+{
+    m_platform.transact(transaction, [this, done = std::move(done), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+        if (!alive.expired() && answer.ok())
+            m_platformAnsweredAt = m_loop.now();
+        done(answer);
+    });
+}
+
+// A table has one user, so a new request of a kind replaces the earlier one.
+void SharedRows::add(Pending pending)
+{
+    for (auto it = m_pending.begin(); it != m_pending.end();) {
+        const bool isReplaced = it->second.request.table == pending.request.table && it->second.request.isWhole == pending.request.isWhole;
+        it = isReplaced ? m_pending.erase(it) : std::next(it);
+    }
+    const uint64_t id = pending.request.id;
+    dispatch(m_pending.emplace(id, std::move(pending)).first->second);
+}
+
+void SharedRows::usePlatform()
+{
+    if (m_way == Way::Platform)
+        return;
+    m_way = Way::Platform;
+    m_sendToSource = nullptr;
+    dispatchAll();
+}
+
+void SharedRows::useSource(std::function<void(const TableRequest&)> send)
+{
+    m_way = Way::Source;
+    m_sendToSource = std::move(send);
+    dispatchAll();
+}
+
+void SharedRows::dispatchAll()
+{
+    // An answer may arrive at once and change the list.
+    std::vector<Pending> pending;
+    for (const auto& [id, it] : m_pending)
+        pending.push_back(it);
+    for (const auto& it : pending)
+        dispatch(it);
+}
+
+void SharedRows::dispatch(const Pending& pending)
+{
+    if (m_way == Way::None)
+        return;
+    if (m_way == Way::Source)
+        return m_sendToSource(pending.request);
+    auto done = [this, request = pending.request, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (!alive.expired())
+            applyPlatformAnswer(request, answer);
+    };
+    if (pending.request.isWhole)
+        m_platform.readAll(pending.request.table, std::move(done));
+    else
+        m_platform.watch(pending.request.table, pending.request.after, pending.wait, std::move(done));
+}
+
+void SharedRows::applyPlatformAnswer(const TableRequest& request, const absl::StatusOr<RowsAnswer>& answer)
+{
+    if (answer.ok()) {
+        m_platformAnsweredAt = m_loop.now();
+        updateCopy(request, *answer);
+    } else if (m_way != Way::Platform) {
+        // The request was also sent to the source that is used now.
+        return;
+    }
+    complete(request.id, answer);
+}
+
+void SharedRows::applyReply(const TableReply& reply)
+{
+    auto it = m_pending.find(reply.id);
+    if (it == m_pending.end())
+        return;
+    updateCopy(it->second.request, reply.answer);
+    complete(reply.id, reply.answer);
+}
+
+void SharedRows::updateCopy(const TableRequest& request, const RowsAnswer& answer)
+{
+    TableCopy& copy = m_copies[request.table].rows;
+    if (request.isWhole)
+        copy.setAll(answer);
+    else
+        copy.applyChanges(answer);
+    m_copyChanged(request.table);
+}
+
+void SharedRows::complete(uint64_t id, const absl::StatusOr<RowsAnswer>& answer)
+{
+    auto it = m_pending.find(id);
+    if (it == m_pending.end())
+        return;
+    const RowsDone done = std::move(it->second.done);
+    m_pending.erase(it);
+    done(answer);
+}
+
+std::optional<TableReply> SharedRows::answer(const TableRequest& request)
+{
+    auto it = m_copies.find(request.table);
+    if (it == m_copies.end() || !it->second.rows.isComplete())
+        return std::nullopt;
+    const TableCopy& copy = it->second.rows;
+    if (copy.version() < request.after) {
+        refresh(request.table, it->second);
+        return std::nullopt;
+    }
+    if (request.isWhole)
+        return TableReply { request.id, copy.wholeTable() };
+    RowsAnswer changes = copy.changesAfter(request.after);
+    if (changes.rows.empty() && !changes.isHistoryLost)
+        return std::nullopt;
+    return TableReply { request.id, std::move(changes) };
+}
+
+void SharedRows::refresh(const std::string& table, Copy& copy)
+{
+    if (copy.isRefreshing || m_way != Way::Platform)
+        return;
+    copy.isRefreshing = true;
+    m_platform.watch(table, copy.rows.version(), Milliseconds(0), [this, table, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+        if (alive.expired())
+            return;
+        m_copies[table].isRefreshing = false;
+        if (answer.ok())
+            updateCopy({ 0, table, RowVersion(), false }, *answer);
+    });
+}
+
+}
--- /dev/null
+++ b/src/distribution/SharedRows.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "distribution/SourceMessages.h"
+#include "distribution/TableCopy.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace parsleypaddle {
+
+/// Reads the distributed tables from the platform or from a source, another daemon that reads them from the platform. The users
+/// of this object do not notice a change between the two, because its answers never return to an older state. Transactions and other
+/// tables always go to the platform.
+class SharedRows final : public PlatformRows {
+public:
+    /// Until usePlatform() or useSource() is called, reads wait.
+    SharedRows(EventLoop&, PlatformRows& platform, const std::vector<std::string>& tables);
+
+    void readAll(const std::string& table, RowsDone) override;
+    void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) override;
+    void transact(const RowsTransaction&, TransactionDone) override;
+
+    /// Reads from the platform from now on, including what is still to be answered.
+    void usePlatform();
+    /// Reads from a source from now on, including what is still to be answered. `send` sends it a request, which
+    /// applyReply() answers. To be called again for another source.
+    void useSource(std::function<void(const TableRequest&)> send);
+    bool isUsingPlatform() const { return m_way == Way::Platform; }
+    void applyReply(const TableReply&);
+
+    /// Whether the table is one of those that are distributed.
+    bool isDistributed(const std::string& table) const { return m_copies.count(table) > 0; }
+    /// Answers a subscriber's request from the copy; nullopt if there is nothing to answer yet. If the subscriber knows a newer
+    /// version than this daemon, the platform is asked for it.
+    std::optional<TableReply> answer(const TableRequest&);
+    /// Sets the function that is called when answer() may have an answer for a request for the table.
+    void onCopyChanged(std::function<void(const std::string& table)> callback) { m_copyChanged = std::move(callback); }
+
+    /// Time since the platform last answered this daemon.
+    Milliseconds platformAge() const { return m_loop.now() - m_platformAnsweredAt; }
+
+private:
+    enum class Way {
+        None,
+        Platform,
+        Source,
+    };
+
+    struct Copy {
+        TableCopy rows;
+        bool isRefreshing { false };
+    };
+
+    /// A read or watch that is not answered yet.
+    struct Pending {
+        TableRequest request;
+        Milliseconds wait;
+        RowsDone done;
+    };
+
+    void add(Pending);
+    void dispatch(const Pending&);
+    void dispatchAll();
+    void complete(uint64_t id, const absl::StatusOr<RowsAnswer>&);
+    void applyPlatformAnswer(const TableRequest&, const absl::StatusOr<RowsAnswer>&);
+    void updateCopy(const TableRequest&, const RowsAnswer&);
+    void refresh(const std::string& table, Copy&);
+
+    EventLoop& m_loop;
+    PlatformRows& m_platform;
+    Way m_way { Way::None };
+    std::function<void(const TableRequest&)> m_sendToSource;
+    std::map<std::string, Copy> m_copies;
+    std::map<uint64_t, Pending> m_pending;
+    uint64_t m_lastId { 0 };
+    Instant m_platformAnsweredAt;
+    std::function<void(const std::string&)> m_copyChanged { [](const std::string&) {} };
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
+};
+
+}
--- /dev/null
+++ b/src/distribution/SourceClient.cpp
@@ -0,0 +1,224 @@
+#include "distribution/SourceClient.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr Milliseconds renewInterval { 800 };
+    /// A source that has no valid row yet, or that this daemon has just joined, is asked again soon.
+    constexpr Milliseconds shortRenewInterval { 200 };
+    /// A source that leaves a renewal unanswered for this long is taken for silent. With the interval this is shorter than a grant.
+    constexpr Milliseconds answerTimeout { 1000 };
+    /// The same for the first renewal on a channel. A machine without power leaves it unanswered.
+    constexpr Milliseconds firstAnswerTimeout { 500 };
+    constexpr Milliseconds avoidanceTime { 3000 };
+    /// A source that the platform has not answered for this long may have missed a change. It normally hears from the platform
+    /// at each renewal of its row.
+    constexpr Milliseconds maxPlatformAge { 3500 };
+
+    uint64_t affinity(const InstanceId& own, const InstanceId& source)
+    {
+        const uint64_t seed = XXH64(own.value().data(), own.value().size(), 0);
+        return XXH64(source.value().data(), source.value().size(), seed);
+    }
+
+}
+
+SourceClient::SourceClient(EventLoop& loop, PeerConnector& connector, SharedRows& rows, InstanceLease& lease, DecisionLog& log, Callbacks callbacks)
+    : m_loop(loop)
+    , m_connector(connector)
+    , m_rows(rows)
+    , m_lease(lease)
+    , m_log(log)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+SourceClient::~SourceClient()
+{
+    m_loop.cancel(m_timer);
+    if (m_link)
+        m_link->channel->close();
+}
+
+// Each daemon has an order of its own, so that the subscribers of a lost source spread over the others.
+void SourceClient::setCandidates(const std::vector<Peer>& candidates)
+{
+    m_candidates = candidates;
+    const InstanceId& own = m_lease.instance();
+    std::sort(m_candidates.begin(), m_candidates.end(), [&own](const Peer& a, const Peer& b) { return affinity(own, a.instance) < affinity(own, b.instance); });
+}
+
+void SourceClient::start()
+{
+    if (!m_link)
+        connectNext();
+}
+
+const Peer* SourceClient::nextCandidate() const
+{
+    auto it = std::find_if(m_candidates.begin(), m_candidates.end(), [this](const Peer& candidate) {
+        return !isAvoided(candidate.instance) && (!m_link || m_link->source.instance != candidate.instance);
+    });
+    return it == m_candidates.end() ? nullptr : &*it;
+}
+
+bool SourceClient::isAvoided(const InstanceId& instance) const
+{
+    auto it = m_avoided.find(instance);
+    return it != m_avoided.end() && it->second.until > m_loop.now();
+}
+
+void SourceClient::forgetRefusals()
+{
+    for (auto it = m_avoided.begin(); it != m_avoided.end();)
+        it = it->second.wasSilent ? std::next(it) : m_avoided.erase(it);
+}
+
+void SourceClient::request(const TableRequest& request)
+{
+    if (isAttached())
+        send(request);
+}
+
+void SourceClient::connectNext()
+{
+    while (const Peer* candidate = nextCandidate()) {
+        auto link = std::make_shared<Link>();
+        link->source = *candidate;
+        std::weak_ptr<Link> weak = link;
+        link->channel = m_connector.connect(candidate->addresses, {
+                                                                      [this, weak](std::string_view line) {
+                                                                          if (auto it = weak.lock(); it && it == m_link)
+                                                                              applyLine(line);
+                                                                      },
+                                                                      [this, weak] {
+                                                                          if (auto it = weak.lock(); it && it == m_link)
+                                                                              lose("the channel was closed");
+                                                                      },
+                                                                  });
+        if (!link->channel) {
+            m_avoided[candidate->instance] = { m_loop.now() + avoidanceTime, false };
+            continue;
+        }
+        m_link = std::move(link);
+        send(SubscribeMessage { m_lease.instance(), m_lease.incarnation(), m_lease.addresses() });
+        renew();
+        return;
+    }
+    m_callbacks.onExhausted();
+}
+
+void SourceClient::stop()
+{
+    m_loop.cancel(std::exchange(m_timer, TimerId::None));
+    if (!m_link)
+        return;
+    send(LeaveMessage {});
+    m_link->channel->close();
+    m_link.reset();
+}
+
+void SourceClient::send(const SourceMessage& message)
+{
+    m_link->channel->send(encodeSourceMessage(message));
+}
+
+void SourceClient::renew()
+{
+    if (!m_link)
+        return;
+    renewAfter(m_link->isAttached ? renewInterval : firstAnswerTimeout);
+    m_link->renewals[++m_lastNumber] = m_loop.now();
+    send(RenewMessage { m_lastNumber, m_lease.confirmedEpoch(), m_lease.sessionCount() });
+}
+
+void SourceClient::renewAfter(Milliseconds delay)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.after(delay, [this] { tick(); });
+}
+
+void SourceClient::tick()
+{
+    m_timer = TimerId::None;
+    m_lease.reportValidity();
+    const auto& renewals = m_link->renewals;
+    const Milliseconds timeout = m_link->isAttached ? answerTimeout : firstAnswerTimeout;
+    if (!renewals.empty() && renewals.begin()->second + timeout <= m_loop.now())
+        return lose("a renewal was not answered", true);
+    renew();
+}
+
+void SourceClient::applyLine(std::string_view line)
+{
+    const auto message = decodeSourceMessage(line);
+    if (!message.ok()) {
+        m_log.write("peer_message_rejected", { { "source", m_link->source.instance.value() }, { "why", std::string(message.status().message()) } });
+        return lose("a malformed message");
+    }
+    std::visit([this](const auto& it) { apply(it); }, *message);
+}
+
+void SourceClient::apply(const GrantMessage& message)
+{
+    auto it = m_link->renewals.find(message.number);
+    if (it == m_link->renewals.end())
+        return;
+    const Instant sentAt = it->second;
+    m_link->renewals.erase(m_link->renewals.begin(), std::next(it));
+    const bool isGranted = message.duration > Milliseconds(0);
+    if (isGranted)
+        m_lease.extendByGrant(sentAt + message.duration);
+    else
+        renewAfter(shortRenewInterval);
+    m_link->isStale = message.platformAge > maxPlatformAge;
+    if (m_link->isStale && nextCandidate())
+        return lose("the source has not reached the platform for " + std::to_string(static_cast<int64_t>(message.platformAge.count())) + " ms");
+    if (!m_link->isAttached)
+        attach();
+    if (isGranted)
+        m_callbacks.onGranted();
+    if (isStale())
+        m_callbacks.onStale();
+}
+
+void SourceClient::attach()
+{
+    m_link->isAttached = true;
+    m_log.write("source_gained", { { "source", m_link->source.instance.value() }, { "epoch", std::to_string(m_lease.confirmedEpoch().value()) } });
+    m_callbacks.onAttached();
+}
+
+void SourceClient::apply(const TableReply& message)
+{
+    m_rows.applyReply(message);
+}
+
+void SourceClient::apply(const StopMessage&)
+{
+    lose("the source stops");
+}
+
+template <typename Message>
+void SourceClient::apply(const Message&)
+{
+    lose("a message that only subscribers send");
+}
+
+// The grants of the lost source stay valid until they expire, which the source waits for.
+void SourceClient::lose(const std::string& why, bool wasSilent)
+{
+    const auto link = std::exchange(m_link, nullptr);
+    m_loop.cancel(std::exchange(m_timer, TimerId::None));
+    link->channel->close();
+    m_avoided[link->source.instance] = { m_loop.now() + avoidanceTime, wasSilent };
+    m_log.write("source_lost", { { "source", link->source.instance.value() }, { "why", why }, { "was_attached", link->isAttached ? "yes" : "no" } });
+    connectNext();
+}
+
+}
--- /dev/null
+++ b/src/distribution/SourceMessages.cpp
@@ -0,0 +1,270 @@
+#include "distribution/SourceMessages.h"
+
+#include "base/ResultCode.h"
+#include "statements/JsonText.h"
+
+#include <array>
+#include <json/value.h>
+
+namespace parsleypaddle {
+
+namespace {
+
+    constexpr unsigned protocolVersion = 1;
+
+    /// Reads required fields of a JSON object and remembers the first that is missing or has the wrong type.
+    class FieldReader {
+    public:
+        explicit FieldReader(const Json::Value& value)
+            : m_value(value)
+        {
+        }
+
+        std::string text(const char* name)
+        {
+            const Json::Value& field = m_value[name];
+            check(name, field.isString());
+            return field.isString() ? field.asString() : std::string();
+        }
+
+        uint64_t number(const char* name)
+        {
+            const Json::Value& field = m_value[name];
+            check(name, field.isUInt64());
+            return field.isUInt64() ? field.asUInt64() : 0;
+        }
+
+        uint32_t shortNumber(const char* name, uint32_t limit)
+        {
+            const uint64_t n = number(name);
+            check(name, n <= limit);
+            return n <= limit ? static_cast<uint32_t>(n) : 0;
+        }
+
+        double real(const char* name)
+        {
+            const Json::Value& field = m_value[name];
+            check(name, field.isNumeric());
+            return field.isNumeric() ? field.asDouble() : 0;
+        }
+
+        bool flag(const char* name)
+        {
+            const Json::Value& field = m_value[name];
+            check(name, field.isBool());
+            return field.isBool() && field.asBool();
+        }
+
+        absl::Status status() const
+        {
+            if (m_fault.empty())
+                return absl::OkStatus();
+            return makeError(ResultCode::MissingField, "message between daemons: field " + m_fault + " is missing or has the wrong type");
+        }
+
+    private:
+        void check(const char* name, bool isValid)
+        {
+            if (!isValid && m_fault.empty())
+                m_fault = name;
+        }
+
+        const Json::Value& m_value;
+        std::string m_fault;
+    };
+
+    template <typename Message>
+    absl::StatusOr<SourceMessage> checked(const FieldReader& fields, Message message)
+    {
+        if (const auto status = fields.status(); !status.ok())
+            return status;
+        return SourceMessage(std::move(message));
+    }
+
+    void encodeInto(Json::Value& value, const SubscribeMessage& message)
+    {
+        value["kind"] = "subscribe";
+        value["instance"] = message.instance.value();
+        value["incarnation"] = message.incarnation;
+        value["failure_domain"] = message.addresses.failureDomain.value();
+        value["host"] = message.addresses.host;
+        value["platform_port"] = message.addresses.platformProxyPort;
+        value["caller_port"] = message.addresses.callerPort;
+        value["source_port"] = message.addresses.sourcePort;
+        value["cores"] = message.addresses.cores;
+    }
+
+    void encodeInto(Json::Value& value, const TableRequest& message)
+    {
+        value["kind"] = "watch";
+        value["id"] = Json::UInt64(message.id);
+        value["table"] = message.table;
+        value["after"] = Json::UInt64(message.after.value());
+        value["whole"] = message.isWhole;
+    }
+
+    void encodeInto(Json::Value& value, const RenewMessage& message)
+    {
+        value["kind"] = "renew";
+        value["number"] = Json::UInt64(message.number);
+        value["epoch"] = Json::UInt64(message.epoch.value());
+        value["sessions"] = message.sessions;
+    }
+
+    void encodeInto(Json::Value& value, const LeaveMessage&)
+    {
+        value["kind"] = "leave";
+    }
+
+    void encodeInto(Json::Value& value, const TableReply& message)
+    {
+        value["kind"] = "rows";
+        value["id"] = Json::UInt64(message.id);
+        value["version"] = Json::UInt64(message.answer.version.value());
+        value["platform_time"] = message.answer.platformTime.sinceEpoch();
+        value["history_lost"] = message.answer.isHistoryLost;
+        Json::Value& rows = value["rows"] = Json::Value(Json::arrayValue);
+        for (const auto& it : message.answer.rows) {
+            Json::Value row(Json::objectValue);
+            row["table"] = it.table;
+            row["key"] = it.key;
+            row["value"] = it.value;
+            row["version"] = Json::UInt64(it.version.value());
+            row["deleted"] = it.isDeleted;
+            rows.append(std::move(row));
+        }
+    }
+
+    void encodeInto(Json::Value& value, const GrantMessage& message)
+    {
+        value["kind"] = "grant";
+        value["number"] = Json::UInt64(message.number);
+        value["duration_ms"] = message.duration.count();
+        value["platform_age_ms"] = message.platformAge.count();
+    }
+
+    void encodeInto(Json::Value& value, const StopMessage&)
+    {
+        value["kind"] = "stop";
+    }
+
+    absl::StatusOr<SourceMessage> decodeSubscribe(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        SubscribeMessage message;
+        message.instance = InstanceId(fields.text("instance"));
+        message.incarnation = fields.text("incarnation");
+        message.addresses.failureDomain = FailureDomainId(fields.text("failure_domain"));
+        message.addresses.host = fields.text("host");
+        message.addresses.platformProxyPort = static_cast<uint16_t>(fields.shortNumber("platform_port", UINT16_MAX));
+        message.addresses.callerPort = static_cast<uint16_t>(fields.shortNumber("caller_port", UINT16_MAX));
+        message.addresses.sourcePort = static_cast<uint16_t>(fields.shortNumber("source_port", UINT16_MAX));
+        message.addresses.cores = fields.real("cores");
+        return checked(fields, std::move(message));
+    }
+
+    absl::StatusOr<SourceMessage> decodeWatch(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        TableRequest message;
+        message.id = fields.number("id");
+        message.table = fields.text("table");
+        message.after = RowVersion(fields.number("after"));
+        message.isWhole = fields.flag("whole");
+        return checked(fields, std::move(message));
+    }
+
+    absl::StatusOr<SourceMessage> decodeRenew(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        RenewMessage message;
+        message.number = fields.number("number");
+        message.epoch = RowVersion(fields.number("epoch"));
+        message.sessions = fields.shortNumber("sessions", UINT32_MAX);
+        return checked(fields, message);
+    }
+
+    absl::StatusOr<SourceMessage> decodeRows(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        TableReply message;
+        message.id = fields.number("id");
+        message.answer.version = RowVersion(fields.number("version"));
+        message.answer.platformTime = Instant(fields.real("platform_time"));
+        message.answer.isHistoryLost = fields.flag("history_lost");
+        const Json::Value& rows = value["rows"];
+        if (!rows.isArray())
+            return makeError(ResultCode::MissingField, "message between daemons: field rows is missing or has the wrong type");
+        for (const auto& it : rows) {
+            if (!it.isObject())
+                return makeError(ResultCode::MissingField, "message between daemons: a row is not a JSON object");
+            FieldReader row(it);
+            message.answer.rows.push_back({ row.text("table"), row.text("key"), row.text("value"), RowVersion(row.number("version")), row.flag("deleted") });
+            if (const auto status = row.status(); !status.ok())
+                return status;
+        }
+        return checked(fields, std::move(message));
+    }
+
+    absl::StatusOr<SourceMessage> decodeGrant(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        GrantMessage message;
+        message.number = fields.number("number");
+        message.duration = Milliseconds(fields.real("duration_ms"));
+        message.platformAge = Milliseconds(fields.real("platform_age_ms"));
+        return checked(fields, message);
+    }
+
+    absl::StatusOr<SourceMessage> decodeLeave(const Json::Value&)
+    {
+        return SourceMessage(LeaveMessage {});
+    }
+
+    absl::StatusOr<SourceMessage> decodeStop(const Json::Value&)
+    {
+        return SourceMessage(StopMessage {});
+    }
+
+    struct Decoder {
+        const char* kind;
+        absl::StatusOr<SourceMessage> (*decode)(const Json::Value&);
+    };
+
+    constexpr std::array<Decoder, 7> decoders { {
+        { "renew", decodeRenew },
+        { "grant", decodeGrant },
+        { "watch", decodeWatch },
+        { "rows", decodeRows },
+        { "subscribe", decodeSubscribe },
+        { "leave", decodeLeave },
+        { "stop", decodeStop },
+    } };
+
+}
+
+std::string encodeSourceMessage(const SourceMessage& message)
+{
+    Json::Value value(Json::objectValue);
+    value["v"] = protocolVersion;
+    std::visit([&value](const auto& it) { encodeInto(value, it); }, message);
+    return writeJson(value);
+}
+
+absl::StatusOr<SourceMessage> decodeSourceMessage(std::string_view line)
+{
+    const auto object = parseJsonObject(line);
+    if (!object.ok())
+        return makeError(ResultCode::MalformedInput, "message between daemons: expected a JSON object");
+    const Json::Value& version = (*object)["v"];
+    if (!version.isUInt() || version.asUInt() != protocolVersion)
+        return makeError(ResultCode::MalformedInput, "message between daemons: expected protocol version " + std::to_string(protocolVersion));
+    const std::string kind = (*object)["kind"].isString() ? (*object)["kind"].asString() : "";
+    for (const auto& it : decoders) {
+        if (kind == it.kind)
+            return it.decode(*object);
+    }
+    return makeError(ResultCode::MalformedInput, "message between daemons: unknown kind");
+}
+
+}
--- /dev/null
+++ b/src/distribution/SourceMessages.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "leases/LeaseRow.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace parsleypaddle {
+
+// Messages between a subscriber and its source. Each is one line of JSON with the protocol's version. Unknown fields are
+// ignored.
+
+/// Subscriber: who it is. The first message on a channel.
+struct SubscribeMessage {
+    InstanceId instance;
+    std::string incarnation;
+    PeerEndpoint addresses;
+};
+
+/// Subscriber: asks for a table, or for its changes, to be answered when the source's copy has at least version `after` and, unless
+/// the whole table is asked for, holds changes after it.
+struct TableRequest {
+    /// Repeated in the answer.
+    uint64_t id { 0 };
+    std::string table;
+    RowVersion after;
+    bool isWhole { false };
+};
+
+/// Subscriber: heartbeat, which also asks for an extension of its grant.
+struct RenewMessage {
+    /// Repeated in the answer.
+    uint64_t number { 0 };
+    /// The version of the epoch row that the subscriber has confirmed.
+    RowVersion epoch;
+    uint32_t sessions { 0 };
+};
+
+/// Subscriber: it no longer uses its grant. The last message on a channel.
+struct LeaveMessage {
+};
+
+/// Source: answers a TableRequest.
+struct TableReply {
+    uint64_t id { 0 };
+    RowsAnswer answer;
+};
+
+/// Source: answers a RenewMessage.
+struct GrantMessage {
+    uint64_t number { 0 };
+    /// How long the grant lasts from the time when the RenewMessage was sent; 0 if there is none.
+    Milliseconds duration;
+    /// Time since the platform last answered the source.
+    Milliseconds platformAge;
+};
+
+/// Source: it does not serve subscribers, or is about to stop.
+struct StopMessage {
+};
+
+using SourceMessage = std::variant<SubscribeMessage, TableRequest, RenewMessage, LeaveMessage, TableReply, GrantMessage, StopMessage>;
+
+/// Encodes a message as one line without its line break.
+std::string encodeSourceMessage(const SourceMessage&);
+/// Decodes a line. MalformedInput for text that is not a JSON object, for another protocol version or an unknown kind; MissingField
+/// for a field that is missing or has the wrong type.
+absl::StatusOr<SourceMessage> decodeSourceMessage(std::string_view line);
+
+}
--- /dev/null
+++ b/src/distribution/SourceMessagesTests.cpp
@@ -0,0 +1,81 @@
+#include "distribution/SourceMessages.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+namespace {
+
+std::vector<std::string> someLines()
+{
+    RowsAnswer rows;
+    rows.version = RowVersion(77);
+    rows.platformTime = Instant(1234.5);
+    rows.rows = { { "control", "group/a", "{\"text\":\"\\u00e9\"}", RowVersion(70), false }, { "control", "gone", "", RowVersion(71), true } };
+    return {
+        encodeSourceMessage(SubscribeMessage { InstanceId("one"), "first", { FailureDomainId("domain"), "10.0.0.1", 1, 2, 3, 0.25 } }),
+        encodeSourceMessage(TableRequest { 7, "control", RowVersion(UINT64_MAX), true }),
+        encodeSourceMessage(RenewMessage { 8, RowVersion(9), 10 }),
+        encodeSourceMessage(LeaveMessage {}),
+        encodeSourceMessage(TableReply { 11, rows }),
+        encodeSourceMessage(GrantMessage { 12, Milliseconds(2500), Milliseconds(3.5) }),
+        encodeSourceMessage(StopMessage {}),
+    };
+}
+
+}
+
+TEST_CASE("messages between daemons are the same after encoding and decoding", "[distribution]")
+{
+    for (const auto& it : someLines()) {
+        CAPTURE(it);
+        const auto message = decodeSourceMessage(it);
+        REQUIRE(message.ok());
+        CHECK(encodeSourceMessage(*message) == it);
+        CHECK(it.find('\n') == std::string::npos);
+    }
+}
+
+TEST_CASE("a message says its protocol version, and another version is rejected", "[distribution]")
+{
+    CHECK(decodeSourceMessage(R"({"v":1,"kind":"leave"})").ok());
+    const auto other = decodeSourceMessage(R"({"v":2,"kind":"leave"})");
+    REQUIRE_FALSE(other.ok());
+    CHECK(std::string(other.status().message()).find("protocol version 1") != std::string::npos);
+}
+
+TEST_CASE("an error names the field that is missing or has the wrong type", "[distribution]")
+{
+    const auto message = decodeSourceMessage(R"({"v":1,"kind":"renew","number":1,"epoch":"x","sessions":0})");
+    REQUIRE_FALSE(message.ok());
+    CHECK(std::string(message.status().message()).find("epoch") != std::string::npos);
+}
+
+TEST_CASE("fields that a later version adds are ignored", "[distribution]")
+{
+    CHECK(decodeSourceMessage(R"({"v":1,"kind":"grant","number":1,"duration_ms":5,"platform_age_ms":0,"further":[1]})").ok());
+}
+
+// Truncated, mutated, repeated and nested input.
+TEST_CASE("no input makes the decoder of messages between daemons fail otherwise than with an error", "[distribution]")
+{
+    const auto seed = static_cast<uint64_t>(GENERATE(1, 2, 3));
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto lines = someLines();
+    for (int round = 0; round < 20'000; ++round) {
+        std::string line = lines[random() % lines.size()];
+        if (random() % 3 == 0)
+            line.resize(random() % (line.size() + 1));
+        for (auto n = random() % 4; n > 0 && !line.empty(); --n)
+            line[random() % line.size()] = static_cast<char>(random());
+        if (random() % 8 == 0)
+            line += line;
+        if (random() % 16 == 0)
+            line.insert(0, random() % 2000, '[');
+        const auto message = decodeSourceMessage(line);
+        if (!message.ok())
+            CHECK_FALSE(message.status().message().empty());
+    }
+}
--- /dev/null
+++ b/src/distribution/SourceService.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/EventLoop.h"
+#include "distribution/PeerChannel.h"
+#include "distribution/SharedRows.h"
+#include "leases/InstanceLease.h"
+#include "telemetry/DecisionLog.h"
+
+#include <memory>
+#include <set>
+
+namespace parsleypaddle {
+
+/// Serves other daemons, the subscribers, as their source: answers their requests for the platform's tables and grants them
+/// leases under this daemon's own lease.
+class SourceService {
+public:
+    SourceService(EventLoop&, SharedRows&, InstanceLease&, DecisionLog&);
+    ~SourceService();
+
+    /// Takes a channel that a daemon has opened. The callbacks are to be called for it.
+    PeerChannelCallbacks accept(std::shared_ptr<PeerChannel>);
+
+    /// While this is false, daemons that subscribe are told to go elsewhere, as are the subscribers when it becomes false. Those
+    /// keep being served until they leave.
+    void setServing(bool);
+
+    size_t subscribers() const;
+
+private:
+    struct Subscriber;
+
+    void applyLine(const std::shared_ptr<Subscriber>&, std::string_view line);
+    void apply(const std::shared_ptr<Subscriber>&, const SubscribeMessage&);
+    void apply(const std::shared_ptr<Subscriber>&, const TableRequest&);
+    void apply(const std::shared_ptr<Subscriber>&, const RenewMessage&);
+    void apply(const std::shared_ptr<Subscriber>&, const LeaveMessage&);
+    template <typename Message>
+    void apply(const std::shared_ptr<Subscriber>&, const Message&);
+    void answerTable(Subscriber&, const std::string& table);
+    void answerAll(const std::string& table);
+    void reject(const std::shared_ptr<Subscriber>&, std::string_view why);
+    void drop(const std::shared_ptr<Subscriber>&, std::string_view why);
+    void dropSilent();
+    void scheduleSilenceCheck();
+
+    EventLoop& m_loop;
+    SharedRows& m_rows;
+    InstanceLease& m_lease;
+    DecisionLog& m_log;
+    bool m_isServing { false };
+    std::set<std::shared_ptr<Subscriber>> m_subscribers;
+    TimerId m_silenceTimer { TimerId::None };
+};
+
+}
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -55,7 +55,7 @@
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
     , membership(loop, { InstanceId(name), FailureDomainId("domain-one"), name, 0, 0, false })
     , lease(loop, rows, InstanceId(name), incarnation, {})
-    , leaseMonitor(loop, rows, InstanceId(name))
+    , leaseMonitor(loop, rows, rows, InstanceId(name))
     , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log })
     , relay(loop, targets, lease, failover, log, metrics, membership)
     , controlWatch(
@@ -98,7 +98,7 @@
     FailoverDaemon& it = *daemons[daemon];
     it.relay.setRoutes(makeRoutes());
     it.lease.start();
-    it.leaseMonitor.start([&it] { it.lease.setDaemonCount(it.leaseMonitor.liveDaemonCount()); });
+    it.leaseMonitor.start([&it] { it.lease.setHolderCount(it.leaseMonitor.holderCount()); });
     it.failover.start(it.relay);
     loop.after(Milliseconds(listDelay), [this, &it] {
         it.failover.setTargets(m_targetList);
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -88,6 +88,11 @@
         failoverOf(group).setTargets(std::move(list));
 }
 
+bool FailoverManager::mayOwnChange() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->mayOwnChange(); });
+}
+
 void FailoverManager::primaryAnswered(const GroupId& group)
 {
     failoverOf(group).primaryAnswered();
--- a/src/failover/FailoverManager.h
+++ b/src/failover/FailoverManager.h
@@ -22,6 +22,9 @@
     void setRows(const std::map<std::string, StoredRow>&);
     void setTargets(const std::vector<TargetEntry>&);
 
+    /// Whether this daemon carries out a change of any group's primary, or may be about to.
+    bool mayOwnChange() const;
+
     void primaryAnswered(const GroupId&) override;
     void primaryFailed(const GroupId&) override;
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -112,6 +112,11 @@
     return { m_record->primary, m_record->term, m_record->phase == GroupPhase::Open };
 }
 
+bool GroupFailover::mayOwnChange() const
+{
+    return m_isWriting || (m_record && m_record->phase != GroupPhase::Open && isChangeOwner());
+}
+
 bool GroupFailover::isChangeOwner() const
 {
     return m_record->owner == m_context.lease.instance() && m_record->ownerIncarnation == m_context.lease.incarnation();
@@ -153,7 +158,7 @@
 void GroupFailover::bootstrap()
 {
     const Instant now = m_context.loop.now();
-    if (m_targets.empty())
+    if (m_targets.empty() || !m_context.lease.holdsRow())
         return;
     if (m_recordSince == Instant()) {
         m_recordSince = now + staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
@@ -186,19 +191,20 @@
         m_leavingSince.reset();
     else if (!m_leavingSince)
         m_leavingSince = now;
+    const bool isHolder = m_context.lease.holdsRow();
     const Milliseconds rankDelay = staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
-    if (m_leavingSince && now >= *m_leavingSince + rankDelay)
+    if (isHolder && m_leavingSince && now >= *m_leavingSince + rankDelay)
         return beginChange(true, "the primary is leaving");
-    if (m_missingSince && now >= *m_missingSince + rankDelay)
+    if (isHolder && m_missingSince && now >= *m_missingSince + rankDelay)
         return beginChange(false, "the primary is missing from the platform's target list");
     const bool isSuspect = m_consecutiveFailedProbes >= failedProbesForSuspicion;
-    if (isSuspect && isSuspectedByMajority())
+    if (isHolder && isSuspect && isSuspectedByMajority())
         return beginChange(false, "a majority of the voters cannot reach the primary");
+    if (isSuspect && m_nextLeaseRead == Instant())
+        m_suspectSince = now;
     if (isSuspect && now >= m_nextLeaseRead) {
         // The leases are not reread when the suspicion starts: live voters need time to record their suspicions first.
-        if (m_nextLeaseRead == Instant())
-            m_suspectSince = now;
-        else
+        if (isHolder && m_nextLeaseRead != Instant())
             m_context.leaseMonitor.read([](const absl::StatusOr<LeaseTable>&) {});
         m_nextLeaseRead = now + leaseReadInterval * (1 + m_context.leaseMonitor.rankFor(m_group) * leaseReadFactorPerRank);
     }
@@ -302,7 +308,7 @@
 void GroupFailover::checkOwner()
 {
     const Instant now = m_context.loop.now();
-    if (m_isReadingLeases || now < m_nextOwnerCheck)
+    if (m_isReadingLeases || now < m_nextOwnerCheck || !m_context.lease.holdsRow())
         return;
     m_nextOwnerCheck = now + ownerCheckInterval;
     m_isReadingLeases = true;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -26,8 +26,8 @@
 };
 
 /// One daemon's part in the failover of one group. It stops using a primary that is being replaced, and may record a suspicion
-/// when probes of the primary fail. It carries out a change of primary if it was the first daemon to begin it, or if it has
-/// taken over the change from an owner that holds no valid lease any more.
+/// when probes of the primary fail. If the daemon holds a row of the lease table, it carries out a change of primary when it was the
+/// first to begin it, or when it has taken over the change from an owner that holds no valid lease any more.
 class GroupFailover {
 public:
     GroupFailover(FailoverContext, GroupId);
@@ -53,6 +53,9 @@
     /// change has ended.
     bool hasReleasedPrimary() const { return m_hasReleasedPrimary; }
 
+    /// Whether this daemon carries out a change, or may be about to because a record is being written.
+    bool mayOwnChange() const;
+
     /// The primary according to the last record that this daemon has received.
     PrimaryView knownPrimary() const;
 
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -60,7 +60,7 @@
         m_isReleasedEverywhere = true;
         // Log positions reported earlier may be outdated, since statements could still write until now.
         m_isProbeRoundComplete = false;
-        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", std::to_string(epoch.value()) }, { "daemons", std::to_string(table->entries.size()) } });
+        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", std::to_string(epoch.value()) }, { "leases", std::to_string(table->entries.size()) } });
     });
 }
 
--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -10,8 +10,8 @@
     /// The number of daemons changes rarely, and a share that is outdated for some seconds only shifts connections between
     /// daemons.
     constexpr Milliseconds refreshInterval { 5000 };
-    /// In a large fleet each daemon reads less often, since every read returns one row per daemon.
-    constexpr Milliseconds refreshIntervalPerDaemon { 150 };
+    /// With many holders each of them reads less often, since every read returns all rows.
+    constexpr Milliseconds refreshIntervalPerHolder { 500 };
     /// Every recorded suspicion is delivered to all daemons that watch the control table, so the number of
     /// voters is limited.
     constexpr size_t maxVoters = 9;
@@ -23,22 +23,20 @@
 
 bool LeaseTable::isReleasedByAll(RowVersion epoch) const
 {
-    for (const auto& [instance, entry] : entries) {
-        if (entry.version <= epoch && !isExpired(entry.lease, platformTime))
-            return false;
-    }
-    return true;
+    return std::none_of(entries.begin(), entries.end(), [&](const Entry& it) { return it.version <= epoch && !isExpired(it.lease, platformTime); });
 }
 
 bool LeaseTable::hasValidLease(const InstanceId& instance, const std::string& incarnation) const
 {
-    auto it = entries.find(instance);
-    return it != entries.end() && it->second.lease.incarnation == incarnation && !isExpired(it->second.lease, platformTime);
+    return std::any_of(entries.begin(), entries.end(), [&](const Entry& it) {
+        return it.instance == instance && it.lease.incarnation == incarnation && !isExpired(it.lease, platformTime);
+    });
 }
 
-LeaseMonitor::LeaseMonitor(EventLoop& loop, PlatformRows& platform, InstanceId own)
+LeaseMonitor::LeaseMonitor(EventLoop& loop, PlatformRows& platform, PlatformRows& recent, InstanceId own)
     : m_loop(loop)
     , m_platform(platform)
+    , m_recent(recent)
     , m_own(std::move(own))
 {
 }
@@ -51,8 +49,8 @@
 
 void LeaseMonitor::refresh()
 {
-    read([](const absl::StatusOr<LeaseTable>&) {});
-    m_loop.after(std::max(refreshInterval, refreshIntervalPerDaemon * m_daemonCount), [this, alive = std::weak_ptr<bool>(m_alive)] {
+    readFrom(m_recent, [](const absl::StatusOr<LeaseTable>&) {});
+    m_loop.after(std::max(refreshInterval, refreshIntervalPerHolder * m_holderCount), [this, alive = std::weak_ptr<bool>(m_alive)] {
         if (!alive.expired())
             refresh();
     });
@@ -60,7 +58,12 @@
 
 void LeaseMonitor::read(Done done)
 {
-    m_platform.readAll(leaseTable, [this, done = std::move(done), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
+    readFrom(m_platform, std::move(done));
+}
+
+void LeaseMonitor::readFrom(PlatformRows& platform, Done done)
+{
+    platform.readAll(leaseTable, [this, done = std::move(done), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
         if (alive.expired())
             return;
         if (!answer.ok())
@@ -71,7 +74,7 @@
             // At each read, a row that cannot be decoded counts as a lease requested just then, since its daemon may be using a
             // primary. Such a lease never expires: while the row stays the same, no change that begins later can promote a target.
             const auto lease = decodeLeaseRow(it.value);
-            table.entries[InstanceId(it.key)] = { lease.ok() ? *lease : LeaseRow { "", answer->platformTime, malformedRowDuration, {}, 0 }, it.version };
+            table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : LeaseRow { "", answer->platformTime, malformedRowDuration, {}, 0 }, it.version });
         }
         applyTable(table);
         done(table);
@@ -80,39 +83,64 @@
 
 void LeaseMonitor::applyTable(const LeaseTable& table)
 {
-    uint32_t daemons = 0;
-    uint32_t position = 0;
-    double sessions = 0;
-    double ownSessions = 0;
-    bool hasOwn = false;
-    m_peers.clear();
-    m_recentlyRenewed.clear();
-    for (const auto& [instance, entry] : table.entries) {
+    std::map<InstanceId, Peer> peers;
+    for (const auto& entry : table.entries) {
         if (isExpired(entry.lease, table.platformTime))
             continue;
-        sessions += entry.lease.sessions;
-        if (instance == m_own) {
-            ownSessions = entry.lease.sessions;
+        for (const auto& it : entry.lease.members)
+            peers.try_emplace(it.instance, Peer { it.instance, it.addresses, false });
+        peers[entry.instance] = { entry.instance, entry.lease.addresses, true };
+    }
+    m_daemonCount = static_cast<uint32_t>(peers.size() + (peers.count(m_own) == 0 ? 1 : 0));
+    m_peers.clear();
+    for (auto& [instance, peer] : peers) {
+        if (instance != m_own && !peer.addresses.host.empty())
+            m_peers.push_back(std::move(peer));
+    }
+    applyHolders(table);
+    applySessions(table);
+    if (m_changed)
+        m_changed();
+}
+
+void LeaseMonitor::applyHolders(const LeaseTable& table)
+{
+    std::set<InstanceId> others;
+    m_recentlyRenewed.clear();
+    for (const auto& entry : table.entries) {
+        if (entry.instance == m_own)
             m_ownDomain = entry.lease.addresses.failureDomain;
-        }
-        if (instance < m_own)
-            ++position;
-        hasOwn = hasOwn || instance == m_own;
-        if (instance != m_own && !entry.lease.addresses.host.empty())
-            m_peers.push_back({ instance, entry.lease.addresses });
-        ++daemons;
+        if (entry.instance == m_own || isExpired(entry.lease, table.platformTime))
+            continue;
+        others.insert(entry.instance);
         // A daemon that can reach the platform normally renews at least once within half of its lease duration.
         if (table.platformTime - entry.lease.requestedAt <= entry.lease.duration * 0.5)
-            m_recentlyRenewed.emplace_back(instance, entry.lease.addresses.failureDomain);
+            m_recentlyRenewed.emplace_back(entry.instance, entry.lease.addresses.failureDomain);
+    }
+    m_position = static_cast<uint32_t>(std::distance(others.begin(), others.lower_bound(m_own)));
+    m_holderCount = static_cast<uint32_t>(others.size()) + (m_ownHoldsRow ? 1 : 0);
+}
+
+void LeaseMonitor::applySessions(const LeaseTable& table)
+{
+    double sessions = 0;
+    double ownSessions = 0;
+    const auto count = [&](const InstanceId& instance, uint32_t n) {
+        sessions += n;
+        if (instance == m_own)
+            ownSessions = n;
+    };
+    for (const auto& entry : table.entries) {
+        if (isExpired(entry.lease, table.platformTime))
+            continue;
+        count(entry.instance, entry.lease.sessions);
+        for (const auto& it : entry.lease.members)
+            count(it.instance, it.sessions);
     }
-    m_position = position;
-    m_daemonCount = hasOwn ? daemons : daemons + 1;
     // Session counts change faster than leases are read, so they determine only part of the share.
     constexpr double equalWeight = 0.5;
     const double equalShare = 1.0 / m_daemonCount;
     m_share = sessions > 0 ? equalWeight * equalShare + (1 - equalWeight) * ownSessions / sessions : equalShare;
-    if (m_changed)
-        m_changed();
 }
 
 std::set<InstanceId> LeaseMonitor::votersFor(const GroupId& group) const
@@ -120,7 +148,8 @@
     const uint64_t seed = XXH64(group.value().data(), group.value().size(), 0);
     std::map<FailureDomainId, std::map<uint64_t, InstanceId>> byDomain;
     // Includes this daemon even if its own lease has not been read yet or was not renewed recently.
-    byDomain[m_ownDomain][XXH64(m_own.value().data(), m_own.value().size(), seed)] = m_own;
+    if (m_ownHoldsRow)
+        byDomain[m_ownDomain][XXH64(m_own.value().data(), m_own.value().size(), seed)] = m_own;
     for (const auto& [instance, domain] : m_recentlyRenewed)
         byDomain[domain][XXH64(instance.value().data(), instance.value().size(), seed)] = instance;
     // Takes one daemon of each failure domain in turn, so that with three or more domains of at least three daemons each, none
@@ -139,7 +168,7 @@
 uint32_t LeaseMonitor::rankFor(const GroupId& group) const
 {
     const uint64_t hash = XXH64(group.value().data(), group.value().size(), 0);
-    return static_cast<uint32_t>((m_position + hash) % m_daemonCount);
+    return static_cast<uint32_t>((m_position + hash) % std::max(m_holderCount, 1U));
 }
 
 }
--- a/src/failover/LeaseMonitorTests.cpp
+++ b/src/failover/LeaseMonitorTests.cpp
@@ -13,7 +13,7 @@
     VirtualLoop loop;
     FakeTables tables { loop };
     FakeRows rows { loop, tables };
-    LeaseMonitor leaseMonitor { loop, rows, InstanceId("daemon-0") };
+    LeaseMonitor leaseMonitor { loop, rows, rows, InstanceId("daemon-0") };
     Instant platformTime;
     std::map<InstanceId, std::string> domains;
 
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -14,15 +14,19 @@
     /// losing the primaries affects every caller. On the other hand, a daemon that crashes delays a change of primary until its
     /// lease expires, but only if a change is due at that time.
     constexpr Milliseconds minLeaseDuration { 6000 };
-    /// Limits all daemons together to 40 renewals per second, one thirtieth of the calls that a large platform allows.
-    constexpr Milliseconds renewIntervalPerDaemon { 25 };
-    /// The largest fleets exceed 40 renewals per second because of this limit. It ensures that a crashed daemon delays a change
-    /// of primary by at most 15 s, since a change must complete within 20 s.
-    constexpr Milliseconds maxRenewInterval { 4500 };
+    /// Limits all holders together to 10 renewals per second.
+    constexpr Milliseconds renewIntervalPerHolder { 100 };
+    /// A longer interval would delay a change of primary for longer when a holder has crashed.
+    constexpr Milliseconds maxRenewInterval { 2000 };
     /// Duration of a lease in renewal intervals, unless minLeaseDuration is longer. Two renewals can be missed before the lease
     /// expires.
     constexpr double renewIntervalsPerLease = 3.3;
     constexpr Milliseconds retryDelay { 250 };
+    /// How long a grant lasts. A holder whose subscriber has crashed waits this long before it renews its row after a change of
+    /// primary. That is shorter than the rest of its own lease, so the other subscribers keep theirs.
+    constexpr Milliseconds grantDuration { 2500 };
+    /// The clocks of two instances run at the same rate within a few parts per thousand.
+    constexpr Milliseconds grantClockDrift { 50 };
 
 }
 
@@ -32,6 +36,7 @@
     , m_instance(std::move(instance))
     , m_incarnation(std::move(incarnation))
     , m_addresses(std::move(addresses))
+    , m_key(leaseKey(m_instance))
 {
 }
 
@@ -42,12 +47,37 @@
 
 void InstanceLease::start()
 {
+    if (std::exchange(m_isHolding, true))
+        return;
     readInitialState();
 }
 
+void InstanceLease::withdraw()
+{
+    if (!std::exchange(m_isHolding, false))
+        return;
+    m_loop.cancel(m_timer);
+    m_validUntil = Instant();
+    m_areGrantsAnnounced = false;
+    // A renewal in progress deletes the row when it is answered.
+    if (!m_isRenewing)
+        deleteRow([] {});
+}
+
+void InstanceLease::deleteRow(std::function<void()> done)
+{
+    if (m_rowVersion == RowVersion())
+        return done();
+    RowsTransaction transaction;
+    transaction.expected.push_back({ leaseTable, m_key, m_rowVersion });
+    transaction.removals.push_back({ leaseTable, m_key });
+    m_rowVersion = RowVersion();
+    m_platform.transact(transaction, [done = std::move(done)](const absl::StatusOr<TransactionAnswer>&) { done(); });
+}
+
 Milliseconds InstanceLease::renewInterval() const
 {
-    return std::clamp(renewIntervalPerDaemon * m_daemonCount, minRenewInterval, maxRenewInterval);
+    return std::clamp(renewIntervalPerHolder * m_holderCount, minRenewInterval, maxRenewInterval);
 }
 
 Milliseconds InstanceLease::duration() const
@@ -57,7 +87,19 @@
 
 bool InstanceLease::isValid() const
 {
-    return !m_isReleased && m_loop.now() < m_validUntil;
+    return !m_isReleased && m_loop.now() < std::max(m_validUntil, m_grantedUntil);
+}
+
+void InstanceLease::extendByGrant(Instant until)
+{
+    m_grantedUntil = std::max(m_grantedUntil, until);
+    reportValidity();
+}
+
+void InstanceLease::dropGrant()
+{
+    m_grantedUntil = Instant();
+    reportValidity();
 }
 
 void InstanceLease::confirmEpoch(RowVersion version)
@@ -66,6 +108,36 @@
         return;
     m_epoch = version;
     renew();
+    if (m_onEpochConfirmed)
+        m_onEpochConfirmed();
+}
+
+void InstanceLease::addMember(const LeaseMember& member, const std::string& incarnation)
+{
+    m_grants.add(member, incarnation, m_loop.now());
+    if (!m_areGrantsAnnounced)
+        renew();
+}
+
+void InstanceLease::removeMember(const InstanceId& instance, const std::string& incarnation)
+{
+    m_grants.remove(instance, incarnation);
+    if (m_isRenewalPending)
+        renew();
+}
+
+Milliseconds InstanceLease::grant(const InstanceId& instance, const std::string& incarnation, RowVersion epoch, uint32_t sessions)
+{
+    const Instant now = m_loop.now();
+    m_grants.update(instance, incarnation, epoch, sessions, now);
+    Milliseconds granted;
+    if (m_isHolding && !m_isReleased && m_areGrantsAnnounced && epoch >= m_epoch)
+        granted = std::max(Milliseconds(0), std::min(grantDuration, m_validUntil - now));
+    if (granted > Milliseconds(0) && !m_grants.grant(instance, incarnation, now + granted + grantClockDrift))
+        granted = Milliseconds(0);
+    if (m_isRenewalPending)
+        renew();
+    return granted;
 }
 
 // Reads the platform's clock, and the version of the row that an earlier process of this instance may have left.
@@ -73,16 +145,45 @@
 {
     const Instant sentAt = m_loop.now();
     m_platform.readAll(leaseTable, [this, sentAt, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
-        if (alive.expired())
+        if (alive.expired() || !m_isHolding)
             return;
         if (!answer.ok())
             return scheduleRenewal(retryDelay);
         setPlatformTime(answer->platformTime, sentAt);
-        for (const auto& it : answer->rows) {
-            if (it.key == m_instance.value())
-                m_rowVersion = it.version;
-        }
-        renew();
+        applyInitialState(*answer);
+    });
+}
+
+void InstanceLease::applyInitialState(const RowsAnswer& answer)
+{
+    m_key = leaseKey(m_instance);
+    m_rowVersion = RowVersion();
+    for (const auto& it : answer.rows) {
+        if (leaseInstance(it.key) != m_instance)
+            continue;
+        const auto row = decodeLeaseRow(it.value);
+        const bool isEarlier = row.ok() && row->incarnation != m_incarnation;
+        const bool mayHaveGrants = isEarlier && row->hasGrants && !isExpired(*row, answer.platformTime);
+        if (it.key == m_key && mayHaveGrants)
+            m_key = leaseKey(m_instance, m_incarnation);
+        else if (it.key == m_key)
+            m_rowVersion = it.version;
+        if (it.key != m_key && isEarlier)
+            deleteLater(it, row->duration);
+    }
+    renew();
+}
+
+void InstanceLease::deleteLater(const StoredRow& row, Milliseconds delay)
+{
+    constexpr Milliseconds margin { 1000 };
+    m_loop.after(delay + margin, [this, key = row.key, version = row.version, alive = std::weak_ptr<bool>(m_alive)] {
+        if (alive.expired())
+            return;
+        RowsTransaction transaction;
+        transaction.expected.push_back({ leaseTable, key, version });
+        transaction.removals.push_back({ leaseTable, key });
+        m_platform.transact(transaction, [](const absl::StatusOr<TransactionAnswer>&) {});
     });
 }
 
@@ -92,6 +193,13 @@
     m_platformTimeRequestedAt = sentAt;
 }
 
+std::optional<Milliseconds> InstanceLease::platformAge() const
+{
+    if (!m_platformTime)
+        return std::nullopt;
+    return m_loop.now() - m_platformTimeRequestedAt;
+}
+
 void InstanceLease::scheduleRenewal(Milliseconds delay)
 {
     m_loop.cancel(m_timer);
@@ -105,26 +213,50 @@
     });
 }
 
+// Whether a daemon that has not confirmed the latest changes still holds a grant. If so, the renewal waits for it.
+bool InstanceLease::isWaitingForMembers()
+{
+    const Instant now = m_loop.now();
+    m_grants.expire(now);
+    const auto until = m_grants.unconfirmedUntil(m_epoch, now);
+    if (!until)
+        return false;
+    m_isRenewalPending = true;
+    scheduleRenewal(*until - now);
+    return true;
+}
+
 // Also expects the row's own version, so that a renewal that the platform applies late cannot overwrite a newer row.
 void InstanceLease::renew()
 {
-    if (m_isReleased || !m_platformTime)
+    if (m_isReleased || !m_isHolding || !m_platformTime)
         return;
     if (m_isRenewing) {
         m_isRenewalPending = true;
         return;
     }
+    if (isWaitingForMembers())
+        return;
+    m_isRenewalPending = false;
     m_isRenewing = true;
     const Instant sentAt = m_loop.now();
     const Instant requestedAt = *m_platformTime + (sentAt - m_platformTimeRequestedAt);
     const Milliseconds duration = this->duration();
+    LeaseRow row { m_incarnation, requestedAt, duration, m_addresses, sessionCount() };
+    row.members = m_grants.members();
+    row.hasGrants = !m_grants.isEmpty();
+    // No grant may be given while a row that denies it is on its way.
+    m_areGrantsAnnounced = m_areGrantsAnnounced && row.hasGrants;
     RowsTransaction transaction;
     transaction.expected.push_back({ controlTable, epochKey, m_epoch });
-    transaction.expected.push_back({ leaseTable, m_instance.value(), m_rowVersion });
-    transaction.writes.push_back({ leaseTable, m_instance.value(), encodeLeaseRow({ m_incarnation, requestedAt, duration, m_addresses, m_sessionCounter ? m_sessionCounter() : 0 }) });
-    m_platform.transact(transaction, [this, sentAt, duration, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
-        if (!alive.expired())
-            applyRenewalAnswer(answer, sentAt, duration);
+    transaction.expected.push_back({ leaseTable, m_key, m_rowVersion });
+    transaction.writes.push_back({ leaseTable, m_key, encodeLeaseRow(row) });
+    m_platform.transact(transaction, [this, sentAt, duration, hasGrants = row.hasGrants, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+        if (alive.expired())
+            return;
+        if (answer.ok() && answer->isApplied && m_isHolding)
+            m_areGrantsAnnounced = hasGrants;
+        applyRenewalAnswer(answer, sentAt, duration);
     });
 }
 
@@ -136,16 +268,18 @@
     setPlatformTime(answer->platformTime, sentAt);
     if (answer->isApplied) {
         m_rowVersion = answer->version;
+        if (!m_isHolding)
+            return deleteRow([] {});
         m_validUntil = std::max(m_validUntil, sentAt + duration);
         reportValidity();
-        if (std::exchange(m_isRenewalPending, false))
+        if (m_isRenewalPending)
             return renew();
         return scheduleRenewal(renewInterval());
     }
     bool isRowChanged = true;
     RowVersion rowVersion;
     for (const auto& it : answer->rows) {
-        if (it.table == leaseTable && it.key == m_instance.value() && !it.isDeleted)
+        if (it.table == leaseTable && it.key == m_key && !it.isDeleted)
             rowVersion = it.version;
     }
     isRowChanged = rowVersion != m_rowVersion;
@@ -153,7 +287,7 @@
     // This daemon's row has changed if, for example, an earlier renewal was applied but its answer was lost. Then the renewal is
     // repeated at once with the row's new version. If only the epoch row has changed, renewals fail until this daemon has
     // confirmed the epoch, so it retries after a delay, or at once if another renewal was requested meanwhile.
-    if (isRowChanged || std::exchange(m_isRenewalPending, false))
+    if (isRowChanged || m_isRenewalPending)
         return renew();
     scheduleRenewal(retryDelay);
 }
@@ -170,11 +304,11 @@
 void InstanceLease::release(std::function<void()> done)
 {
     m_isReleased = true;
+    m_isHolding = false;
     m_loop.cancel(m_timer);
-    RowsTransaction transaction;
-    transaction.expected.push_back({ leaseTable, m_instance.value(), m_rowVersion });
-    transaction.removals.push_back({ leaseTable, m_instance.value() });
-    m_platform.transact(transaction, [done = std::move(done)](const absl::StatusOr<TransactionAnswer>&) { done(); });
+    if (hasGrants())
+        return done();
+    deleteRow(std::move(done));
 }
 
 }
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/EventLoop.h"
+#include "leases/GrantRegister.h"
 #include "leases/LeaseRow.h"
 #include "platform_ports/PlatformPorts.h"
 #include "relay/PrimaryLease.h"
@@ -11,36 +12,67 @@
 
 namespace parsleypaddle {
 
-/// This daemon's lease on the primaries of all groups, stored as one row of the lease table.
+/// This daemon's lease on the primaries of all groups. It is stored as one row of the lease table, or granted by another
+/// daemon that holds such a row.
 ///
-/// Each renewal expects the epoch row to have the version that this daemon has confirmed. A change of primary begins by
-/// writing the epoch row, so no daemon can renew its lease before it has stopped using that primary. The change waits only
-/// for leases that were last renewed before the epoch row was written and have not expired.
+/// Each renewal of the row expects the epoch row to have the version that this daemon and all daemons with its grants have
+/// confirmed. A change of primary begins by writing the epoch row, so no daemon can renew its lease before that primary is no
+/// longer used under it. The change waits only for leases that were last renewed before the epoch row was written and have
+/// not expired. A grant never lasts longer than the row under which it is given.
 class InstanceLease final : public PrimaryLease {
 public:
     InstanceLease(EventLoop&, PlatformRows&, InstanceId, std::string incarnation, PeerEndpoint addresses);
     ~InstanceLease() override;
 
+    /// Begins to hold a row. A row that an earlier process left behind is replaced, unless other daemons may hold grants under it;
+    /// then this holds another row and deletes the earlier one after it has expired. Has no effect while a row is held.
     void start();
+    /// Stops holding the row and requests its deletion. The lease then lasts as long as another daemon grants it. Must not be called
+    /// while grants of this daemon last.
+    void withdraw();
+    /// Whether this daemon holds a row, or is about to. Only such daemons vote on a group's primary and carry out changes.
+    bool holdsRow() const { return m_isHolding; }
 
     bool isValid() const override;
 
+    /// Extends the lease to `until`, as granted by another daemon.
+    void extendByGrant(Instant until);
+    /// Ends what other daemons have granted.
+    void dropGrant();
+    /// Whether the lease is valid by this daemon's own row.
+    bool isValidByRow() const { return !m_isReleased && m_loop.now() < m_validUntil; }
+
     /// Confirms that this daemon no longer uses any primary whose change had begun by `version` of the epoch row, and
-    /// renews the lease at once, or after the renewal in progress. Has no effect if that version or a later one was confirmed
-    /// before.
+    /// renews the row as soon as all daemons with grants have confirmed it too. Has no effect if that version or a later one was
+    /// confirmed before.
     void confirmEpoch(RowVersion version);
+    RowVersion confirmedEpoch() const { return m_epoch; }
+
+    /// Adds a subscriber, which may be granted the lease once the row says that there are grants. Has little effect if it was added
+    /// before.
+    void addMember(const LeaseMember&, const std::string& incarnation);
+    /// Removes a subscriber that no longer uses its grant.
+    void removeMember(const InstanceId&, const std::string& incarnation);
+    /// Takes a subscriber's report and extends its grant. Returns for how long from now; 0 if it must not be extended, because
+    /// the row is not valid, the subscriber has not confirmed the latest changes, or it was not added or has expired since.
+    Milliseconds grant(const InstanceId&, const std::string& incarnation, RowVersion epoch, uint32_t sessions);
+    /// Time since the platform last answered a call about the row; unset before the first answer.
+    std::optional<Milliseconds> platformAge() const;
+    bool hasGrants() const { return m_grants.hasGrants(m_loop.now()); }
 
     /// Invalidates the lease and requests that its row be deleted, which the platform rejects if a renewal in progress has changed
-    /// the row. To be called when this daemon no longer uses any primary. Calls `done` when the platform has answered or the call
-    /// has failed.
+    /// the row. The row is left to expire while grants last. To be called when this daemon no longer uses any primary. Calls `done`
+    /// when the platform has answered or the call has failed.
     void release(std::function<void()> done);
 
     const InstanceId& instance() const { return m_instance; }
     const std::string& incarnation() const { return m_incarnation; }
+    const PeerEndpoint& addresses() const { return m_addresses; }
+    uint32_t sessionCount() const { return m_sessionCounter ? m_sessionCounter() : 0; }
 
-    /// Sets the number of daemons that renew leases. The renewal interval grows with it, up to a limit, to reduce the load
+    /// Sets the number of daemons that hold rows. The renewal interval grows with it, up to a limit, to reduce the load
     /// on the platform.
-    void setDaemonCount(uint32_t daemons) { m_daemonCount = daemons; }
+    void setHolderCount(uint32_t holders) { m_holderCount = holders; }
 
     /// Sets the function that returns the number of callers' sessions. It is called at each renewal.
     void setSessionCounter(std::function<uint32_t()> callback) { m_sessionCounter = std::move(callback); }
@@ -48,14 +80,23 @@
     /// Sets the function that is called when the lease becomes valid and when it has expired. An expiry is detected only when a
     /// renewal is due or answered, so the call may come later than the expiry. release() itself does not call it.
     void onValidityChanged(std::function<void(bool isValid)> callback) { m_onChange = std::move(callback); }
+    /// Sets the function that is called when this daemon has confirmed a version of the epoch row.
+    void onEpochConfirmed(std::function<void()> callback) { m_onEpochConfirmed = std::move(callback); }
+
+    /// Calls onValidityChanged's function if the validity has changed.
+    void reportValidity();
 
 private:
     void readInitialState();
+    void applyInitialState(const RowsAnswer&);
+    /// Deletes a row of an earlier process once it has expired.
+    void deleteLater(const StoredRow&, Milliseconds delay);
     void renew();
+    bool isWaitingForMembers();
     void scheduleRenewal(Milliseconds);
     void applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds duration);
+    void deleteRow(std::function<void()> done);
     void setPlatformTime(Instant platformTime, Instant sentAt);
-    void reportValidity();
     Milliseconds renewInterval() const;
     Milliseconds duration() const;
 
@@ -64,20 +105,29 @@
     InstanceId m_instance;
     std::string m_incarnation;
     PeerEndpoint m_addresses;
+    /// Key of this daemon's row.
+    std::string m_key;
+    GrantRegister m_grants;
     /// The platform's clock as of its last answer. `m_platformTimeRequestedAt` is the local time at which that call was sent,
     /// so it is not later than the moment at which the platform read its clock.
     std::optional<Instant> m_platformTime;
     Instant m_platformTimeRequestedAt;
     RowVersion m_rowVersion;
     RowVersion m_epoch;
+    /// End of the lease by the row, and by the grants of other daemons.
     Instant m_validUntil;
-    uint32_t m_daemonCount { 1 };
+    Instant m_grantedUntil;
+    uint32_t m_holderCount { 1 };
+    bool m_isHolding { false };
+    /// Whether the row, as last written, says that other daemons may hold grants.
+    bool m_areGrantsAnnounced { false };
     bool m_wasReportedValid { false };
     bool m_isRenewing { false };
     bool m_isRenewalPending { false };
     bool m_isReleased { false };
     TimerId m_timer { TimerId::None };
     std::function<void(bool)> m_onChange;
+    std::function<void()> m_onEpochConfirmed;
     std::function<uint32_t()> m_sessionCounter;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/leases/InstanceLeaseTests.cpp
+++ b/src/leases/InstanceLeaseTests.cpp
@@ -1,6 +1,8 @@
 #include "leases/InstanceLease.h"
 #include "leases/LeaseRow.h"
 
+#include "leases/Epoch.h"
+
 #include "base/VirtualLoop.h"
 #include "platform_ports/FakeRows.h"
 
@@ -46,7 +48,7 @@
 TEST_CASE("in a fleet of 460 daemons a lease is short enough for a change of primary within 20 s", "[leases]")
 {
     LeaseFixture fixture;
-    fixture.lease.setDaemonCount(460);
+    fixture.lease.setHolderCount(460);
     fixture.lease.start();
     fixture.loop.advance(Milliseconds(10'000));
     // Failure detection, candidate selection and promotion take about 3 s.
@@ -65,3 +67,87 @@
     CHECK(isReleased);
     CHECK(fixture.tables.find(leaseTable, "one") == nullptr);
 }
+
+TEST_CASE("a lease row is the same after encoding and decoding", "[leases]")
+{
+    LeaseRow row { "first", Instant(5), Milliseconds(6000), { FailureDomainId("domain"), "10.0.0.1", 1, 2, 3, 0.5 }, 4 };
+    row.hasGrants = true;
+    row.members.push_back({ InstanceId("two"), { FailureDomainId("domain"), "10.0.0.2", 1, 2, 3, 0.12 }, 9 });
+    const auto decoded = decodeLeaseRow(encodeLeaseRow(row));
+    REQUIRE(decoded.ok());
+    CHECK(encodeLeaseRow(*decoded) == encodeLeaseRow(row));
+    CHECK(decoded->members.front().addresses.failureDomain == FailureDomainId("domain"));
+}
+
+// Rows of daemons of the version before, which has no subscribers.
+TEST_CASE("a lease row without grants and members is valid", "[leases]")
+{
+    const auto row = decodeLeaseRow(R"({"incarnation":"first","asked_at":5,"length_ms":6000,"failure_domain":"domain","host":"10.0.0.1","platform_port":1,"caller_port":2,"sessions":3})");
+    REQUIRE(row.ok());
+    CHECK_FALSE(row->hasGrants);
+    CHECK(row->members.empty());
+    CHECK(row->addresses.sourcePort == 0);
+}
+
+TEST_CASE("no lease is granted before the row says that there are grants, nor for longer than the row", "[leases]")
+{
+    LeaseFixture fixture;
+    const LeaseMember member { InstanceId("two"), {}, 0 };
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(100));
+    fixture.lease.addMember(member, "first");
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
+    fixture.loop.advance(Milliseconds(100));
+    CHECK(fixture.row().hasGrants);
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(2500));
+    fixture.rows.isCut = true;
+    fixture.loop.advance(Milliseconds(5500));
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) < Milliseconds(1000));
+    fixture.loop.advance(Milliseconds(1000));
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
+}
+
+TEST_CASE("the row is renewed after a change of primary only when all grants have confirmed it or expired", "[leases]")
+{
+    const bool confirms = GENERATE(true, false);
+    LeaseFixture fixture;
+    const LeaseMember member { InstanceId("two"), {}, 0 };
+    fixture.lease.start();
+    fixture.lease.addMember(member, "first");
+    fixture.loop.advance(Milliseconds(100));
+    REQUIRE(fixture.lease.grant(member.instance, "first", RowVersion(), 0) > Milliseconds(0));
+    fixture.tables.put(controlTable, epochKey, "next");
+    RowVersion epoch;
+    fixture.rows.readAll(controlTable, [&epoch](const absl::StatusOr<RowsAnswer>& answer) { epoch = answer->rows.front().version; });
+    fixture.loop.advance(Milliseconds(10));
+    const auto renewedAfterChange = [&] {
+        RowVersion version;
+        fixture.rows.readAll(leaseTable, [&version](const absl::StatusOr<RowsAnswer>& answer) { version = answer->rows.front().version; });
+        fixture.loop.advance(Milliseconds(10));
+        return epoch < version;
+    };
+    fixture.lease.confirmEpoch(epoch);
+    fixture.loop.advance(Milliseconds(50));
+    CHECK_FALSE(renewedAfterChange());
+    if (confirms)
+        fixture.lease.grant(member.instance, "first", epoch, 0);
+    else
+        fixture.loop.advance(Milliseconds(2600));
+    fixture.loop.advance(Milliseconds(50));
+    CHECK(renewedAfterChange());
+    CHECK(fixture.lease.isValid());
+}
+
+TEST_CASE("a row is left to expire when its holder stops while grants last", "[leases]")
+{
+    LeaseFixture fixture;
+    const LeaseMember member { InstanceId("two"), {}, 0 };
+    fixture.lease.start();
+    fixture.lease.addMember(member, "first");
+    fixture.loop.advance(Milliseconds(100));
+    REQUIRE(fixture.lease.grant(member.instance, "first", RowVersion(), 0) > Milliseconds(0));
+    fixture.lease.release([] {});
+    fixture.loop.advance(Milliseconds(100));
+    CHECK(fixture.tables.find(leaseTable, "one"));
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
+}
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /// Between instance and incarnation in the key of a row. Ids of instances do not hold it.
+    constexpr char incarnationSeparator = '/';
+
     uint16_t decodePort(const Json::Value& value)
     {
         return value.isUInt() && value.asUInt() <= UINT16_MAX ? static_cast<uint16_t>(value.asUInt()) : 0;
@@ -22,9 +25,65 @@
         addresses.host = value["host"].asString();
         addresses.platformProxyPort = decodePort(value["platform_port"]);
         addresses.callerPort = decodePort(value["caller_port"]);
+        addresses.sourcePort = decodePort(value["source_port"]);
+        addresses.cores = value["cores"].isNumeric() ? value["cores"].asDouble() : 0;
         return addresses;
     }
 
+    uint32_t decodeCount(const Json::Value& value)
+    {
+        return value.isUInt() ? value.asUInt() : 0;
+    }
+
+    void encodeAddresses(Json::Value& value, const PeerEndpoint& addresses)
+    {
+        value["host"] = addresses.host;
+        value["platform_port"] = addresses.platformProxyPort;
+        value["caller_port"] = addresses.callerPort;
+        value["source_port"] = addresses.sourcePort;
+        value["cores"] = addresses.cores;
+    }
+
+    // A member is in the failure domain of its source, which therefore is not repeated.
+    Json::Value encodeMember(const LeaseMember& member)
+    {
+        Json::Value value(Json::objectValue);
+        value["id"] = member.instance.value();
+        value["sessions"] = member.sessions;
+        encodeAddresses(value, member.addresses);
+        return value;
+    }
+
+    // Members that cannot be decoded are skipped: they are not listed as peers.
+    std::vector<LeaseMember> decodeMembers(const Json::Value& list, const FailureDomainId& domain)
+    {
+        std::vector<LeaseMember> members;
+        if (!list.isArray())
+            return members;
+        for (Json::Value it : list) {
+            if (!it.isObject() || !it["id"].isString())
+                continue;
+            it["failure_domain"] = domain.value();
+            members.push_back({ InstanceId(it["id"].asString()), decodeAddresses(it), decodeCount(it["sessions"]) });
+        }
+        return members;
+    }
+
+}
+
+std::string leaseKey(const InstanceId& instance)
+{
+    return instance.value();
+}
+
+std::string leaseKey(const InstanceId& instance, const std::string& incarnation)
+{
+    return instance.value() + incarnationSeparator + incarnation;
+}
+
+InstanceId leaseInstance(const std::string& key)
+{
+    return InstanceId(key.substr(0, key.find(incarnationSeparator)));
 }
 
 std::string encodeLeaseRow(const LeaseRow& row)
@@ -34,10 +93,12 @@
     value["asked_at"] = row.requestedAt.sinceEpoch();
     value["length_ms"] = row.duration.count();
     value["failure_domain"] = row.addresses.failureDomain.value();
-    value["host"] = row.addresses.host;
-    value["platform_port"] = row.addresses.platformProxyPort;
-    value["caller_port"] = row.addresses.callerPort;
+    encodeAddresses(value, row.addresses);
     value["sessions"] = row.sessions;
+    value["grants"] = row.hasGrants;
+    value["members"] = Json::Value(Json::arrayValue);
+    for (const auto& it : row.members)
+        value["members"].append(encodeMember(it));
     return writeJson(value);
 }
 
@@ -57,7 +118,9 @@
     row.requestedAt = Instant(requestedAt.asDouble());
     row.duration = Milliseconds(duration.asDouble());
     row.addresses = decodeAddresses(value);
-    row.sessions = value["sessions"].isUInt() ? value["sessions"].asUInt() : 0;
+    row.sessions = decodeCount(value["sessions"]);
+    row.hasGrants = value["grants"].isBool() && value["grants"].asBool();
+    row.members = decodeMembers(value["members"], row.addresses.failureDomain);
     return row;
 }
 
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -130,6 +130,7 @@
 
 void FakeRows::readAll(const std::string& table, RowsDone unnoted)
 {
+    ++calls;
     const RowsDone done = noted<RowsAnswer>(std::move(unnoted));
     if (isCut) {
         m_loop.after(callTimeout, [done] { done(noAnswer()); });
@@ -143,6 +144,7 @@
 
 void FakeRows::transact(const RowsTransaction& transaction, TransactionDone unnoted)
 {
+    ++calls;
     const TransactionDone done = noted<TransactionAnswer>(std::move(unnoted));
     const bool isLost = isCut || losesAnswers || appliesLate > Milliseconds(0);
     if (!isCut) {
@@ -164,6 +166,7 @@
 
 void FakeRows::watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone unnoted)
 {
+    ++calls;
     RowsDone done = noted<RowsAnswer>(std::move(unnoted));
     // Silence shows only when the wait is over.
     if (isCut) {
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -67,6 +67,8 @@
     bool losesAnswers { false };
     /// Transactions are applied so much later, if their conditions still hold then, and their answers are lost.
     Milliseconds appliesLate;
+    /// Calls sent so far, including those that were not answered.
+    uint64_t calls { 0 };
 
 private:
     struct Watch;
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 8> counterInfos { {
+    constexpr std::array<MetricInfo, 11> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -30,14 +30,19 @@
         { "parsleypaddle_platform_errors_total", "Requests to the platform that failed or went unanswered" },
         { "parsleypaddle_reads_at_replica_total", "Reads served by a replica" },
         { "parsleypaddle_reads_at_primary_total", "Reads served by a primary" },
+        { "parsleypaddle_platform_reads_total", "Reads of a table sent to the platform" },
+        { "parsleypaddle_platform_watches_total", "Requests for the changes of a table sent to the platform" },
+        { "parsleypaddle_platform_transactions_total", "Transactions sent to the platform" },
     } };
 
-    constexpr std::array<MetricInfo, 5> gaugeInfos { {
+    constexpr std::array<MetricInfo, 7> gaugeInfos { {
         { "parsleypaddle_configuration_version", "Version of the configuration in force here" },
         { "parsleypaddle_requests_in_flight", "Requests of callers without an answer yet" },
         { "parsleypaddle_target_connections", "Open connections to targets" },
         { "parsleypaddle_instances_listed", "Daemons on the platform's list" },
         { "parsleypaddle_is_draining", "1 while this daemon is leaving" },
+        { "parsleypaddle_is_holder", "1 while this daemon holds a row of the lease table" },
+        { "parsleypaddle_subscribers", "Daemons that receive the platform's tables from this one" },
     } };
 
     const prometheus::Histogram::BucketBoundaries& bucketBoundaries()
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -43,6 +43,9 @@
     PlatformErrors,
     ReadsAtReplica,
     ReadsAtPrimary,
+    PlatformReads,
+    PlatformWatches,
+    PlatformTransactions,
 };
 
 /// The gauges.
@@ -52,6 +55,8 @@
     TargetConnections,
     InstancesListed,
     IsDraining,
+    IsHolder,
+    Subscribers,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
