Delete the row of a restarted holder's earlier process as soon as its grants have expired

Cause: a killed holder's row stayed until 6 to 7 s after its restart, since a new process must not replace a row under which other daemons may hold grants. A change of primary waited for it.

--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -145,7 +145,7 @@
     CHECK(fixture.countValidLeases() == 295);
     CHECK(fixture.countConfiguration(1) == 295);
     CHECK(fixture.holders().size() <= 24);
-    CHECK(fixture.calls() - before <= 295 * 3);
+    CHECK(fixture.calls() - before <= size_t { 295 } * 3);
 }
 
 TEST_CASE("a planned stop of a source interrupts no subscriber's lease and delays no later change", "[distribution]")
@@ -210,6 +210,18 @@
     CHECK(fixture.hasAnyGoneBack() == false);
 }
 
+// The row of the process before would delay a change of primary until it expires after 6 s.
+TEST_CASE("a source that restarts delays a change only until the grants of its earlier process have expired", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    fixture.kill(source);
+    fixture.restart(source);
+    const RowVersion epoch = fixture.beginChange();
+    CHECK(fixture.waitForRelease(epoch) <= Milliseconds(3000));
+    CHECK(fixture.countUsing(epoch) == 0);
+}
+
 TEST_CASE("a subscriber that restarts under its name is served again at once", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -169,15 +169,15 @@
         else if (it.key == m_key)
             m_rowVersion = it.version;
         if (it.key != m_key && isEarlier)
-            deleteLater(it, row->duration);
+            deleteLater(it);
     }
     renew();
 }
 
-void InstanceLease::deleteLater(const StoredRow& row, Milliseconds delay)
+// The earlier process had ended before this one started, so its last grant expires within the duration of a grant from now.
+void InstanceLease::deleteLater(const StoredRow& row)
 {
-    constexpr Milliseconds margin { 1000 };
-    m_loop.after(delay + margin, [this, key = row.key, version = row.version, alive = std::weak_ptr<bool>(m_alive)] {
+    m_loop.after(grantDuration + grantClockDrift * 2, [this, key = row.key, version = row.version, alive = std::weak_ptr<bool>(m_alive)] {
         if (alive.expired())
             return;
         RowsTransaction transaction;
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -25,7 +25,7 @@
     ~InstanceLease() override;
 
     /// Begins to hold a row. A row that an earlier process left behind is replaced, unless other daemons may hold grants under it;
-    /// then this holds another row and deletes the earlier one after it has expired. Has no effect while a row is held.
+    /// then this holds another row and deletes the earlier one when these grants have expired. Has no effect while a row is held.
     void start();
     /// Stops holding the row and requests its deletion. The lease then lasts as long as another daemon grants it. Must not be called
     /// while grants of this daemon last.
@@ -89,8 +89,8 @@
 private:
     void readInitialState();
     void applyInitialState(const RowsAnswer&);
-    /// Deletes a row of an earlier process once it has expired.
-    void deleteLater(const StoredRow&, Milliseconds delay);
+    /// Deletes a row of an earlier process once the grants under it have expired.
+    void deleteLater(const StoredRow&);
     void renew();
     bool isWaitingForMembers();
     void scheduleRenewal(Milliseconds);
