Keep subscribers at a source that waits for the platform when no other one is better

Ruled out: slow renewals of the holders (they regained theirs within 0.4 s). Change: a source that is only stale is used again when no other one serves.

--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -279,6 +279,26 @@
     CHECK(fixture.holders().size() <= 24);
 }
 
+// A source that refuses during the outage must not make its subscribers give up the others, which only wait for the platform.
+TEST_CASE("all daemons hold leases again within a second after a long outage of the platform", "[distribution]")
+{
+    DistributionFixture fixture(60, 3);
+    const auto holders = fixture.holders();
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    fixture.run(4000);
+    for (const size_t it : { holders[0], holders[1], holders[2] })
+        fixture.kill(it);
+    fixture.run(5000);
+    for (auto& it : fixture.daemons) {
+        if (it)
+            it->rows.isCut = false;
+    }
+    // A holder's call that was sent before the end of the outage takes up to 900 ms, and its next one 250 ms.
+    fixture.run(1000 + 250);
+    CHECK(fixture.countValidLeases() == 57);
+}
+
 TEST_CASE("no daemon returns to an older configuration when its source changes", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -67,6 +67,15 @@
     return it == m_candidates.end() ? nullptr : &*it;
 }
 
+const Peer* SourceClient::staleCandidate() const
+{
+    auto it = std::find_if(m_candidates.begin(), m_candidates.end(), [this](const Peer& candidate) {
+        auto avoided = m_avoided.find(candidate.instance);
+        return avoided != m_avoided.end() && avoided->second.loss == Loss::Stale;
+    });
+    return it == m_candidates.end() ? nullptr : &*it;
+}
+
 bool SourceClient::isAvoided(const InstanceId& instance) const
 {
     auto it = m_avoided.find(instance);
@@ -76,7 +85,7 @@
 void SourceClient::forgetRefusals()
 {
     for (auto it = m_avoided.begin(); it != m_avoided.end();)
-        it = it->second.wasSilent ? std::next(it) : m_avoided.erase(it);
+        it = it->second.loss == Loss::Silent ? std::next(it) : m_avoided.erase(it);
 }
 
 void SourceClient::request(const TableRequest& request)
@@ -87,7 +96,11 @@
 
 void SourceClient::connectNext()
 {
-    while (const Peer* candidate = nextCandidate()) {
+    const auto choose = [this] {
+        const Peer* candidate = nextCandidate();
+        return candidate ? candidate : staleCandidate();
+    };
+    while (const Peer* candidate = choose()) {
         auto link = std::make_shared<Link>();
         link->source = *candidate;
         std::weak_ptr<Link> weak = link;
@@ -102,7 +115,7 @@
                                                                       },
                                                                   });
         if (!link->channel) {
-            m_avoided[candidate->instance] = { m_loop.now() + avoidanceTime, false };
+            m_avoided[candidate->instance] = { m_loop.now() + avoidanceTime, Loss::Refused };
             continue;
         }
         m_link = std::move(link);
@@ -150,7 +163,7 @@
     const auto& renewals = m_link->renewals;
     const Milliseconds timeout = m_link->isAttached ? answerTimeout : firstAnswerTimeout;
     if (!renewals.empty() && renewals.begin()->second + timeout <= m_loop.now())
-        return lose("a renewal was not answered", true);
+        return lose("a renewal was not answered", Loss::Silent);
     renew();
 }
 
@@ -178,7 +191,7 @@
         renewAfter(shortRenewInterval);
     m_link->isStale = message.platformAge > maxPlatformAge;
     if (m_link->isStale && nextCandidate())
-        return lose("the source has not reached the platform for " + std::to_string(static_cast<int64_t>(message.platformAge.count())) + " ms");
+        return lose("the source has not reached the platform for " + std::to_string(static_cast<int64_t>(message.platformAge.count())) + " ms", Loss::Stale);
     if (!m_link->isAttached)
         attach();
     if (isGranted)
@@ -211,12 +224,12 @@
 }
 
 // The grants of the lost source stay valid until they expire, which the source waits for.
-void SourceClient::lose(const std::string& why, bool wasSilent)
+void SourceClient::lose(const std::string& why, Loss loss)
 {
     const auto link = std::exchange(m_link, nullptr);
     m_loop.cancel(std::exchange(m_timer, TimerId::None));
     link->channel->close();
-    m_avoided[link->source.instance] = { m_loop.now() + avoidanceTime, wasSilent };
+    m_avoided[link->source.instance] = { m_loop.now() + avoidanceTime, loss };
     m_log.write("source_lost", { { "source", link->source.instance.value() }, { "why", why }, { "was_attached", link->isAttached ? "yes" : "no" } });
     connectNext();
 }
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -54,6 +54,16 @@
     void request(const TableRequest&);
 
 private:
+    /// Why a source was left.
+    enum class Loss {
+        /// It closed the channel or does not serve.
+        Refused,
+        /// It did not answer.
+        Silent,
+        /// It has not reached the platform for some time, but still serves.
+        Stale,
+    };
+
     struct Link {
         Peer source;
         std::shared_ptr<PeerChannel> channel;
@@ -64,7 +74,10 @@
     };
 
     void connectNext();
+    /// The best candidate that is not avoided; null if there is none.
     const Peer* nextCandidate() const;
+    /// The best candidate that was left only because it was stale; null if there is none.
+    const Peer* staleCandidate() const;
     void applyLine(std::string_view line);
     void apply(const GrantMessage&);
     void apply(const TableReply&);
@@ -74,7 +87,7 @@
     void attach();
     void renewAfter(Milliseconds);
     void tick();
-    void lose(const std::string& why, bool wasSilent = false);
+    void lose(const std::string& why, Loss = Loss::Refused);
     void send(const SourceMessage&);
 
     EventLoop& m_loop;
@@ -86,7 +99,7 @@
     std::vector<Peer> m_candidates;
     struct Avoidance {
         Instant until;
-        bool wasSilent { false };
+        Loss loss { Loss::Refused };
     };
 
     /// Sources that failed, and until when they are not tried again.
