--- a/src/distribution/SourceRole.cpp
+++ b/src/distribution/SourceRole.cpp
@@ -18,7 +18,7 @@
     constexpr double minCores = 0.1;
     /// Delay before a failed read of the leases is repeated, doubled with each failure up to the maximum.
     constexpr Milliseconds minReadRetryDelay { 250 };
-    constexpr Milliseconds maxReadRetryDelay { 2000 };
+    constexpr Milliseconds maxReadRetryDelay { 1000 };
     /// Daemons that have lost all their sources, or whose sources have lost the platform, call the platform at different times.
     constexpr Milliseconds fallbackSpread { 1000 };
     /// Delay per rank among the subscribers of a failure domain before one whose sources have lost the platform calls it itself, and its
