--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -94,6 +94,22 @@
         send(request);
 }
 
+// A channel that was left may still deliver something.
+PeerChannelCallbacks SourceClient::callbacksFor(const std::shared_ptr<Link>& link)
+{
+    std::weak_ptr<Link> weak = link;
+    return {
+        [this, weak](std::string_view line) {
+            if (auto it = weak.lock(); it && it == m_link)
+                applyLine(line);
+        },
+        [this, weak] {
+            if (auto it = weak.lock(); it && it == m_link)
+                lose("the channel was closed");
+        },
+    };
+}
+
 void SourceClient::connectNext()
 {
     const auto choose = [this] {
@@ -103,17 +119,7 @@
     while (const Peer* candidate = choose()) {
         auto link = std::make_shared<Link>();
         link->source = *candidate;
-        std::weak_ptr<Link> weak = link;
-        link->channel = m_connector.connect(candidate->addresses, {
-                                                                      [this, weak](std::string_view line) {
-                                                                          if (auto it = weak.lock(); it && it == m_link)
-                                                                              applyLine(line);
-                                                                      },
-                                                                      [this, weak] {
-                                                                          if (auto it = weak.lock(); it && it == m_link)
-                                                                              lose("the channel was closed");
-                                                                      },
-                                                                  });
+        link->channel = m_connector.connect(candidate->addresses, callbacksFor(link));
         if (!link->channel) {
             m_avoided[candidate->instance] = { m_loop.now() + avoidanceTime, Loss::Refused };
             continue;
@@ -186,7 +192,7 @@
     m_link->renewals.erase(m_link->renewals.begin(), std::next(it));
     const bool isGranted = message.duration > Milliseconds(0);
     if (isGranted)
-        m_lease.extendByGrant(sentAt + message.duration);
+        m_lease.extendByGrant(sentAt + std::min(message.duration, InstanceLease::grantDuration));
     else
         renewAfter(shortRenewInterval);
     m_link->isStale = message.platformAge > maxPlatformAge;
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -73,6 +73,7 @@
         std::map<uint64_t, Instant> renewals;
     };
 
+    PeerChannelCallbacks callbacksFor(const std::shared_ptr<Link>&);
     void connectNext();
     /// The best candidate that is not avoided; null if there is none.
     const Peer* nextCandidate() const;
--- a/src/distribution/SourceRole.cpp
+++ b/src/distribution/SourceRole.cpp
@@ -54,22 +54,7 @@
     : m_context(std::move(context))
     , m_random(seed)
     , m_client(m_context.loop, m_context.connector, m_context.rows, m_context.lease, m_context.log,
-          {
-              [this] { attach(); },
-              [this] { completeStepDown(); },
-              [this] { readLeases(randomDelay(fallbackSpread) + std::min(fallbackDelayPerRank * ownRank(false), maxFallbackDelay)); },
-              [this] {
-                  if (m_state == State::SteppingDown)
-                      return cancelStepDown();
-                  if (m_state == State::Holding || m_isStopping)
-                      return;
-                  m_state = State::Searching;
-                  m_hasWaited = true;
-                  ++m_exhaustions;
-                  m_client.forgetRefusals();
-                  readLeases(randomDelay(m_exhaustions == 1 ? firstRetrySpread : fallbackSpread));
-              },
-          })
+          { [this] { attach(); }, [this] { completeStepDown(); }, [this] { checkOwnPath(); }, [this] { searchAgain(); } })
 {
     m_context.leaseMonitor.setOwnHoldsRow(false);
     m_context.lease.onEpochConfirmed([this] { m_client.renew(); });
@@ -124,6 +109,27 @@
     }));
 }
 
+// Subscribers whose sources have lost the platform try it one after the other.
+void SourceRole::checkOwnPath()
+{
+    readLeases(randomDelay(fallbackSpread) + std::min(fallbackDelayPerRank * ownRank(false), maxFallbackDelay));
+}
+
+// No candidate serves this daemon.
+void SourceRole::searchAgain()
+{
+    if (m_state == State::SteppingDown)
+        return cancelStepDown();
+    if (m_state == State::Holding || m_isStopping)
+        return;
+    m_state = State::Searching;
+    m_hasWaited = true;
+    ++m_exhaustions;
+    m_client.forgetRefusals();
+    readLeases(randomDelay(m_exhaustions == 1 ? firstRetrySpread : fallbackSpread));
+}
+
+// Reads the leases after `delay`, or earlier if a read is due before.
 void SourceRole::readLeases(Milliseconds delay)
 {
     const Instant at = m_context.loop.now() + delay;
@@ -157,6 +163,7 @@
     m_failedReads = 0;
     if (m_state == State::Searching)
         return search(*table);
+    // This daemon is subscribed, and the platform answers it.
     const bool hadOwnPath = std::exchange(m_hasOwnPath, m_client.isStale());
     if (m_hasOwnPath && hadOwnPath)
         return hold("no source reaches the platform");
--- a/src/distribution/SourceRole.h
+++ b/src/distribution/SourceRole.h
@@ -54,6 +54,8 @@
         SteppingDown,
     };
 
+    void checkOwnPath();
+    void searchAgain();
     void readLeases(Milliseconds delay);
     void applyLeases(const absl::StatusOr<LeaseTable>&);
     void search(const LeaseTable&);
@@ -73,6 +75,7 @@
     std::mt19937_64 m_random;
     SourceClient m_client;
     State m_state { State::Searching };
+    /// Whether this daemon has waited for a random time before it becomes a holder.
     bool m_hasWaited { false };
     bool m_isStopping { false };
     /// When the leases are read next; unset while a read is answered or none is due.
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -22,9 +22,6 @@
     /// expires.
     constexpr double renewIntervalsPerLease = 3.3;
     constexpr Milliseconds retryDelay { 250 };
-    /// How long a grant lasts. A holder whose subscriber has crashed waits this long before it renews its row after a change of
-    /// primary. That is shorter than the rest of its own lease, so the other subscribers keep theirs.
-    constexpr Milliseconds grantDuration { 2500 };
     /// The clocks of two instances run at the same rate within a few parts per thousand.
     constexpr Milliseconds grantClockDrift { 50 };
 
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -21,6 +21,10 @@
 /// not expired. A grant never lasts longer than the row under which it is given.
 class InstanceLease final : public PrimaryLease {
 public:
+    /// How long a grant lasts at most. A holder whose subscriber has crashed waits this long before it renews its row after a change
+    /// of primary. That is shorter than the rest of its own lease, so the other subscribers keep theirs.
+    static constexpr Milliseconds grantDuration { 2500 };
+
     InstanceLease(EventLoop&, PlatformRows&, InstanceId, std::string incarnation, PeerEndpoint addresses);
     ~InstanceLease() override;
 
