Probe the targets of groups without a record from few daemons, and decode only the records that changed

Every holder probes every target of each group without a record every 80 ms until it has received the record; ranks were fixed when only a few leases were known, so all holders had the first rank, and the platform records hundreds of groups one after the other. Besides, each change of the control table made every daemon decode the records of all groups (daemons times changes times groups). Change: ranks are computed anew and the leases are read a second time 1.5 s after the start; 400 ms for each rank; rounds every 250 ms, and a second of waiting after a record was written. Records whose version is unchanged are not decoded.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -64,7 +64,7 @@
     rows.onReachedAgain([this](Instant sent) { controlWatch.replaceOlderRequest(sent); });
 }
 
-FailoverFixture::FailoverFixture(size_t n)
+FailoverFixture::FailoverFixture(size_t n, double listDelay)
 {
     targets[TargetId("one")].isPrimary = true;
     for (const std::string name : { "one", "two", "three" }) {
@@ -74,7 +74,7 @@
     }
     daemons.resize(n);
     for (size_t it = 0; it < n; ++it)
-        startDaemon(it);
+        startDaemon(it, listDelay);
     replicate();
     run(1000);
 }
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -63,7 +63,8 @@
 /// Several daemons and one group of three targets, with "one" as the first primary, in virtual time.
 class FailoverFixture {
 public:
-    explicit FailoverFixture(size_t daemons);
+    /// The daemons receive the target list `listDelay` milliseconds after their start.
+    explicit FailoverFixture(size_t daemons, double listDelay = 0);
     ~FailoverFixture();
 
     void run(double milliseconds);
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -60,12 +60,18 @@
     const std::string prefix = groupKey(GroupId());
     for (auto it = rows.lower_bound(prefix); it != rows.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
         const GroupId group(it->first.substr(prefix.size()));
+        GroupFailover& failover = failoverOf(group);
+        // With hundreds of groups, decoding all records at each change of one would take most of the daemon's time.
+        if (failover.recordVersion() == it->second.version) {
+            failover.setEpoch(m_epoch);
+            failover.setSuspicions(suspectingDaemons(rows, group, failover.knownPrimary().term));
+            continue;
+        }
         const auto record = decodeGroupRecord(it->second.value);
         if (!record.ok()) {
             m_context.log.write("primary_record_malformed", { { "group", group.value() }, { "fault", std::string(record.status().message()) } });
             continue;
         }
-        GroupFailover& failover = failoverOf(group);
         failover.setRecord(*record, it->second.version, m_epoch);
         failover.setSuspicions(suspectingDaemons(rows, group, record->term));
         m_relay->setPrimary(group, failover.knownPrimary());
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -44,6 +44,32 @@
         CHECK(fixture.write(it) == RelayError::None);
 }
 
+// A fleet starts with hundreds of groups. When every holder probed every target of every group until it had received the records, one
+// start of 100 daemons with 124 groups opened 1.3 million connections.
+TEST_CASE("the targets of a group without a record are probed by few daemons at a time", "[failover]")
+{
+    FailoverFixture fixture(18, 2500);
+    fixture.run(1400);
+    fixture.targets.connectionAttempts = 0;
+    fixture.run(1500);
+    CHECK(fixture.countDaemonsUsing("one") == 18);
+    CHECK(fixture.targets.connectionAttempts <= 3 * 3);
+}
+
+TEST_CASE("a group's first record is written although its targets become primary late and the first daemon in rank is gone", "[failover]")
+{
+    FailoverFixture fixture(5, 8000);
+    fixture.targets[TargetId("one")].isPrimary = false;
+    fixture.run(6000);
+    for (size_t it = 0; it < 4; ++it)
+        fixture.daemons[it]->rows.isCut = true;
+    fixture.run(3000);
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+    fixture.targets[TargetId("one")].isPrimary = true;
+    fixture.run(2500);
+    CHECK(fixture.countDaemonsUsing("one") == 1);
+}
+
 TEST_CASE("a primary that crashed is replaced within two seconds", "[failover]")
 {
     FailoverFixture fixture(5);
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -9,7 +9,14 @@
 
 namespace {
 
-    /// Delay per rank before a daemon creates a group's record, begins to replace a primary that is leaving or missing, or first
+    /// Delay per rank before a daemon creates a group's record. When a fleet starts, the platform records the first primaries of hundreds
+    /// of groups one after the other, which takes longer than staggerPerRank.
+    constexpr Milliseconds bootstrapStaggerPerRank { 400 };
+    /// Interval at which the targets of a group without a record are probed, and the delay after this daemon has written one, until it
+    /// receives it.
+    constexpr Milliseconds bootstrapProbeInterval { 250 };
+    constexpr Milliseconds bootstrapRetryDelay { 1000 };
+    /// Delay per rank before a daemon begins to replace a primary that is leaving or missing, or first
     /// checks a change's owner, so that daemons do not all act at once. A change after a majority suspicion is not delayed.
     constexpr Milliseconds staggerPerRank { 80 };
     /// A probe that times out does not count as failed if the primary has answered a statement within this time.
@@ -161,19 +168,32 @@
     if (m_targets.empty() || !m_context.lease.holdsRow())
         return;
     if (m_recordSince == Instant()) {
-        m_recordSince = now + staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
+        m_recordSince = now;
         return;
     }
-    if (now < m_recordSince || now < m_nextProbe)
+    if (m_isProbeRoundComplete) {
+        m_isProbeRoundComplete = false;
+        if (createFirstRecord())
+            return;
+    }
+    // The rank is computed anew, because the leases of the other holders may have been read only now.
+    if (now < m_recordSince + bootstrapStaggerPerRank * m_context.leaseMonitor.rankFor(m_group) || now < m_nextProbe)
         return;
     probeTargets();
-    if (!m_isProbeRoundComplete)
-        return;
-    m_isProbeRoundComplete = false;
+    m_nextProbe = now + bootstrapProbeInterval;
+}
+
+// Records the target that reported itself as primary in the last round of probes, if one did.
+bool GroupFailover::createFirstRecord()
+{
     for (const auto& [id, probe] : m_probes) {
-        if (probe.report && probe.report->isPrimary)
-            return writeRecord(makeOpenRecord(id, probe.report->term), false, "the group has no record yet and this target is primary");
+        if (probe.report && probe.report->isPrimary) {
+            m_nextProbe = m_context.loop.now() + bootstrapRetryDelay;
+            writeRecord(makeOpenRecord(id, probe.report->term), false, "the group has no record yet and this target is primary");
+            return true;
+        }
     }
+    return false;
 }
 
 void GroupFailover::monitorPrimary(const RelayGroup& group)
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -35,6 +35,10 @@
     /// Applies the group's record, unless `version` is not newer than that of the current record. `epoch` is the version of the
     /// epoch row that was read with it, and is applied in either case.
     void setRecord(const GroupRecord&, RowVersion version, RowVersion epoch);
+    /// The version of the current record; 0 without one.
+    RowVersion recordVersion() const { return m_version; }
+    /// Sets the version of the epoch row when the record has not changed.
+    void setEpoch(RowVersion epoch) { m_epoch = epoch; }
     /// Sets the daemons that have recorded a suspicion against the primary of the current term.
     void setSuspicions(std::set<InstanceId>);
     void setTargets(std::vector<TargetEntry>);
@@ -62,6 +66,7 @@
 private:
     void releasePrimary(RelayGroup&);
     void bootstrap();
+    bool createFirstRecord();
     void monitorPrimary(const RelayGroup&);
     /// Whether this daemon should record its suspicion. Each recorded suspicion is delivered to every daemon.
     bool shouldWriteSuspicion() const;
@@ -93,8 +98,8 @@
     std::optional<GroupRecord> m_record;
     RowVersion m_version;
     RowVersion m_epoch;
-    /// When this daemon received the current version of the record. While there is no record: the earliest time to record the
-    /// first primary.
+    /// When this daemon received the current version of the record. While there is no record: since when the group's targets have been
+    /// known.
     Instant m_recordSince;
     std::vector<TargetEntry> m_targets;
     /// Whether the platform's list of targets is known.
--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -10,6 +10,8 @@
     /// The number of daemons changes rarely, and a share that is outdated for some seconds only shifts connections between
     /// daemons.
     constexpr Milliseconds refreshInterval { 5000 };
+    /// Delay before the second read. When a whole fleet starts, the first one finds few leases, and ranks depend on all of them.
+    constexpr Milliseconds secondReadDelay { 1500 };
     /// With many holders each of them reads less often, since every read returns all rows.
     constexpr Milliseconds refreshIntervalPerHolder { 500 };
     /// Every recorded suspicion is delivered to all daemons that watch the control table, so the number of
@@ -44,7 +46,11 @@
 void LeaseMonitor::start(std::function<void()> changed)
 {
     m_changed = std::move(changed);
-    refresh();
+    readFrom(m_recent, [](const absl::StatusOr<LeaseTable>&) {});
+    m_loop.after(secondReadDelay, [this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired())
+            refresh();
+    });
 }
 
 void LeaseMonitor::refresh()
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -134,6 +134,7 @@
 
 void SimulatedTargets::connect(const TargetConfiguration& target, Milliseconds timeout, Done done)
 {
+    ++connectionAttempts;
     const Target& known = m_targets[target.id];
     m_loop.after(known.isSilent ? timeout : known.delay, [this, id = target.id, done = std::move(done)] {
         const Target& present = m_targets[id];
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -52,6 +52,8 @@
     Target& operator[](const TargetId& id) { return m_targets[id]; }
     void connect(const TargetConfiguration&, Milliseconds timeout, Done) override;
 
+    /// Connections that were requested, including those that failed.
+    uint64_t connectionAttempts { 0 };
     std::vector<RecordedStatement> executed;
     /// Writes outside transactions, and the commits of transactions that wrote.
     std::vector<RecordedStatement> committed;
