Do not take a primary for missing by a target list that is older than its record

Holders receive the list up to 0.5 s after the records that name its targets. Each closing moves the epoch, which every daemon has to confirm: a product of daemons and changes. Ruled out: targets that left (none did). Change: a target is missing only from a list whose version is that of the record or newer.

Also by reading, for hundreds of groups: the failover's step runs every 20 ms only for the groups that need it (before: for all as soon as one did); the owner of a change reads the leases again after an eighth of the time that it has waited (before: as fast as the platform answered); the number of daemons is no longer found by copying the list of them for each group.

--- a/src/directory/TableWatch.h
+++ b/src/directory/TableWatch.h
@@ -32,6 +32,9 @@
     /// its whole timeout. The argument is the time at which the first call answered after an outage of the platform was sent.
     void replaceOlderRequest(Instant answeredCallSentAt);
 
+    /// The version of the platform's tables as of which the rows are known.
+    RowVersion version() const { return m_version; }
+
     /// Whether the table was read at least once.
     bool hasBeenRead() const { return m_wasRead; }
 
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -35,7 +35,8 @@
         done(false);
         return;
     }
-    m_loop.after(promotionTime, [this, target, done] {
+    const bool isAnswerLost = losesAnswers;
+    m_loop.after(promotionTime, [this, target, done, isAnswerLost] {
         auto& promoted = m_targets[target];
         if (!hasNoEffect && (!promoted.isPrimary || promoted.term < newestTerm)) {
             newestTerm = newestTerm.next();
@@ -43,10 +44,10 @@
             promoted.isPrimary = true;
             promoted.term = newestTerm;
         }
-        if (!losesAnswers)
+        if (!isAnswerLost)
             done(true);
     });
-    if (losesAnswers)
+    if (isAnswerLost)
         m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("the answer was lost")); });
 }
 
@@ -56,7 +57,7 @@
     , membership(loop, { InstanceId(name), FailureDomainId("domain-one"), name, 0, 0, false })
     , lease(loop, rows, InstanceId(name), incarnation, {})
     , leaseMonitor(loop, rows, rows, InstanceId(name))
-    , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log })
+    , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log, [this, &tables] { return targetListVersion.value_or(tables.version()); } })
     , relay(loop, targets, lease, failover, log, metrics, membership)
     , controlWatch(
           loop, rows, controlTable, Milliseconds(5000), [this](const TableWatch::Rows& it) { failover.setRows(it); }, [](const absl::Status&) {})
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -6,6 +6,7 @@
 #include "relay/RelayFixture.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace parsleypaddle {
@@ -49,6 +50,8 @@
     FailoverDaemon(EventLoop&, FakeTables&, PromotionPort&, SimulatedTargets&, const std::string& name, const std::string& incarnation);
 
     FakeRows rows;
+    /// The version as of which the daemon knows the target list; the tables' newest version while unset.
+    std::optional<RowVersion> targetListVersion;
     std::vector<std::string> logLines;
     DecisionLog log;
     Metrics metrics { MetricsLimits {} };
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -76,7 +76,6 @@
         failover.setSuspicions(suspectingDaemons(rows, group, record->term));
         m_relay->setPrimary(group, failover.knownPrimary());
     }
-    m_context.loop.cancel(m_timer);
     tick();
 }
 
@@ -109,18 +108,25 @@
     failoverOf(group).primaryFailed();
 }
 
+// With hundreds of groups, a step of all of them every few milliseconds would take most of a small instance's time.
 void FailoverManager::tick()
 {
+    const Instant now = m_context.loop.now();
+    const bool isIdleTickDue = now >= m_nextIdleTick;
+    if (isIdleTickDue)
+        m_nextIdleTick = now + idleTickInterval;
     bool needsFrequentTicks = false;
     for (auto& [group, failover] : m_groups) {
-        RelayGroup* relayGroup = m_relay->findGroup(group);
-        if (!relayGroup || !m_areRowsKnown)
+        if (!m_areRowsKnown || (!isIdleTickDue && !failover->needsFrequentTicks()))
             continue;
-        failover->tick(*relayGroup);
-        needsFrequentTicks = needsFrequentTicks || failover->needsFrequentTicks();
+        if (RelayGroup* relayGroup = m_relay->findGroup(group)) {
+            failover->tick(*relayGroup);
+            needsFrequentTicks = needsFrequentTicks || failover->needsFrequentTicks();
+        }
     }
     confirmEpochIfReleased();
-    m_timer = m_context.loop.after(needsFrequentTicks ? frequentTickInterval : idleTickInterval, [this] { tick(); });
+    m_context.loop.cancel(m_timer);
+    m_timer = m_context.loop.after(needsFrequentTicks ? frequentTickInterval : m_nextIdleTick - now, [this] { tick(); });
 }
 
 void FailoverManager::confirmEpochIfReleased()
--- a/src/failover/FailoverManager.h
+++ b/src/failover/FailoverManager.h
@@ -39,6 +39,7 @@
     RowVersion m_epoch;
     bool m_areRowsKnown { false };
     bool m_areTargetsKnown { false };
+    Instant m_nextIdleTick;
     TimerId m_timer { TimerId::None };
 };
 
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -174,6 +174,22 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// When a fleet starts, the platform lists targets and records primaries one after the other, and each holder receives both with a
+// delay of its own.
+TEST_CASE("a primary is not missing from a target list that is older than its record", "[failover]")
+{
+    FailoverFixture fixture(5);
+    writeFromAllDaemons(fixture);
+    for (auto& it : fixture.daemons)
+        it->targetListVersion = RowVersion(1);
+    fixture.setListed("one", false);
+    fixture.run(3000);
+    CHECK(fixture.countDaemonsUsing("one") == 5);
+    fixture.daemons[3]->targetListVersion.reset();
+    fixture.run(3000);
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+}
+
 // A daemon that starts may receive the groups' records before the target list.
 TEST_CASE("a daemon without the target list does not treat the primary as missing", "[failover]")
 {
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -80,6 +80,7 @@
     m_probes.clear();
     m_isProbeRoundComplete = false;
     m_nextPromotionRequest = now;
+    m_nextReleaseCheck = now;
     m_nextProbe = now;
     m_nextOwnerCheck = now + ownerCheckDelay + staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
 }
@@ -109,7 +110,10 @@
 
 bool GroupFailover::needsFrequentTicks() const
 {
-    return !m_record || m_record->phase != GroupPhase::Open || m_isProbeRequested || m_leavingSince || m_missingSince;
+    // Only holders write a group's first record.
+    if (!m_record)
+        return m_context.lease.holdsRow();
+    return m_record->phase != GroupPhase::Open || m_isProbeRequested || m_leavingSince || m_missingSince;
 }
 
 PrimaryView GroupFailover::knownPrimary() const
@@ -205,7 +209,8 @@
     const TargetEntry* entry = find(m_record->primary);
     if (entry)
         m_missingSince.reset();
-    else if (!m_missingSince)
+    // A list that is older than the record may not include the record's primary yet.
+    else if (!m_missingSince && m_context.targetListVersion() >= m_version)
         m_missingSince = now;
     if (!entry || !entry->isLeaving)
         m_leavingSince.reset();
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -7,6 +7,7 @@
 #include "relay/RelayGroup.h"
 #include "telemetry/DecisionLog.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,6 +24,8 @@
     InstanceLease& lease;
     LeaseMonitor& leaseMonitor;
     DecisionLog& log;
+    /// The version of the platform's tables as of which the target list is known.
+    std::function<RowVersion()> targetListVersion;
 };
 
 /// One daemon's part in the failover of one group. It stops using a primary that is being replaced, and may record a suspicion
@@ -46,11 +49,11 @@
     void primaryFailed() { m_isProbeRequested = true; }
     void primaryAnswered();
 
-    /// Executes the steps that are due. Called after each change of the control table, every 20 ms while any group
+    /// Executes the steps that are due. Called every 20 ms and after each change of the control table while this object
     /// needsFrequentTicks(), and otherwise every 200 ms.
     void tick(RelayGroup&);
 
-    /// True while the group has no record, a change of its primary is in progress, a probe of the primary is requested, or the
+    /// True while a holder finds no record of the group, a change of its primary is in progress, a probe of the primary is requested, or the
     /// primary is leaving or missing from the target list.
     bool needsFrequentTicks() const;
     /// False from the time when this daemon receives the record of a change until it has stopped using the old primary or the
@@ -126,6 +129,7 @@
     bool m_isWriting { false };
     bool m_isReadingLeases { false };
     bool m_isReleasedEverywhere { false };
+    Instant m_nextReleaseCheck;
     Instant m_nextOwnerCheck;
     size_t m_pendingProbes { 0 };
     /// Whether a round of probes of all targets is complete and has not been evaluated yet. Only a round that began after every
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -14,6 +14,11 @@
     /// waits until plannedReleaseTimeout + catchUpTimeout after it received the current version of the record. Then it
     /// chooses the most complete replica.
     constexpr Milliseconds catchUpTimeout { 1500 };
+    /// While the owner waits for leases, the time until it reads them again is this part of the time that it has waited, within
+    /// these limits. Healthy daemons release a primary within milliseconds; a lease that must expire takes seconds.
+    constexpr double releaseCheckFraction = 0.125;
+    constexpr Milliseconds minReleaseCheckInterval { 20 };
+    constexpr Milliseconds maxReleaseCheckInterval { 250 };
     constexpr Milliseconds promotionRetryInterval { 700 };
     /// A candidate is rejected if it has not become primary this long after this daemon received the record that names it. A
     /// promotion takes about 600 ms.
@@ -48,8 +53,10 @@
 
 void GroupFailover::checkRelease()
 {
-    if (m_isReadingLeases || !m_hasReleasedPrimary)
+    const Instant now = m_context.loop.now();
+    if (m_isReadingLeases || !m_hasReleasedPrimary || now < m_nextReleaseCheck)
         return;
+    m_nextReleaseCheck = now + std::clamp((now - m_recordSince) * releaseCheckFraction, minReleaseCheckInterval, maxReleaseCheckInterval);
     m_isReadingLeases = true;
     m_context.leaseMonitor.read([this, epoch = m_epoch, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<LeaseTable>& table) {
         if (alive.expired())
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -47,6 +47,8 @@
 
     /// All members, including leaving and unresponsive ones.
     std::vector<InstanceEntry> instances() const;
+    /// Number of daemons, this one included.
+    size_t size() const { return m_members.size(); }
     const InstanceEntry* find(const InstanceId&) const;
 
     /// Whether the platform's list names the target as leaving.
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -22,6 +22,9 @@
     void remove(const std::string& table, const std::string& key);
     const std::string* find(const std::string& table, const std::string& key) const;
 
+    /// The newest version of all rows.
+    RowVersion version() const { return m_version; }
+
     /// Forgets which rows changed when, so that watches have to read anew.
     void forgetHistory();
 
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -60,7 +60,7 @@
 void RelayGroup::setConnectionLimit(uint32_t limit, double share)
 {
     const double shared = limit * sharedFraction;
-    const size_t daemons = m_membership.instances().size();
+    const size_t daemons = m_membership.size();
     m_isFullMesh = shared / static_cast<double>(daemons) >= minConnectionsPerDaemon;
     m_connectionLimit = static_cast<uint32_t>(std::max(1L, std::lround(shared * (m_isFullMesh ? share : 1.0 / Membership::rankingLength))));
     for (auto& [id, target] : m_targets)
