--- a/src/platform_http/PlatformCaller.h
+++ b/src/platform_http/PlatformCaller.h
@@ -16,7 +16,7 @@
 
     PlatformCaller(PollLoop&, WorkerPool&);
 
-    /// Answers once, on the loop's thread, at the latest after `timeout`.
+    /// Answers once, on the loop's thread, at the latest after `timeout`, unless the response arrives slowly (see TransferDeadline).
     void call(const std::string& host, uint16_t port, Milliseconds timeout, PlatformRequest, Responded);
 
 private:
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -19,7 +19,7 @@
 namespace {
 
     constexpr size_t greatestBody = 16'777'216;
-    constexpr size_t chunkSize = 65'536;
+    constexpr size_t chunkSize = 4096;
 
     constexpr Milliseconds longestConnect { 1000 };
     // A long answer may be waited for in silence, so a path that was cut meanwhile is found by probes.
@@ -47,12 +47,13 @@
         return { static_cast<Poco::Timespan::TimeDiff>(duration.count() * microsecondsPerMillisecond) };
     }
 
-    bool readBody(std::istream& in, std::string& body)
+    bool readBody(std::istream& in, std::string& body, ReceivedBytes& received)
     {
         std::array<char, chunkSize> chunk {};
         while (in.good()) {
             in.read(chunk.data(), chunk.size());
             body.append(chunk.data(), static_cast<size_t>(in.gcount()));
+            received = body.size();
             if (body.size() > greatestBody)
                 return false;
         }
@@ -72,7 +73,7 @@
 
 }
 
-absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest& request)
+absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest& request, ReceivedBytes& received)
 {
     try {
         const Poco::Net::SocketAddress address(host, port);
@@ -90,7 +91,7 @@
         PlatformResponse response;
         response.status = message.getStatus();
         response.etag = message.get("ETag", "");
-        if (!readBody(in, response.body))
+        if (!readBody(in, response.body, received))
             return unavailable("its answer is too large");
         if (message.hasContentLength() && static_cast<size_t>(message.getContentLength64()) != response.body.size())
             return unavailable("its answer was cut short");
--- a/src/platform_http/PlatformExchange.h
+++ b/src/platform_http/PlatformExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "platform_http/TransferDeadline.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -25,7 +26,8 @@
     std::string body;
 };
 
-/// Sends the request and waits for the response; blocks. PlatformUnavailable when there is none in time.
-absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest&);
+/// Sends the request and waits for the response; blocks. `timeout` limits each wait for the socket. Counts the bytes of the response's
+/// body. PlatformUnavailable when there is none in time.
+absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest&, ReceivedBytes&);
 
 }
--- a/src/platform_http/PlatformExchangeTests.cpp
+++ b/src/platform_http/PlatformExchangeTests.cpp
@@ -9,7 +9,8 @@
 TEST_CASE("a platform that accepts and stays silent is given up after the timeout", "[platform_http]")
 {
     Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
-    const auto response = exchangeWithPlatform("127.0.0.1", silent.address().port(), Milliseconds(50), { "GET", "/", "", {} });
+    ReceivedBytes received { 0 };
+    const auto response = exchangeWithPlatform("127.0.0.1", silent.address().port(), Milliseconds(50), { "GET", "/", "", {} }, received);
     CHECK_FALSE(response.ok());
 }
 
@@ -20,5 +21,6 @@
         Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
         port = closed.address().port();
     }
-    CHECK_FALSE(exchangeWithPlatform("127.0.0.1", port, Milliseconds(50), { "GET", "/", "", {} }).ok());
+    ReceivedBytes received { 0 };
+    CHECK_FALSE(exchangeWithPlatform("127.0.0.1", port, Milliseconds(50), { "GET", "/", "", {} }, received).ok());
 }
