Compress the rows that a source sends, and encode them once for all subscribers

Change: rows of more than 512 bytes are compressed (CompressedText, which the configuration's bodies use already), and the text is kept for the next subscriber that asks for the same rows. A subscriber that receives bytes of a long line does not take its source for silent.

--- a/src/distribution/PeerChannel.h
+++ b/src/distribution/PeerChannel.h
@@ -25,6 +25,8 @@
     std::function<void(std::string_view line)> onLine;
     /// The peer has closed the connection, it has failed, or a line was too long.
     std::function<void()> onClose;
+    /// Bytes have arrived. They may be a part of a line, which takes seconds to arrive over a slow link if it holds a table.
+    std::function<void()> onReceived {};
 };
 
 /// Opens channels to other daemons.
--- a/src/distribution/SharedRows.cpp
+++ b/src/distribution/SharedRows.cpp
@@ -128,7 +128,7 @@
     done(answer);
 }
 
-std::optional<TableReply> SharedRows::answer(const TableRequest& request)
+std::optional<RowsAnswer> SharedRows::answer(const TableRequest& request)
 {
     auto it = m_copies.find(request.table);
     if (it == m_copies.end() || !it->second.rows.isComplete())
@@ -139,11 +139,11 @@
         return std::nullopt;
     }
     if (request.isWhole)
-        return TableReply { request.id, copy.wholeTable() };
+        return copy.wholeTable();
     RowsAnswer changes = copy.changesAfter(request.after);
     if (changes.rows.empty() && !changes.isHistoryLost)
         return std::nullopt;
-    return TableReply { request.id, std::move(changes) };
+    return changes;
 }
 
 void SharedRows::refresh(const std::string& table, Copy& copy)
--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -35,7 +35,9 @@
     bool isDistributed(const std::string& table) const { return m_copies.count(table) > 0; }
     /// Answers a subscriber's request from the copy; nullopt if there is nothing to answer yet. If the subscriber knows a newer
     /// version than this daemon, the platform is asked for it.
-    std::optional<TableReply> answer(const TableRequest&);
+    std::optional<RowsAnswer> answer(const TableRequest&);
+    /// The version of the copy of a table that is distributed. Answers of the same version are the same.
+    RowVersion copyVersion(const std::string& table) const { return m_copies.at(table).rows.version(); }
     /// Sets the function that is called when answer() may have an answer for a request for the table.
     void onCopyChanged(std::function<void(const std::string& table)> callback) { m_copyChanged = std::move(callback); }
 
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -11,7 +11,7 @@
     constexpr Milliseconds renewInterval { 800 };
     /// A source that has no valid row yet, or that this daemon has just joined, is asked again soon.
     constexpr Milliseconds shortRenewInterval { 200 };
-    /// A source that leaves a renewal unanswered for this long is taken for silent. With the interval this is shorter than a grant.
+    /// A source that leaves a renewal unanswered and sends nothing else for this long is taken for silent. With the interval this is shorter than a grant.
     constexpr Milliseconds answerTimeout { 1000 };
     /// The same for the first renewal on a channel. A machine without power leaves it unanswered.
     constexpr Milliseconds firstAnswerTimeout { 500 };
@@ -107,6 +107,10 @@
             if (auto it = weak.lock(); it && it == m_link)
                 lose("the channel was closed");
         },
+        [this, weak] {
+            if (auto it = weak.lock())
+                it->receivedAt = m_loop.now();
+        },
     };
 }
 
@@ -168,7 +172,7 @@
     m_lease.reportValidity();
     const auto& renewals = m_link->renewals;
     const Milliseconds timeout = m_link->isAttached ? answerTimeout : firstAnswerTimeout;
-    if (!renewals.empty() && renewals.begin()->second + timeout <= m_loop.now())
+    if (!renewals.empty() && std::max(renewals.begin()->second, m_link->receivedAt) + timeout <= m_loop.now())
         return lose("a renewal was not answered", Loss::Silent);
     renew();
 }
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -71,6 +71,8 @@
         bool isStale { false };
         /// When each unanswered renewal was sent.
         std::map<uint64_t, Instant> renewals;
+        /// When bytes arrived last.
+        Instant receivedAt;
     };
 
     PeerChannelCallbacks callbacksFor(const std::shared_ptr<Link>&);
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -1,6 +1,7 @@
 #include "distribution/SourceMessages.h"
 
 #include "base/ResultCode.h"
+#include "configuration/CompressedText.h"
 #include "statements/JsonText.h"
 
 #include <array>
@@ -11,6 +12,8 @@
 namespace {
 
     constexpr unsigned protocolVersion = 1;
+    /// Rows whose text is longer are compressed. Tables hold many similar rows, which shrink to a sixth or less.
+    constexpr size_t maxPlainBytes = 512;
 
     /// Reads required fields of a JSON object and remembers the first that is missing or has the wrong type.
     class FieldReader {
@@ -116,15 +119,10 @@
         value["kind"] = "leave";
     }
 
-    void encodeInto(Json::Value& value, const TableReply& message)
+    Json::Value encodeRowList(const std::vector<StoredRow>& list)
     {
-        value["kind"] = "rows";
-        value["id"] = Json::UInt64(message.id);
-        value["version"] = Json::UInt64(message.answer.version.value());
-        value["platform_time"] = message.answer.platformTime.sinceEpoch();
-        value["history_lost"] = message.answer.isHistoryLost;
-        Json::Value& rows = value["rows"] = Json::Value(Json::arrayValue);
-        for (const auto& it : message.answer.rows) {
+        Json::Value rows(Json::arrayValue);
+        for (const auto& it : list) {
             Json::Value row(Json::objectValue);
             row["table"] = it.table;
             row["key"] = it.key;
@@ -133,6 +131,28 @@
             row["deleted"] = it.isDeleted;
             rows.append(std::move(row));
         }
+        return rows;
+    }
+
+    void encodeInto(Json::Value& value, const RowsAnswer& answer)
+    {
+        value["kind"] = "rows";
+        value["version"] = Json::UInt64(answer.version.value());
+        value["platform_time"] = answer.platformTime.sinceEpoch();
+        value["history_lost"] = answer.isHistoryLost;
+        Json::Value list(Json::objectValue);
+        list["rows"] = encodeRowList(answer.rows);
+        std::string text = writeJson(list);
+        if (text.size() > maxPlainBytes)
+            value["compressed"] = compressText(text);
+        else
+            value["rows"] = std::move(list["rows"]);
+    }
+
+    void encodeInto(Json::Value& value, const TableReply& message)
+    {
+        value["id"] = Json::UInt64(message.id);
+        encodeInto(value, message.answer);
     }
 
     void encodeInto(Json::Value& value, const GrantMessage& message)
@@ -184,25 +204,44 @@
         return checked(fields, message);
     }
 
-    absl::StatusOr<SourceMessage> decodeRows(const Json::Value& value)
+    absl::Status decodeRowList(const Json::Value& rows, std::vector<StoredRow>& list)
     {
-        FieldReader fields(value);
-        TableReply message;
-        message.id = fields.number("id");
-        message.answer.version = RowVersion(fields.number("version"));
-        message.answer.platformTime = Instant(fields.real("platform_time"));
-        message.answer.isHistoryLost = fields.flag("history_lost");
-        const Json::Value& rows = value["rows"];
         if (!rows.isArray())
             return makeError(ResultCode::MissingField, "message between daemons: field rows is missing or has the wrong type");
         for (const auto& it : rows) {
             if (!it.isObject())
                 return makeError(ResultCode::MissingField, "message between daemons: a row is not a JSON object");
             FieldReader row(it);
-            message.answer.rows.push_back({ row.text("table"), row.text("key"), row.text("value"), RowVersion(row.number("version")), row.flag("deleted") });
-            if (const auto status = row.status(); !status.ok())
+            list.push_back({ row.text("table"), row.text("key"), row.text("value"), RowVersion(row.number("version")), row.flag("deleted") });
+            if (auto status = row.status(); !status.ok())
                 return status;
         }
+        return absl::OkStatus();
+    }
+
+    absl::Status decodeCompressedRows(const std::string& compressed, std::vector<StoredRow>& list)
+    {
+        const auto text = decompressText(compressed);
+        if (!text.ok())
+            return text.status();
+        const auto object = parseJsonObject(*text);
+        if (!object.ok())
+            return makeError(ResultCode::MalformedInput, "message between daemons: the decompressed rows are not a JSON object");
+        return decodeRowList((*object)["rows"], list);
+    }
+
+    absl::StatusOr<SourceMessage> decodeRows(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        TableReply message;
+        message.id = fields.number("id");
+        message.answer.version = RowVersion(fields.number("version"));
+        message.answer.platformTime = Instant(fields.real("platform_time"));
+        message.answer.isHistoryLost = fields.flag("history_lost");
+        const Json::Value& compressed = value["compressed"];
+        const absl::Status status = compressed.isString() ? decodeCompressedRows(compressed.asString(), message.answer.rows) : decodeRowList(value["rows"], message.answer.rows);
+        if (!status.ok())
+            return status;
         return checked(fields, std::move(message));
     }
 
@@ -243,6 +282,20 @@
 
 }
 
+EncodedRows encodeRows(const RowsAnswer& answer)
+{
+    Json::Value value(Json::objectValue);
+    value["v"] = protocolVersion;
+    encodeInto(value, answer);
+    return { writeJson(value) };
+}
+
+std::string encodeTableReply(uint64_t id, const EncodedRows& rows)
+{
+    // The text is a JSON object with several members.
+    return "{\"id\":" + std::to_string(id) + "," + rows.text.substr(1);
+}
+
 std::string encodeSourceMessage(const SourceMessage& message)
 {
     Json::Value value(Json::objectValue);
--- a/src/distribution/SourceMessages.h
+++ b/src/distribution/SourceMessages.h
@@ -64,6 +64,16 @@
 
 using SourceMessage = std::variant<SubscribeMessage, TableRequest, RenewMessage, LeaveMessage, TableReply, GrantMessage, StopMessage>;
 
+/// A TableReply without its id, as text. One text serves all subscribers that are sent the same rows.
+struct EncodedRows {
+    std::string text;
+};
+
+/// Compresses the rows, unless they are short.
+EncodedRows encodeRows(const RowsAnswer&);
+/// Encodes a TableReply with these rows as one line without its line break.
+std::string encodeTableReply(uint64_t id, const EncodedRows&);
+
 /// Encodes a message as one line without its line break.
 std::string encodeSourceMessage(const SourceMessage&);
 /// Decodes a line. MalformedInput for text that is not a JSON object, for another protocol version or an unknown kind; MissingField
--- a/src/distribution/SourceService.cpp
+++ b/src/distribution/SourceService.cpp
@@ -146,14 +146,29 @@
         auto it = subscriber.requests.find({ table, isWhole });
         if (it == subscriber.requests.end())
             continue;
-        auto reply = m_rows.answer(it->second);
-        if (!reply)
+        const EncodedRows* rows = rowsFor(it->second);
+        if (!rows)
             continue;
+        const uint64_t id = it->second.id;
         subscriber.requests.erase(it);
-        subscriber.send(*std::move(reply));
+        subscriber.channel->send(encodeTableReply(id, *rows));
     }
 }
 
+const EncodedRows* SourceService::rowsFor(const TableRequest& request)
+{
+    const RowVersion version = m_rows.copyVersion(request.table);
+    SentRows& sent = m_sentRows[{ request.table, request.isWhole }];
+    const bool isSame = request.isWhole ? request.after <= version : request.after == sent.after;
+    if (isSame && sent.version == version && !sent.rows.text.empty())
+        return &sent.rows;
+    const auto answer = m_rows.answer(request);
+    if (!answer)
+        return nullptr;
+    sent = { request.after, answer->version, encodeRows(*answer) };
+    return &sent.rows;
+}
+
 void SourceService::answerAll(const std::string& table)
 {
     // A channel that cannot take more is dropped while it is written to.
--- a/src/distribution/SourceService.h
+++ b/src/distribution/SourceService.h
@@ -6,8 +6,11 @@
 #include "leases/InstanceLease.h"
 #include "telemetry/DecisionLog.h"
 
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -38,6 +41,8 @@
     template <typename Message>
     void apply(const std::shared_ptr<Subscriber>&, const Message&);
     void answerTable(Subscriber&, const std::string& table);
+    /// The rows that answer a request, null if there is nothing to answer yet.
+    const EncodedRows* rowsFor(const TableRequest&);
     void answerAll(const std::string& table);
     void reject(const std::shared_ptr<Subscriber>&, std::string_view why);
     void drop(const std::shared_ptr<Subscriber>&, std::string_view why);
@@ -50,6 +55,15 @@
     DecisionLog& m_log;
     bool m_isServing { false };
     std::set<std::shared_ptr<Subscriber>> m_subscribers;
+    /// The rows sent last as the answer to a request for a whole table or its changes.
+    struct SentRows {
+        RowVersion after;
+        RowVersion version;
+        EncodedRows rows;
+    };
+
+    /// By table and whether the whole table is asked for. Most subscribers ask for the same rows at the same time.
+    std::map<std::pair<std::string, bool>, SentRows> m_sentRows;
     TimerId m_silenceTimer { TimerId::None };
 };
 
--- a/src/distribution/TcpPeerChannel.cpp
+++ b/src/distribution/TcpPeerChannel.cpp
@@ -47,6 +47,8 @@
         size_t splitLines(std::string_view input)
         {
             auto self = shared_from_this();
+            if (m_callbacks.onReceived)
+                m_callbacks.onReceived();
             size_t begin = 0;
             for (size_t end = input.find('\n'); end != std::string_view::npos && !m_isClosed; end = input.find('\n', begin)) {
                 if (end - begin > maxLineBytes)
