Limit the bytes of tables that a source has on the way to its subscribers

Cause: when dozens of subscribers start at once, the tables for all of them occupy a slow link for seconds, answers to heartbeats wait behind them, and each subscriber takes its source for silent after 0.5 to 1 s, tries the others, and after three rounds becomes a holder itself; then every daemon calls the platform. Change: at most 64 KB (260 ms at 2 Mbit/s) are on the way; subscribers confirm large replies (ReceivedMessage).

--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -35,6 +35,8 @@
     std::map<std::string, DistributionDaemon*> processes;
     /// Hosts that are cut off from all others: what is sent to them or by them is lost, without a sign.
     std::set<std::string> silentHosts;
+    /// Bandwidth of each host's link; 0 for unlimited.
+    double bytesPerSecond { 0 };
     /// Makes the present channels of a host silent for good, while new ones work.
     void silenceChannels(const std::string& host);
     /// Closes all channels of a host, as the kernel does when its process ends.
@@ -47,10 +49,14 @@
     class Channel;
     struct Link;
 
-    void deliver(const std::shared_ptr<Link>&, size_t toEnd, std::function<void()>);
+    void deliver(const std::shared_ptr<Link>&, size_t toEnd, Milliseconds delay, std::function<void()>);
+    /// Occupies a host's link with a line. Returns the time until the line has left it.
+    Milliseconds occupyLink(const std::string& host, size_t bytes);
 
     VirtualLoop& m_loop;
     std::vector<std::weak_ptr<Link>> m_links;
+    /// When each host has sent what it was given so far.
+    std::map<std::string, Instant> m_sentAt;
 };
 
 /// One process of a daemon with the parts that read the platform and hold leases. It stops using primaries as soon as it sees that
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Milliseconds lineDelay { 0.3 };
+    /// Interval at which parts of a long line arrive.
+    constexpr Milliseconds partInterval { 100 };
 
 }
 
@@ -33,7 +35,14 @@
 
     void send(const std::string& line) override
     {
-        m_network.deliver(m_link, 1 - m_ownEnd, [&network = m_network, &link = *m_link, toEnd = 1 - m_ownEnd, line] {
+        const size_t other = 1 - m_ownEnd;
+        const Milliseconds duration = m_network.occupyLink(m_link->ends[m_ownEnd].host, line.size());
+        for (Milliseconds it = partInterval; it < duration; it = it + partInterval)
+            m_network.deliver(m_link, other, it, [&link = *m_link, other] {
+                if (link.ends[other].callbacks.onReceived)
+                    link.ends[other].callbacks.onReceived();
+            });
+        m_network.deliver(m_link, other, duration, [&network = m_network, &link = *m_link, toEnd = other, line] {
             ++network.lines;
             network.bytes += line.size() + 1;
             link.ends[toEnd].callbacks.onLine(line);
@@ -42,7 +51,7 @@
 
     void close() override
     {
-        m_network.deliver(m_link, 1 - m_ownEnd, [link = m_link, toEnd = 1 - m_ownEnd] {
+        m_network.deliver(m_link, 1 - m_ownEnd, Milliseconds(0), [link = m_link, toEnd = 1 - m_ownEnd] {
             link->isOpen = false;
             link->ends[toEnd].callbacks.onClose();
         });
@@ -54,12 +63,22 @@
     size_t m_ownEnd;
 };
 
-void FakePeerNetwork::deliver(const std::shared_ptr<Link>& link, size_t toEnd, std::function<void()> task)
+Milliseconds FakePeerNetwork::occupyLink(const std::string& host, size_t bytes)
+{
+    if (bytesPerSecond == 0)
+        return Milliseconds(0);
+    constexpr double millisecondsPerSecond = 1000;
+    Instant& sentAt = m_sentAt[host];
+    sentAt = std::max(sentAt, m_loop.now()) + Milliseconds(static_cast<double>(bytes) / bytesPerSecond * millisecondsPerSecond);
+    return sentAt - m_loop.now();
+}
+
+void FakePeerNetwork::deliver(const std::shared_ptr<Link>& link, size_t toEnd, Milliseconds delay, std::function<void()> task)
 {
     const auto isLost = [this, link] { return link->isSilent || silentHosts.count(link->ends[0].host) > 0 || silentHosts.count(link->ends[1].host) > 0; };
     if (isLost())
         return;
-    m_loop.after(lineDelay, [link, toEnd, isLost, task = std::move(task)] {
+    m_loop.after(lineDelay + delay, [link, toEnd, isLost, task = std::move(task)] {
         if (isLost() || link->ends[toEnd].process->loop.isStopped())
             return;
         link->ends[toEnd].process->loop.run([link, task] {
@@ -109,7 +128,7 @@
             continue;
         for (const size_t end : { 0U, 1U }) {
             if (link->ends[end].host == host)
-                deliver(link, 1 - end, [link, other = 1 - end] {
+                deliver(link, 1 - end, Milliseconds(0), [link, other = 1 - end] {
                     link->isOpen = false;
                     link->ends[other].callbacks.onClose();
                 });
--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -148,6 +148,34 @@
     CHECK(fixture.calls() - before <= size_t { 295 } * 3);
 }
 
+// A fleet with hundreds of databases on links of 2 Mbit/s: the tables for all subscribers of a source occupy its link for seconds.
+TEST_CASE("daemons that restart together over slow links receive large tables and do not take their sources for silent", "[distribution]")
+{
+    DistributionFixture fixture(50, 1);
+    std::mt19937 random(1);
+    for (int row = 0; row < 8; ++row) {
+        std::string value;
+        for (int it = 0; it < 12'000; ++it)
+            value += static_cast<char>('0' + random() % 64);
+        fixture.tables.put(testConfigurationTable, "row-" + std::to_string(row), value);
+    }
+    fixture.run(1000);
+    fixture.network.bytesPerSecond = 250'000;
+    for (size_t it = 0; it < 50; ++it)
+        fixture.kill(it, true);
+    fixture.run(600);
+    for (size_t it = 0; it < 50; ++it)
+        fixture.restart(it);
+    fixture.run(2000);
+    CHECK(fixture.countValidLeases() == 50);
+    fixture.run(8000);
+    CHECK(fixture.countConfiguration(1) == 50);
+    CHECK(fixture.countValidLeases() == 50);
+    CHECK(fixture.holders().size() == 3);
+    for (const auto& it : fixture.daemons)
+        CHECK_FALSE(it->hasLogged("source_lost"));
+}
+
 TEST_CASE("a planned stop of a source interrupts no subscriber's lease and delays no later change", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -219,6 +219,8 @@
 
 void SourceClient::apply(const TableReply& message)
 {
+    if (message.needsConfirmation)
+        send(ReceivedMessage { message.id });
     m_rows.applyReply(message);
 }
 
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -114,6 +114,12 @@
         value["sessions"] = message.sessions;
     }
 
+    void encodeInto(Json::Value& value, const ReceivedMessage& message)
+    {
+        value["kind"] = "received";
+        value["id"] = Json::UInt64(message.id);
+    }
+
     void encodeInto(Json::Value& value, const LeaveMessage&)
     {
         value["kind"] = "leave";
@@ -152,6 +158,7 @@
     void encodeInto(Json::Value& value, const TableReply& message)
     {
         value["id"] = Json::UInt64(message.id);
+        value["confirm"] = message.needsConfirmation;
         encodeInto(value, message.answer);
     }
 
@@ -204,6 +211,14 @@
         return checked(fields, message);
     }
 
+    absl::StatusOr<SourceMessage> decodeReceived(const Json::Value& value)
+    {
+        FieldReader fields(value);
+        ReceivedMessage message;
+        message.id = fields.number("id");
+        return checked(fields, message);
+    }
+
     absl::Status decodeRowList(const Json::Value& rows, std::vector<StoredRow>& list)
     {
         if (!rows.isArray())
@@ -235,6 +250,7 @@
         FieldReader fields(value);
         TableReply message;
         message.id = fields.number("id");
+        message.needsConfirmation = fields.flag("confirm");
         message.answer.version = RowVersion(fields.number("version"));
         message.answer.platformTime = Instant(fields.real("platform_time"));
         message.answer.isHistoryLost = fields.flag("history_lost");
@@ -270,11 +286,12 @@
         absl::StatusOr<SourceMessage> (*decode)(const Json::Value&);
     };
 
-    constexpr std::array<Decoder, 7> decoders { {
+    constexpr std::array<Decoder, 8> decoders { {
         { "renew", decodeRenew },
         { "grant", decodeGrant },
         { "watch", decodeWatch },
         { "rows", decodeRows },
+        { "received", decodeReceived },
         { "subscribe", decodeSubscribe },
         { "leave", decodeLeave },
         { "stop", decodeStop },
@@ -290,10 +307,10 @@
     return { writeJson(value) };
 }
 
-std::string encodeTableReply(uint64_t id, const EncodedRows& rows)
+std::string encodeTableReply(uint64_t id, const EncodedRows& rows, bool needsConfirmation)
 {
     // The text is a JSON object with several members.
-    return "{\"id\":" + std::to_string(id) + "," + rows.text.substr(1);
+    return "{\"id\":" + std::to_string(id) + (needsConfirmation ? ",\"confirm\":true," : ",\"confirm\":false,") + rows.text.substr(1);
 }
 
 std::string encodeSourceMessage(const SourceMessage& message)
--- a/src/distribution/SourceMessages.h
+++ b/src/distribution/SourceMessages.h
@@ -39,6 +39,12 @@
     uint32_t sessions { 0 };
 };
 
+/// Subscriber: it has received a large TableReply. The source sends them one after the other.
+struct ReceivedMessage {
+    /// The id of the TableReply.
+    uint64_t id { 0 };
+};
+
 /// Subscriber: it no longer uses its grant. The last message on a channel.
 struct LeaveMessage {
 };
@@ -47,6 +53,8 @@
 struct TableReply {
     uint64_t id { 0 };
     RowsAnswer answer;
+    /// Whether the subscriber must send a ReceivedMessage.
+    bool needsConfirmation { false };
 };
 
 /// Source: answers a RenewMessage.
@@ -62,9 +70,9 @@
 struct StopMessage {
 };
 
-using SourceMessage = std::variant<SubscribeMessage, TableRequest, RenewMessage, LeaveMessage, TableReply, GrantMessage, StopMessage>;
+using SourceMessage = std::variant<SubscribeMessage, TableRequest, RenewMessage, ReceivedMessage, LeaveMessage, TableReply, GrantMessage, StopMessage>;
 
-/// A TableReply without its id, as text. One text serves all subscribers that are sent the same rows.
+/// The rows of a TableReply as text. One text serves all subscribers that are sent the same rows.
 struct EncodedRows {
     std::string text;
 };
@@ -72,7 +80,7 @@
 /// Compresses the rows, unless they are short.
 EncodedRows encodeRows(const RowsAnswer&);
 /// Encodes a TableReply with these rows as one line without its line break.
-std::string encodeTableReply(uint64_t id, const EncodedRows&);
+std::string encodeTableReply(uint64_t id, const EncodedRows&, bool needsConfirmation);
 
 /// Encodes a message as one line without its line break.
 std::string encodeSourceMessage(const SourceMessage&);
--- a/src/distribution/SourceMessagesTests.cpp
+++ b/src/distribution/SourceMessagesTests.cpp
@@ -7,6 +7,16 @@
 
 namespace {
 
+/// A table that is compressed.
+RowsAnswer largeTable()
+{
+    RowsAnswer answer;
+    answer.version = RowVersion(78);
+    for (uint64_t it = 1; it <= 100; ++it)
+        answer.rows.push_back({ "targets", "target-" + std::to_string(it), "{\"address\":\"10.0.0." + std::to_string(it) + ":5432\",\"state\":\"ready\"}", RowVersion(it), false });
+    return answer;
+}
+
 std::vector<std::string> someLines()
 {
     RowsAnswer rows;
@@ -17,8 +27,10 @@
         encodeSourceMessage(SubscribeMessage { InstanceId("one"), "first", { FailureDomainId("domain"), "10.0.0.1", 1, 2, 3, 0.25 } }),
         encodeSourceMessage(TableRequest { 7, "control", RowVersion(UINT64_MAX), true }),
         encodeSourceMessage(RenewMessage { 8, RowVersion(9), 10 }),
+        encodeSourceMessage(ReceivedMessage { 13 }),
         encodeSourceMessage(LeaveMessage {}),
-        encodeSourceMessage(TableReply { 11, rows }),
+        encodeSourceMessage(TableReply { 11, rows, true }),
+        encodeSourceMessage(TableReply { 14, largeTable(), false }),
         encodeSourceMessage(GrantMessage { 12, Milliseconds(2500), Milliseconds(3.5) }),
         encodeSourceMessage(StopMessage {}),
     };
@@ -37,6 +49,34 @@
     }
 }
 
+TEST_CASE("rows that were encoded once are the same for each subscriber", "[distribution]")
+{
+    const EncodedRows rows = encodeRows(largeTable());
+    CHECK(rows.text.size() < 100 * 30);
+    for (const uint64_t id : { 1U, 2U }) {
+        const auto message = decodeSourceMessage(encodeTableReply(id, rows, id == 2));
+        REQUIRE(message.ok());
+        const auto& reply = std::get<TableReply>(*message);
+        CHECK(reply.id == id);
+        CHECK(reply.needsConfirmation == (id == 2));
+        REQUIRE(reply.answer.rows.size() == 100);
+        CHECK(reply.answer.rows[99].key == "target-100");
+        CHECK(reply.answer.version == RowVersion(78));
+    }
+}
+
+TEST_CASE("damaged compressed rows are rejected", "[distribution]")
+{
+    const std::string line = encodeTableReply(1, encodeRows(largeTable()), false);
+    const size_t begin = line.find("compressed") + 20;
+    for (size_t it = 0; it < 40; ++it) {
+        std::string damaged = line;
+        damaged[begin + it * 3] = damaged[begin + it * 3] == 'A' ? 'B' : 'A';
+        CAPTURE(it);
+        CHECK_FALSE(decodeSourceMessage(damaged).ok());
+    }
+}
+
 TEST_CASE("a message says its protocol version, and another version is rejected", "[distribution]")
 {
     CHECK(decodeSourceMessage(R"({"v":1,"kind":"leave"})").ok());
--- a/src/distribution/SourceService.cpp
+++ b/src/distribution/SourceService.cpp
@@ -128,6 +128,12 @@
     subscriber->send(GrantMessage { message.number, duration, age });
 }
 
+void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const ReceivedMessage& message)
+{
+    if (m_transfers.finish({ subscriber.get(), message.id }))
+        continueTransfers();
+}
+
 void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const LeaveMessage&)
 {
     m_lease.removeMember(subscriber->instance, subscriber->incarnation);
@@ -150,8 +156,10 @@
         if (!rows)
             continue;
         const uint64_t id = it->second.id;
+        if (!m_transfers.tryStart({ &subscriber, id }, rows->text.size(), m_loop.now()))
+            continue;
         subscriber.requests.erase(it);
-        subscriber.channel->send(encodeTableReply(id, *rows));
+        subscriber.channel->send(encodeTableReply(id, *rows, m_transfers.contains({ &subscriber, id })));
     }
 }
 
@@ -177,6 +185,18 @@
         answerTable(*it, table);
 }
 
+void SourceService::continueTransfers()
+{
+    const std::vector<std::shared_ptr<Subscriber>> subscribers(m_subscribers.begin(), m_subscribers.end());
+    for (const auto& it : subscribers) {
+        std::set<std::string> tables;
+        for (const auto& [request, details] : it->requests)
+            tables.insert(request.first);
+        for (const auto& table : tables)
+            answerTable(*it, table);
+    }
+}
+
 // Closes the channel only: what the daemon was granted lasts until it expires.
 void SourceService::reject(const std::shared_ptr<Subscriber>& subscriber, std::string_view why)
 {
@@ -189,6 +209,11 @@
     if (m_subscribers.erase(subscriber) == 0)
         return;
     subscriber->channel->close();
+    if (m_transfers.finishAll(subscriber.get()))
+        m_loop.after(Milliseconds(0), [this, alive = std::weak_ptr<bool>(m_alive)] {
+            if (!alive.expired())
+                continueTransfers();
+        });
     if (!subscriber->instance.isEmpty())
         m_log.write("subscriber_lost", { { "subscriber", subscriber->instance.value() }, { "why", std::string(why) }, { "subscribers", std::to_string(subscribers()) } });
 }
@@ -208,6 +233,8 @@
         if (it->lastLineAt + silenceTimeout <= m_loop.now())
             drop(it, "the channel is silent");
     }
+    if (m_transfers.expire(m_loop.now()))
+        continueTransfers();
     scheduleSilenceCheck();
 }
 
--- a/src/distribution/SourceService.h
+++ b/src/distribution/SourceService.h
@@ -3,6 +3,7 @@
 #include "base/EventLoop.h"
 #include "distribution/PeerChannel.h"
 #include "distribution/SharedRows.h"
+#include "distribution/TransferBudget.h"
 #include "leases/InstanceLease.h"
 #include "telemetry/DecisionLog.h"
 
@@ -37,6 +38,7 @@
     void apply(const std::shared_ptr<Subscriber>&, const SubscribeMessage&);
     void apply(const std::shared_ptr<Subscriber>&, const TableRequest&);
     void apply(const std::shared_ptr<Subscriber>&, const RenewMessage&);
+    void apply(const std::shared_ptr<Subscriber>&, const ReceivedMessage&);
     void apply(const std::shared_ptr<Subscriber>&, const LeaveMessage&);
     template <typename Message>
     void apply(const std::shared_ptr<Subscriber>&, const Message&);
@@ -44,6 +46,8 @@
     /// The rows that answer a request, null if there is nothing to answer yet.
     const EncodedRows* rowsFor(const TableRequest&);
     void answerAll(const std::string& table);
+    /// Answers requests that had to wait for other transfers.
+    void continueTransfers();
     void reject(const std::shared_ptr<Subscriber>&, std::string_view why);
     void drop(const std::shared_ptr<Subscriber>&, std::string_view why);
     void dropSilent();
@@ -64,7 +68,9 @@
 
     /// By table and whether the whole table is asked for. Most subscribers ask for the same rows at the same time.
     std::map<std::pair<std::string, bool>, SentRows> m_sentRows;
+    TransferBudget m_transfers;
     TimerId m_silenceTimer { TimerId::None };
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
 }
