--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -93,6 +93,11 @@
         failoverOf(group).setTargets(std::move(list));
 }
 
+bool FailoverManager::awaitsFirstRecords() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->awaitsFirstRecord(); });
+}
+
 bool FailoverManager::mayOwnChange() const
 {
     return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->mayOwnChange(); });
--- a/src/failover/FailoverManager.h
+++ b/src/failover/FailoverManager.h
@@ -22,6 +22,9 @@
     void setRows(const std::map<std::string, StoredRow>&);
     void setTargets(const std::vector<TargetEntry>&);
 
+    /// Whether a group has targets and no record yet, as while a fleet starts for the first time.
+    bool awaitsFirstRecords() const;
+
     /// Whether this daemon carries out a change of any group's primary, or may be about to.
     bool mayOwnChange() const;
 
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -60,6 +60,9 @@
     /// change has ended.
     bool hasReleasedPrimary() const { return m_hasReleasedPrimary; }
 
+    /// Whether the group has targets and no record yet.
+    bool awaitsFirstRecord() const { return !m_record && !m_targets.empty(); }
+
     /// Whether this daemon carries out a change, or may be about to because a record is being written.
     bool mayOwnChange() const;
 
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -68,7 +68,7 @@
     for (const auto& it : m_targets)
         byGroup[it.target.group].push_back(it);
     for (auto& [id, group] : m_groups)
-        group->setTargets(byGroup[id]);
+        group->setTargets(std::move(byGroup[id]));
 }
 
 void Relay::setPrimary(const GroupId& group, const PrimaryView& belief)
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -43,10 +44,17 @@
 {
 }
 
-void RelayGroup::setTargets(const std::vector<TargetEntry>& entries)
+void RelayGroup::setTargets(std::vector<TargetEntry> entries)
+{
+    m_entries = std::move(entries);
+    if (m_areTargetsUsed)
+        updateTargets();
+}
+
+void RelayGroup::updateTargets()
 {
     std::map<TargetId, std::shared_ptr<RelayTarget>> targets;
-    for (const auto& entry : entries) {
+    for (const auto& entry : m_entries) {
         auto known = m_targets.find(entry.target.id);
         const bool isSame = known != m_targets.end() && known->second->entry().target.address == entry.target.address;
         auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()));
@@ -57,6 +65,15 @@
     m_targets.swap(targets);
 }
 
+// In a large fleet a daemon is a home of few groups. The pools and queues for the targets of all the others would take most of its
+// memory.
+const std::map<TargetId, std::shared_ptr<RelayTarget>>& RelayGroup::targets()
+{
+    if (!std::exchange(m_areTargetsUsed, true))
+        updateTargets();
+    return m_targets;
+}
+
 void RelayGroup::setConnectionLimit(uint32_t limit, double share)
 {
     const double shared = limit * sharedFraction;
@@ -112,9 +129,9 @@
     m_primaryUses.erase(&use);
 }
 
-std::shared_ptr<RelayTarget> RelayGroup::primaryTarget() const
+std::shared_ptr<RelayTarget> RelayGroup::primaryTarget()
 {
-    auto it = m_targets.find(m_primary.primary);
+    auto it = targets().find(m_primary.primary);
     return it == m_targets.end() ? nullptr : it->second;
 }
 
@@ -159,7 +176,7 @@
     const auto required = requiredMark(job);
     std::optional<StatementDestination> best;
     Milliseconds least;
-    for (const auto& [id, target] : m_targets) {
+    for (const auto& [id, target] : targets()) {
         const bool isPrimary = id == m_primary.primary;
         if (tried.count(id) > 0 || target->entry().isLeaving || (!isPrimary && !required))
             continue;
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -57,7 +57,7 @@
     RelayGroup(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Metrics&, Membership&, GroupId);
 
     /// Replaces the group's targets by those of the platform's list.
-    void setTargets(const std::vector<TargetEntry>&);
+    void setTargets(std::vector<TargetEntry>);
     /// `limit`: connections that one target accepts from all daemons, part of which stays in reserve. `share`: this daemon's
     /// part of the rest, between 0 and 1; ignored if only the homes connect to the targets, which divide the rest equally.
     void setConnectionLimit(uint32_t limit, double share);
@@ -91,7 +91,7 @@
     bool mayUsePrimary() const { return m_primary.isAvailable && m_lease.isValid(); }
     /// Whether an answer from the primary of `term` may still be used: the lease is valid and the term has not changed.
     bool mayAcceptAnswer(Term term) const { return m_primary.term == term && m_lease.isValid(); }
-    std::shared_ptr<RelayTarget> primaryTarget() const;
+    std::shared_ptr<RelayTarget> primaryTarget();
     /// The best destination for the statement that is not in `tried`; nullopt when there is none.
     std::optional<StatementDestination> chooseDestination(const RelayJob&, const std::set<TargetId>& tried);
     /// Delay after which a caller should retry a refused statement; `target`: the last one tried, null if none was.
@@ -105,6 +105,9 @@
     void removePrimaryUse(PrimaryUse&);
 
 private:
+    /// The targets' queues and connections, created at the first call.
+    const std::map<TargetId, std::shared_ptr<RelayTarget>>& targets();
+    void updateTargets();
     std::optional<StatementDestination> primaryDestination(const RelayJob&, const std::set<TargetId>& tried);
     std::optional<StatementDestination> readDestination(const RelayJob&, const std::set<TargetId>& tried);
     /// Another daemon to which a statement for `target` can be forwarded.
@@ -133,7 +136,10 @@
     /// too, because only the primary's answers show which log mark a replica must have applied.
     bool m_isFullMesh { true };
     PrimaryView m_primary;
+    std::vector<TargetEntry> m_entries;
+    /// By target; kept up to date once targets() was called.
     std::map<TargetId, std::shared_ptr<RelayTarget>> m_targets;
+    bool m_areTargetsUsed { false };
     /// Other daemons to which statements are forwarded, by database and instance.
     std::map<std::pair<DatabaseId, InstanceId>, std::shared_ptr<RelayTarget>> m_peers;
     PrimaryLogHistory m_logHistory;
