One log line for the first records that a daemon receives

Records that are not open, and each later change, keep their own lines; the new line names the newest version that it covers.

--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -58,6 +58,8 @@
     m_epoch = epoch == rows.end() ? RowVersion() : epoch->second.version;
     m_areRowsKnown = true;
     const std::string prefix = groupKey(GroupId());
+    size_t firstRecords = 0;
+    RowVersion newest;
     for (auto it = rows.lower_bound(prefix); it != rows.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
         const GroupId group(it->first.substr(prefix.size()));
         GroupFailover& failover = failoverOf(group);
@@ -72,10 +74,14 @@
             m_context.log.write("primary_record_malformed", { { "group", group.value() }, { "fault", std::string(record.status().message()) } });
             continue;
         }
+        firstRecords += failover.recordVersion() == RowVersion() ? 1 : 0;
+        newest = std::max(newest, it->second.version);
         failover.setRecord(*record, it->second.version, m_epoch);
         failover.setSuspicions(suspectingDaemons(rows, group, record->term));
         m_relay->setPrimary(group, failover.knownPrimary());
     }
+    if (firstRecords > 0)
+        m_context.log.write("primary_records_received", { { "first_records", std::to_string(firstRecords) }, { "newest_version", std::to_string(newest.value()) }, { "epoch", std::to_string(m_epoch.value()) } });
     tick();
 }
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -57,7 +57,9 @@
         return;
     const Instant now = m_context.loop.now();
     const bool wasOpen = !m_record || m_record->phase == GroupPhase::Open;
-    m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "version", std::to_string(version.value()) } });
+    // FailoverManager writes one line for all first records: a daemon that starts reads those of hundreds of groups at once.
+    if (m_record || record.phase != GroupPhase::Open)
+        m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "version", std::to_string(version.value()) } });
     m_record = record;
     m_version = version;
     m_recordSince = now;
