Homes send few statements at a time to a target and queue the others themselves

Cause: eight homes with nine connections each sent up to 72 statements at a time to targets that run 5 and queue 40 in the order of arrival. Change (queue where deadlines are known; bounded concurrency at the server): the homes together send four statements for each slot, three a home here; the rest waits in the home's WorkQueue. A transaction no longer occupies a place of the queue while it pauses; its connection is counted apart. Fleets in which every daemon connects to every target are unchanged.

--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -29,7 +29,9 @@
             });
             return;
         }
-        m_targets.m_loop.after(target.delay, [this, alive, steps = batch.steps, done] {
+        target.peakRunning = std::max(target.peakRunning, ++target.running);
+        m_targets.m_loop.after(target.delay, [this, &target, alive, steps = batch.steps, done] {
+            --target.running;
             if (!alive.expired())
                 answer(steps, done);
         });
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -47,6 +47,8 @@
         bool losesNextAnswer { false };
         uint32_t connections { 0 };
         uint32_t peakConnections { 0 };
+        uint32_t running { 0 };
+        uint32_t peakRunning { 0 };
     };
 
     Target& operator[](const TargetId& id) { return m_targets[id]; }
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -16,6 +16,10 @@
     /// Connections per daemon and target below which only a few daemons, the group's homes, connect. With a single connection,
     /// one open transaction would block all other callers of the daemon from that target.
     constexpr double minConnectionsPerDaemon = 1.5;
+    /// Statements that all homes of a group together send to a target, for each that it runs at a time, and the least number for one
+    /// home, since homes receive unequal shares.
+    constexpr double statementsPerSlot = 4;
+    constexpr uint32_t minStatements = 2;
     /// Limit of connections to one peer daemon for one database.
     constexpr uint32_t connectionsPerPeer = 8;
     /// Expected duration of a statement at a target without recent answers.
@@ -59,7 +63,7 @@
         const bool isSame = known != m_targets.end() && known->second->entry().target.address == entry.target.address;
         auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()));
         target->setEntry(entry);
-        target->setConnectionLimit(m_connectionLimit);
+        target->setLimits(m_connectionLimit, statementLimit(entry));
         targets.emplace(entry.target.id, std::move(target));
     }
     m_targets.swap(targets);
@@ -81,7 +85,17 @@
     m_isFullMesh = shared / static_cast<double>(daemons) >= minConnectionsPerDaemon;
     m_connectionLimit = static_cast<uint32_t>(std::max(1L, std::lround(shared * (m_isFullMesh ? share : 1.0 / Membership::rankingLength))));
     for (auto& [id, target] : m_targets)
-        target->setConnectionLimit(m_connectionLimit);
+        target->setLimits(m_connectionLimit, statementLimit(target->entry()));
+}
+
+// A target that is full queues statements in the order of their arrival and refuses more. The queues of the homes know deadlines and
+// urgencies, so the homes together send only a few times as many statements as the target runs at a time.
+uint32_t RelayGroup::statementLimit(const TargetEntry& entry) const
+{
+    if (m_isFullMesh)
+        return m_connectionLimit;
+    const double part = std::ceil(entry.slots * statementsPerSlot / static_cast<double>(Membership::rankingLength));
+    return std::min(m_connectionLimit, std::max(minStatements, static_cast<uint32_t>(part)));
 }
 
 void RelayGroup::setPrimary(const PrimaryView& belief)
@@ -249,7 +263,7 @@
     TargetEntry entry;
     entry.target = { TargetId("daemon " + peer.instance.value()), address, peer.failureDomain, GroupId(database.value()), true };
     target = std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(peer.instance.value()));
-    target->setConnectionLimit(connectionsPerPeer);
+    target->setLimits(connectionsPerPeer, connectionsPerPeer);
     return target;
 }
 
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -108,6 +108,8 @@
     /// The targets' queues and connections, created at the first call.
     const std::map<TargetId, std::shared_ptr<RelayTarget>>& targets();
     void updateTargets();
+    /// Statements that this daemon sends to the target at the same time.
+    uint32_t statementLimit(const TargetEntry&) const;
     std::optional<StatementDestination> primaryDestination(const RelayJob&, const std::set<TargetId>& tried);
     std::optional<StatementDestination> readDestination(const RelayJob&, const std::set<TargetId>& tried);
     /// Another daemon to which a statement for `target` can be forwarded.
--- a/src/relay/RelayGroupTests.cpp
+++ b/src/relay/RelayGroupTests.cpp
@@ -19,6 +19,22 @@
     scene.relay.setConnectionShare(1.0 / daemons);
 }
 
+/// Lets the daemon share the group's targets as one of eight homes, with eight connections to each target.
+void becomeHome(RelayFixture& scene)
+{
+    addDaemons(scene, 48);
+    scene.group().setConnectionLimit(100, 1.0 / 48);
+}
+
+/// Callers whose statements other daemons have forwarded to this one.
+std::vector<std::unique_ptr<TestCaller>> forwardedCallers(RelayFixture& scene, size_t n)
+{
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    while (callers.size() < n)
+        callers.push_back(std::make_unique<TestCaller>(scene.relay, "orders", "shop-" + std::to_string(callers.size()), CallerKind::Peer));
+    return callers;
+}
+
 /// Runs a read at the primary, so that the daemon obtains the log mark that reads at replicas require.
 void obtainLogMark(RelayFixture& scene)
 {
@@ -319,3 +335,64 @@
     scene.run(2000);
     CHECK(unknown == 1);
 }
+
+// Pattern: queue where priorities are known. Eight homes with nine connections each sent 72 statements at a time to targets that run
+// five and queue 40; a third of the statements of a burst was refused by the targets and tried again elsewhere.
+TEST_CASE("a home sends few statements at a time to a target and keeps the others in its queue", "[relay]")
+{
+    RelayFixture scene;
+    becomeHome(scene);
+    scene.targets[TargetId("one")].delay = Milliseconds(20);
+    const auto callers = forwardedCallers(scene, 12);
+    for (const auto& it : callers)
+        it->send(RelayKind::Write, "WRITE 1 a");
+    scene.run(190);
+    for (const auto& it : callers) {
+        REQUIRE(it->answers.size() == 1);
+        CHECK(it->last().error == RelayError::None);
+    }
+    CHECK(scene.targets[TargetId("one")].peakRunning == 2);
+}
+
+TEST_CASE("transactions that pause do not keep a home from sending other statements", "[relay]")
+{
+    RelayFixture scene;
+    becomeHome(scene);
+    const auto open = forwardedCallers(scene, 6);
+    for (const auto& it : open) {
+        it->send(RelayKind::Begin, "BEGIN");
+        it->send(RelayKind::Write, "WRITE 1 a");
+    }
+    scene.run(100);
+    TestCaller caller(scene.relay, "orders", "shop", CallerKind::Peer);
+    caller.send(RelayKind::Write, "WRITE 2 b");
+    scene.run(50);
+    REQUIRE(caller.answers.size() == 1);
+    CHECK(caller.last().error == RelayError::None);
+    for (const auto& it : open)
+        it->send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    for (const auto& it : open)
+        CHECK(it->last().error == RelayError::None);
+}
+
+TEST_CASE("a statement waits while transactions hold all connections, and runs when one of them ends", "[relay]")
+{
+    RelayFixture scene;
+    becomeHome(scene);
+    const auto open = forwardedCallers(scene, 8);
+    for (const auto& it : open) {
+        it->send(RelayKind::Begin, "BEGIN");
+        it->send(RelayKind::Write, "WRITE 1 a");
+    }
+    scene.run(200);
+    TestCaller caller(scene.relay, "orders", "shop", CallerKind::Peer);
+    caller.send(RelayKind::Write, "WRITE 2 b");
+    scene.run(50);
+    CHECK(caller.answers.empty());
+    open[3]->send(RelayKind::Commit, "COMMIT");
+    scene.run(50);
+    REQUIRE(caller.answers.size() == 1);
+    CHECK(caller.last().error == RelayError::None);
+    CHECK(scene.targets[TargetId("one")].peakConnections == 8);
+}
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -3,6 +3,7 @@
 #include "base/ResultCode.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -22,10 +23,10 @@
     /// Queue capacity for each connection. Work behind a longer queue would miss its objective.
     constexpr uint32_t queuedPerConnection = 40;
 
-    WorkQueueSettings queueSettings(uint32_t connections)
+    WorkQueueSettings queueSettings(uint32_t connections, uint32_t statements)
     {
         WorkQueueSettings settings;
-        settings.slots = connections;
+        settings.slots = statements;
         settings.longWorkShare = 1;
         settings.capacity = connections * queuedPerConnection;
         return settings;
@@ -55,10 +56,20 @@
 RelaySlot::~RelaySlot()
 {
     m_connection.reset();
-    if (auto target = m_target.lock())
+    auto target = m_target.lock();
+    if (target && m_isHeldForTransaction)
+        target->endTransaction();
+    else if (target)
         target->finish(m_work);
 }
 
+void RelaySlot::holdForTransaction()
+{
+    auto target = m_target.lock();
+    if (target && !std::exchange(m_isHeldForTransaction, true))
+        target->holdForTransaction(m_work);
+}
+
 void RelaySlot::run(std::vector<RelayStep> steps, Milliseconds timeout, std::function<void(absl::StatusOr<std::vector<RelayAnswer>>)> done)
 {
     TargetBatch batch;
@@ -87,17 +98,18 @@
     : m_loop(loop)
     , m_entry(std::move(entry))
     , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(m_entry.target.isPeer, seed)))
-    , m_queue(WorkQueue::create(queueSettings(1)))
+    , m_queue(WorkQueue::create(queueSettings(1, 1)))
 {
 }
 
-void RelayTarget::setConnectionLimit(uint32_t connections)
+void RelayTarget::setLimits(uint32_t connections, uint32_t statements)
 {
-    if (connections == m_connectionLimit)
+    if (connections == m_connectionLimit && statements == m_statementLimit)
         return;
     m_connectionLimit = connections;
+    m_statementLimit = statements;
     m_pool->setLimit(connections);
-    m_queue->setSettings(queueSettings(connections));
+    m_queue->setSettings(queueSettings(connections, statements));
     startQueuedWork();
 }
 
@@ -114,7 +126,7 @@
 Milliseconds RelayTarget::expectedDelay(Milliseconds fallback) const
 {
     const double busy = static_cast<double>(m_queue->waitingCount() + m_queue->runningCount());
-    const double turns = 1 + busy / std::max<double>(1, m_connectionLimit);
+    const double turns = 1 + busy / std::max<double>(1, m_statementLimit);
     return m_experience.expectedDelay(fallback, m_loop.now()) * turns;
 }
 
@@ -124,11 +136,27 @@
     startQueuedWork();
 }
 
+void RelayTarget::holdForTransaction(WorkId work)
+{
+    ++m_heldConnections;
+    finish(work);
+}
+
+void RelayTarget::endTransaction()
+{
+    --m_heldConnections;
+    startQueuedWork();
+}
+
 void RelayTarget::startQueuedWork()
 {
     auto self = shared_from_this();
     rejectShedWork();
-    while (const auto id = m_queue->startNext(m_loop.now())) {
+    // Work that starts needs a connection that no transaction holds.
+    while (m_queue->runningCount() + m_heldConnections < m_connectionLimit) {
+        const auto id = m_queue->startNext(m_loop.now());
+        if (!id)
+            break;
         auto node = m_waiting.extract(*id);
         connect(node.mapped().first, std::move(node.mapped().second));
     }
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -31,6 +31,9 @@
     void discard() { m_connection->discard(); }
     const TargetId& target() const { return m_targetId; }
 
+    /// Keeps the connection for an open transaction and lets other work run meanwhile: a transaction pauses between its statements.
+    void holdForTransaction();
+
     /// Rolls back the open transaction, then releases the slot.
     static void rollBack(std::shared_ptr<RelaySlot>);
 
@@ -38,6 +41,7 @@
     std::weak_ptr<RelayTarget> m_target;
     TargetId m_targetId;
     WorkId m_work;
+    bool m_isHeldForTransaction { false };
     std::unique_ptr<PooledConnection> m_connection;
 };
 
@@ -51,8 +55,9 @@
 
     const TargetEntry& entry() const { return m_entry; }
     void setEntry(const TargetEntry& entry) { m_entry = entry; }
-    /// Sets the maximum number of this daemon's connections to the target.
-    void setConnectionLimit(uint32_t);
+    /// Sets the maximum number of this daemon's connections to the target, and of statements that it starts there at the same time.
+    /// Statements of open transactions are not counted.
+    void setLimits(uint32_t connections, uint32_t statements);
 
     /// Queues the work until a connection is free. Errors: Overloaded when the queue refuses or drops the work or the target
     /// accepts no more connections, DeadlinePassed when the pool has no connection before the deadline, TargetUnreachable when
@@ -71,6 +76,8 @@
     friend class RelaySlot;
 
     void finish(WorkId);
+    void holdForTransaction(WorkId);
+    void endTransaction();
     void startQueuedWork();
     void rejectShedWork();
     void scheduleQueueCheck();
@@ -79,6 +86,9 @@
     EventLoop& m_loop;
     TargetEntry m_entry;
     uint32_t m_connectionLimit { 1 };
+    uint32_t m_statementLimit { 1 };
+    /// Connections that open transactions hold.
+    uint32_t m_heldConnections { 0 };
     std::unique_ptr<ConnectionPool> m_pool;
     std::unique_ptr<WorkQueue> m_queue;
     TargetHealth m_experience;
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -43,6 +43,7 @@
 {
     if (m_destination == TransactionDestination::Primary)
         m_primaryUse = std::make_unique<Use>(*this);
+    m_slot->holdForTransaction();
 }
 
 // The caller may have disconnected during a statement. The next user of the connection must not find an open transaction.
