Limit the first records that a daemon has on their way to the platform

More connections in spite of the limit mean that holders went on to prepare records that they did not see: after seven seconds every rank may write, 18 holders then write 370 records each second, the platform carries out 300 transactions a second, and each daemon's queue of calls (64) is full of them, so watches and renewals find no place in it. Change: a group counts against the limit of eight until the platform has answered its write. The test counts 100 writes in flight before, 8 now.

--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -34,6 +34,26 @@
     return true;
 }
 
+/// Adds groups of three targets each, of which none is primary yet, to the routes and the target list of the first daemon.
+void addGroups(FailoverFixture& fixture, int n, bool areSilent)
+{
+    auto routes = std::make_shared<RouteTable>();
+    routes->version = ConfigurationVersion(2);
+    std::vector<TargetEntry> entries;
+    for (int group = 0; group < n; ++group) {
+        const GroupId id("group-" + std::to_string(group));
+        routes->groups[id].connections = 40;
+        for (const std::string name : { "a", "b", "c" }) {
+            TargetEntry entry;
+            entry.target = { TargetId(id.value() + name), { name, 1 }, FailureDomainId("domain"), id, false };
+            fixture.targets[entry.target.id].isSilent = areSilent;
+            entries.push_back(std::move(entry));
+        }
+    }
+    fixture.daemons[0]->relay.setRoutes(std::move(routes));
+    fixture.daemons[0]->failover.setTargets(entries);
+}
+
 }
 
 TEST_CASE("daemons agree on the first primary and write to it", "[failover]")
@@ -64,21 +84,7 @@
     const bool areSilent = GENERATE(false, true);
     CAPTURE(areSilent);
     FailoverFixture fixture(1);
-    auto routes = std::make_shared<RouteTable>();
-    routes->version = ConfigurationVersion(2);
-    std::vector<TargetEntry> entries;
-    for (int group = 0; group < 100; ++group) {
-        const GroupId id("group-" + std::to_string(group));
-        routes->groups[id].connections = 40;
-        for (const std::string name : { "a", "b", "c" }) {
-            TargetEntry entry;
-            entry.target = { TargetId(id.value() + name), { name, 1 }, FailureDomainId("domain"), id, false };
-            fixture.targets[entry.target.id].isSilent = areSilent;
-            entries.push_back(std::move(entry));
-        }
-    }
-    fixture.daemons[0]->relay.setRoutes(std::move(routes));
-    fixture.daemons[0]->failover.setTargets(entries);
+    addGroups(fixture, 100, areSilent);
     fixture.run(6000);
     fixture.targets.connectionAttempts = 0;
     fixture.run(1000);
@@ -86,6 +92,28 @@
     CHECK(fixture.targets.connectionAttempts > 0);
 }
 
+// The platform carries out 300 transactions a second, and 18 holders may take themselves for the first in rank of all groups. When each
+// wrote the records of all groups at once, watches and renewals of leases found no place among the calls.
+TEST_CASE("a daemon has few first records of groups on their way to the platform", "[failover]")
+{
+    FailoverFixture fixture(1);
+    addGroups(fixture, 100, false);
+    fixture.targets.connectionAttempts = 0;
+    for (int group = 0; group < 100; ++group)
+        fixture.targets[TargetId("group-" + std::to_string(group) + "a")].isPrimary = true;
+    fixture.daemons[0]->rows.losesAnswers = true;
+    const uint64_t before = fixture.daemons[0]->rows.calls;
+    fixture.run(850);
+    // Nothing is answered within 900 ms, so these are in flight at the same time, besides renewals and reads.
+    CHECK(fixture.daemons[0]->rows.calls - before <= 8 + 6);
+    fixture.daemons[0]->rows.losesAnswers = false;
+    fixture.run(6000);
+    for (int group = 0; group < 100; ++group) {
+        const PrimaryView primary = fixture.daemons[0]->relay.findGroup(GroupId("group-" + std::to_string(group)))->primary();
+        CHECK(primary.isAvailable);
+    }
+}
+
 TEST_CASE("a group's first record is written although its targets become primary late and the first daemon in rank is gone", "[failover]")
 {
     FailoverFixture fixture(5, 8000);
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -13,8 +14,9 @@
     /// Delay per rank before a daemon creates a group's record. When a fleet starts, the platform records the first primaries of hundreds
     /// of groups one after the other, which takes longer than staggerPerRank.
     constexpr Milliseconds bootstrapStaggerPerRank { 400 };
-    /// Groups without a record that a daemon probes at the same time. Each takes some 20 ms if its targets answer.
-    constexpr uint32_t maxGroupsProbed = 8;
+    /// Groups whose first records a daemon prepares at the same time. Each takes some 30 ms if its targets and the platform answer. All
+    /// holders together then have fewer transactions on the way than the platform carries out in a second.
+    constexpr uint32_t maxFirstRecords = 8;
     /// Interval at which the targets of a group without a record are probed, doubled with each round up to the maximum, and the delay after this daemon has written one, until it
     /// receives it.
     constexpr Milliseconds bootstrapProbeInterval { 250 };
@@ -64,6 +66,8 @@
     // FailoverManager writes one line for all first records: a daemon that starts reads those of hundreds of groups at once.
     if (m_record || record.phase != GroupPhase::Open)
         m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "version", std::to_string(version.value()) } });
+    if (!m_isWriting)
+        endFirstRecord();
     m_record = record;
     m_version = version;
     m_recordSince = now;
@@ -176,7 +180,7 @@
 {
     const Instant now = m_context.loop.now();
     if (m_targets.empty() || !m_context.lease.holdsRow())
-        return;
+        return endFirstRecord();
     if (m_recordSince == Instant()) {
         m_recordSince = now;
         return;
@@ -185,17 +189,25 @@
         m_isProbeRoundComplete = false;
         if (createFirstRecord())
             return;
+        endFirstRecord();
     }
     // The rank is computed anew, because the leases of the other holders may have been read only now.
     if (now < m_recordSince + bootstrapStaggerPerRank * m_context.leaseMonitor.rankFor(m_group) || now < m_nextProbe)
         return;
-    if (m_pendingProbes > 0 || *m_context.groupsProbed >= maxGroupsProbed)
+    if (m_pendingProbes > 0 || *m_context.firstRecords >= maxFirstRecords)
         return;
-    ++*m_context.groupsProbed;
+    ++*m_context.firstRecords;
+    m_isPreparingFirstRecord = true;
     probeTargets();
     m_nextProbe = now + std::min(bootstrapProbeInterval * std::exp2(std::min(m_firstProbeRounds++, 8U)), maxBootstrapProbeInterval);
 }
 
+void GroupFailover::endFirstRecord()
+{
+    if (std::exchange(m_isPreparingFirstRecord, false))
+        --*m_context.firstRecords;
+}
+
 // Records the target that reported itself as primary in the last round of probes, if one did.
 bool GroupFailover::createFirstRecord()
 {
@@ -391,6 +403,7 @@
         if (alive.expired())
             return;
         m_isWriting = false;
+        endFirstRecord();
         m_context.log.write("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
                                                                                                                                                                              : "rejected: the record has changed since it was read" } });
         if (demoted && answer.ok() && answer->isApplied)
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -26,8 +26,9 @@
     DecisionLog& log;
     /// The version of the platform's tables as of which the target list is known.
     std::function<RowVersion()> targetListVersion;
-    /// Number of groups without a record whose targets this daemon probes now. Shared, because the limit is one for all groups.
-    std::shared_ptr<uint32_t> groupsProbed { std::make_shared<uint32_t>(0) };
+    /// Number of groups whose first record this daemon prepares now: it probes their targets or writes the record. Shared, because the
+    /// limit is one for all groups.
+    std::shared_ptr<uint32_t> firstRecords { std::make_shared<uint32_t>(0) };
 };
 
 /// One daemon's part in the failover of one group. It stops using a primary that is being replaced, and may record a suspicion
@@ -94,6 +95,8 @@
     void chooseCandidate();
     void requestPromotion();
     void monitorPromotion();
+    /// Ends the preparation of the first record.
+    void endFirstRecord();
     void writeRecord(GroupRecord, bool updatesEpoch, std::string_view why);
 
     bool isChangeOwner() const;
@@ -137,6 +140,7 @@
     Instant m_nextReleaseCheck;
     Instant m_nextOwnerCheck;
     size_t m_pendingProbes { 0 };
+    bool m_isPreparingFirstRecord { false };
     /// Rounds of probes so far while there is no record.
     uint32_t m_firstProbeRounds { 0 };
     /// Whether a round of probes of all targets is complete and has not been evaluated yet. Only a round that began after every
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -78,16 +78,13 @@
     m_nextProbe = m_context.loop.now() + probeInterval;
     m_pendingProbes = m_targets.size();
     const bool isAfterRelease = m_isReleasedEverywhere || !m_record;
-    const bool isFirst = !m_record;
     for (const auto& it : m_targets) {
         const TargetId id = it.target.id;
-        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, isFirst, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
             if (alive.expired())
                 return;
             m_probes[id] = result;
             --m_pendingProbes;
-            if (isFirst && m_pendingProbes == 0)
-                --*m_context.groupsProbed;
             m_isProbeRoundComplete = m_pendingProbes == 0 && isAfterRelease;
         });
     }
