A channel that fails while a table is confirmed is not used afterwards

By reading: send() can close the channel, and its callback replaces the source; a table that then turns out to be malformed was rejected at a source that is not there. No such case was seen.

--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -11,7 +11,8 @@
     constexpr Milliseconds renewInterval { 800 };
     /// A source that has no valid row yet, or that this daemon has just joined, is asked again soon.
     constexpr Milliseconds shortRenewInterval { 200 };
-    /// A source that leaves a renewal unanswered and sends nothing else for this long is taken for silent. With the interval this is shorter than a grant.
+    /// A source that leaves a renewal unanswered and sends nothing else for this long is taken for silent. With the interval this is
+    /// shorter than a grant.
     constexpr Milliseconds answerTimeout { 1000 };
     /// The same for the first renewal on a channel. A machine without power leaves it unanswered.
     constexpr Milliseconds firstAnswerTimeout { 500 };
@@ -224,8 +225,12 @@
 // The source need not wait until the rows are decoded.
 void SourceClient::apply(TableReply& message)
 {
+    const auto link = m_link;
     if (message.needsConfirmation)
         send(ReceivedMessage { message.id });
+    // The channel closes when it can take no more. Then another source, if there is one, is asked for the rows.
+    if (m_link != link)
+        return;
     if (const auto status = decompressRows(message); !status.ok())
         return reject(status);
     m_rows.applyReply(message);
