--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -142,7 +142,7 @@
     , loop(shared)
     , rows(loop, tables)
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
-    , sharedRows(loop, rows, { testConfigurationTable, controlTable, leaseTable })
+    , sharedRows(loop, rows, log, { testConfigurationTable, controlTable, leaseTable })
     , lease(loop, rows, InstanceId(name), incarnation, { FailureDomainId(domain), name, 1, 2, 3, 0.12 })
     , leaseMonitor(loop, rows, sharedRows, InstanceId(name))
     , service(loop, sharedRows, lease, log)
--- a/src/distribution/SharedRows.cpp
+++ b/src/distribution/SharedRows.cpp
@@ -4,9 +4,10 @@
 
 namespace parsleypaddle {
 
-SharedRows::SharedRows(EventLoop& loop, PlatformRows& platform, const std::vector<std::string>& tables)
+SharedRows::SharedRows(EventLoop& loop, PlatformRows& platform, DecisionLog& log, const std::vector<std::string>& tables)
     : m_loop(loop)
     , m_platform(platform)
+    , m_log(log)
     , m_platformAnsweredAt(loop.now())
 {
     for (const auto& it : tables)
@@ -127,9 +128,10 @@
 void SharedRows::updateCopy(const TableRequest& request, const RowsAnswer& answer)
 {
     TableCopy& copy = m_copies[request.table].rows;
-    if (request.isWhole)
-        copy.setAll(answer);
-    else
+    if (request.isWhole) {
+        if (!copy.setAll(answer))
+            m_log.write("table_answer_ignored", { { "table", request.table }, { "copy_version", std::to_string(copy.version().value()) }, { "answer_version", std::to_string(answer.version.value()) }, { "from", m_way == Way::Source ? "source" : "platform" } });
+    } else
         copy.applyChanges(answer);
     m_copyChanged(request.table);
 }
--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -3,6 +3,7 @@
 #include "base/EventLoop.h"
 #include "distribution/SourceMessages.h"
 #include "distribution/TableCopy.h"
+#include "telemetry/DecisionLog.h"
 
 #include <functional>
 #include <map>
@@ -17,7 +18,7 @@
 class SharedRows final : public PlatformRows {
 public:
     /// Until usePlatform() or useSource() is called, reads wait.
-    SharedRows(EventLoop&, PlatformRows& platform, const std::vector<std::string>& tables);
+    SharedRows(EventLoop&, PlatformRows& platform, DecisionLog&, const std::vector<std::string>& tables);
 
     void readAll(const std::string& table, RowsDone) override;
     void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) override;
@@ -76,6 +77,7 @@
 
     EventLoop& m_loop;
     PlatformRows& m_platform;
+    DecisionLog& m_log;
     Way m_way { Way::None };
     /// The only table that is read now; empty for all.
     std::string m_firstTable;
--- a/src/distribution/TableCopy.cpp
+++ b/src/distribution/TableCopy.cpp
@@ -12,10 +12,10 @@
 
 }
 
-void TableCopy::setAll(const RowsAnswer& answer)
+bool TableCopy::setAll(const RowsAnswer& answer)
 {
     if (m_isComplete && answer.version < m_version)
-        return;
+        return false;
     std::set<std::string> present;
     for (const auto& it : answer.rows) {
         present.insert(it.key);
@@ -34,6 +34,7 @@
     m_version = answer.version;
     m_platformTime = answer.platformTime;
     limitHistory();
+    return true;
 }
 
 void TableCopy::applyChanges(const RowsAnswer& answer)
--- a/src/distribution/TableCopy.h
+++ b/src/distribution/TableCopy.h
@@ -11,8 +11,8 @@
 /// an older state. Does no I/O.
 class TableCopy {
 public:
-    /// Takes the whole table as read, unless the copy is newer.
-    void setAll(const RowsAnswer&);
+    /// Takes the whole table as read. Returns false if the copy is newer and stays as it is.
+    bool setAll(const RowsAnswer&);
     /// Takes the changes after the copy's version or an earlier one.
     void applyChanges(const RowsAnswer&);
 
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -3,6 +3,7 @@
 #include "leases/Epoch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -265,6 +266,7 @@
     setPlatformTime(answer->platformTime, sentAt);
     if (answer->isApplied) {
         m_rowVersion = answer->version;
+        m_isRejectionReported = false;
         if (!m_isHolding)
             return deleteRow([] {});
         m_validUntil = std::max(m_validUntil, sentAt + duration);
@@ -273,13 +275,22 @@
             return renew();
         return scheduleRenewal(renewInterval());
     }
-    bool isRowChanged = true;
+    applyRejection(*answer);
+}
+
+void InstanceLease::applyRejection(const TransactionAnswer& answer)
+{
     RowVersion rowVersion;
-    for (const auto& it : answer->rows) {
+    RowVersion epoch;
+    for (const auto& it : answer.rows) {
         if (it.table == leaseTable && it.key == m_key && !it.isDeleted)
             rowVersion = it.version;
+        if (it.table == controlTable && it.key == epochKey && !it.isDeleted)
+            epoch = it.version;
     }
-    isRowChanged = rowVersion != m_rowVersion;
+    if (!std::exchange(m_isRejectionReported, true) && m_onRenewalRejected)
+        m_onRenewalRejected({ m_epoch, epoch, m_rowVersion, rowVersion });
+    const bool isRowChanged = rowVersion != m_rowVersion;
     m_rowVersion = rowVersion;
     // This daemon's row has changed if, for example, an earlier renewal was applied but its answer was lost. Then the renewal is
     // repeated at once with the row's new version. If only the epoch row has changed, renewals fail until this daemon has
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -87,6 +87,16 @@
     /// Sets the function that is called when this daemon has confirmed a version of the epoch row.
     void onEpochConfirmed(std::function<void()> callback) { m_onEpochConfirmed = std::move(callback); }
 
+    /// Why the platform did not apply a renewal: it holds other rows than this daemon expects.
+    struct RenewalRejection {
+        RowVersion expectedEpoch;
+        RowVersion epoch;
+        RowVersion expectedRow;
+        RowVersion row;
+    };
+    /// Sets the function that is called for the first rejection after a renewal that was applied.
+    void onRenewalRejected(std::function<void(const RenewalRejection&)> callback) { m_onRenewalRejected = std::move(callback); }
+
     /// Calls onValidityChanged's function if the validity has changed.
     void reportValidity();
 
@@ -98,6 +108,7 @@
     void renew();
     bool isWaitingForMembers();
     void scheduleRenewal(Milliseconds);
+    void applyRejection(const TransactionAnswer&);
     void applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds duration);
     void deleteRow(std::function<void()> done);
     void setPlatformTime(Instant platformTime, Instant sentAt);
@@ -132,6 +143,8 @@
     TimerId m_timer { TimerId::None };
     std::function<void(bool)> m_onChange;
     std::function<void()> m_onEpochConfirmed;
+    std::function<void(const RenewalRejection&)> m_onRenewalRejected;
+    bool m_isRejectionReported { false };
     std::function<uint32_t()> m_sessionCounter;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -91,6 +91,7 @@
         PlatformResponse response;
         response.status = message.getStatus();
         response.etag = message.get("ETag", "");
+        response.headers = message;
         if (!readBody(in, response.body, received))
             return unavailable("its answer is too large");
         if (message.hasContentLength() && static_cast<size_t>(message.getContentLength64()) != response.body.size())
--- a/src/platform_http/PlatformExchange.h
+++ b/src/platform_http/PlatformExchange.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "platform_http/TransferDeadline.h"
 
+#include <Poco/Net/NameValueCollection.h>
 #include <absl/status/statusor.h>
 #include <string>
 #include <utility>
@@ -24,6 +25,8 @@
     int status { 0 };
     std::string etag;
     std::string body;
+    /// All header fields; their names are compared without regard to case.
+    Poco::Net::NameValueCollection headers;
 };
 
 /// Sends the request and waits for the response; blocks. `timeout` limits each wait for the socket. Counts the bytes of the response's
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -35,7 +35,7 @@
         { "parsleypaddle_platform_transactions_total", "Transactions sent to the platform" },
     } };
 
-    constexpr std::array<MetricInfo, 7> gaugeInfos { {
+    constexpr std::array<MetricInfo, 8> gaugeInfos { {
         { "parsleypaddle_configuration_version", "Version of the configuration in force here" },
         { "parsleypaddle_requests_in_flight", "Requests of callers without an answer yet" },
         { "parsleypaddle_target_connections", "Open connections to targets" },
@@ -43,6 +43,7 @@
         { "parsleypaddle_is_draining", "1 while this daemon is leaving" },
         { "parsleypaddle_is_holder", "1 while this daemon holds a row of the lease table" },
         { "parsleypaddle_subscribers", "Daemons that receive the platform's tables from this one" },
+        { "parsleypaddle_platform_era", "How often the platform's tables have returned from a copy, as the platform counts it" },
     } };
 
     const prometheus::Histogram::BucketBoundaries& bucketBoundaries()
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -57,6 +57,7 @@
     IsDraining,
     IsHolder,
     Subscribers,
+    PlatformEra,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
