--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -104,6 +104,8 @@
     void stop(size_t daemon, double drain = 3000);
 
     void writeConfiguration(int number);
+    /// The platform is away for a second, in which its tables return to a copy, and the operator writes the newest configuration again.
+    void restorePlatform(const FakeTables::Copy&, int newestConfiguration);
     /// Begins a change of primary. Returns the version of the epoch row.
     RowVersion beginChange();
     /// Time until no daemon can use the primary any more according to the leases, or `limit`.
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -258,6 +258,21 @@
     tables.put(testConfigurationTable, testConfigurationKey, std::to_string(number));
 }
 
+void DistributionFixture::restorePlatform(const FakeTables::Copy& copy, int newestConfiguration)
+{
+    const auto setCut = [this](bool isCut) {
+        for (auto& it : daemons) {
+            if (it)
+                it->rows.isCut = isCut;
+        }
+    };
+    setCut(true);
+    run(1000);
+    tables.restore(copy);
+    setCut(false);
+    writeConfiguration(newestConfiguration);
+}
+
 void DistributionFixture::limitLinks(double bytesPerSecond)
 {
     network.bytesPerSecond = bytesPerSecond;
--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -464,3 +464,19 @@
     fixture.run(2510);
     CHECK_FALSE(lease.isValid());
 }
+
+// The platform returns from an older copy. Subscribers whose copies had higher versions kept them, and missed all later changes (issue 23).
+TEST_CASE("changes of configuration reach every daemon after the platform has returned from an older copy", "[restored][known-red]")
+{
+    DistributionFixture fixture(24, 2);
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.run(5000);
+    fixture.writeConfiguration(2);
+    fixture.run(4000);
+    fixture.restorePlatform(copy, 2);
+    fixture.run(2000);
+    fixture.writeConfiguration(3);
+    fixture.run(1000);
+    CHECK(fixture.countConfiguration(3) == 24);
+    CHECK(fixture.countValidLeases() == 24);
+}
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -119,6 +119,16 @@
     startDaemon(daemon, listDelay);
 }
 
+void FailoverFixture::restorePlatform(const FakeTables::Copy& copy, double outage)
+{
+    for (auto& it : daemons)
+        it->rows.isCut = true;
+    run(outage);
+    tables.restore(copy);
+    for (auto& it : daemons)
+        it->rows.isCut = false;
+}
+
 void FailoverFixture::publishTargets()
 {
     for (auto& it : daemons) {
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -74,6 +74,8 @@
     /// Crashes a daemon and starts another process in its place after `pause` milliseconds. The new process receives the target
     /// list `listDelay` milliseconds after its start.
     void restart(size_t daemon, double pause, double listDelay = 0);
+    /// The platform is away for `outage` milliseconds, in which its tables return to a copy.
+    void restorePlatform(const FakeTables::Copy&, double outage);
     void setLeaving(const std::string& target);
     /// Adds a target to the platform's target list, or removes it.
     void setListed(const std::string& target, bool isListed);
--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -488,3 +488,20 @@
     runWithTraffic(fixture, 12'000);
     CHECK(fixture.write(0) == RelayError::None);
 }
+
+// The platform returns from a copy in which the last change of primary is missing. The epoch that all daemons had confirmed was above
+// that of the copy, so no lease was renewed any more, and every request was refused (issue 23).
+TEST_CASE("writes go on after the platform has returned from a copy without the last change of primary", "[restored][known-red]")
+{
+    FailoverFixture fixture(3);
+    writeFromAllDaemons(fixture);
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.targets[TargetId("one")].isDown = true;
+    runWithTraffic(fixture, 3000);
+    REQUIRE(fixture.write(0) == RelayError::None);
+    fixture.restorePlatform(copy, 1000);
+    runWithTraffic(fixture, 20'000);
+    for (size_t it = 0; it < 3; ++it)
+        CHECK(fixture.write(it) == RelayError::None);
+    CHECK(fixture.staleWrites == 0);
+}
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -39,6 +39,18 @@
     return it == m_rows.end() || it->second.isDeleted ? nullptr : &it->second.value;
 }
 
+FakeTables::Copy FakeTables::copy() const
+{
+    return { m_rows, m_version };
+}
+
+void FakeTables::restore(const Copy& copy)
+{
+    m_rows = copy.rows;
+    m_version = copy.version;
+    notify();
+}
+
 void FakeTables::forgetHistory()
 {
     m_historyFrom = m_version;
@@ -91,7 +103,7 @@
     RowsAnswer answer;
     answer.version = m_version;
     answer.platformTime = time();
-    answer.isHistoryLost = after < m_historyFrom;
+    answer.isHistoryLost = after < m_historyFrom || after > m_version;
     for (const auto& [name, row] : m_rows) {
         if (name.first == table && row.version > after)
             answer.rows.push_back({ table, name.second, row.value, row.version, row.isDeleted });
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -25,6 +25,12 @@
     /// The newest version of all rows.
     RowVersion version() const { return m_version; }
 
+    /// The rows as of one moment.
+    struct Copy;
+    Copy copy() const;
+    /// Returns to a copy: later writes are lost, and their versions are given out again.
+    void restore(const Copy&);
+
     /// Forgets which rows changed when, so that watches have to read anew.
     void forgetHistory();
 
@@ -55,6 +61,11 @@
     std::vector<std::weak_ptr<std::function<void()>>> m_watchers;
 };
 
+struct FakeTables::Copy {
+    std::map<Name, Row> rows;
+    RowVersion version;
+};
+
 /// One daemon's way to the tables, with faults.
 class FakeRows final : public PlatformRows {
 public:
