Order the versions of rows by the platform's era first

Cause: versions were compared as plain numbers across processes. After the return the platform gives lower numbers, and gives out again those of the lost writes. Copies that serve subscribers kept the rows with the higher numbers, and a watch that resumed above the platform's number would have skipped changes. Class of fault: an order that holds only while the store never goes back.

Evidence: table_answer_ignored at every holder within 0.2 s of the return, version 16 in force at the 15 holders and none of the 48 subscribers. Ruled out: watches that wait in silence (all ended when the platform went away).

Fix: RowVersion holds the era (Store-Era) above the number, so every comparison in the program, and between programs, is by era first. An answer of another era tells a watch that its history is lost; a copy of one era is replaced as a whole; the first answer of an era makes watches read again. Messages between daemons have version 2, because a daemon without eras would take its own versions for older.

--- a/src/directory/TableWatch.cpp
+++ b/src/directory/TableWatch.cpp
@@ -30,6 +30,14 @@
         sendRequest();
 }
 
+void TableWatch::beginEra(PlatformEra era)
+{
+    if (!m_isHistoryAvailable || m_version.era() >= era)
+        return;
+    m_isHistoryAvailable = false;
+    sendRequest();
+}
+
 void TableWatch::sendRequest()
 {
     m_requestSentAt = std::make_shared<Instant>(m_loop.now());
@@ -45,7 +53,8 @@
         if (request.expired())
             return;
         reportReachability(answer.status());
-        if (!answer.ok())
+        // An answer of an earlier era may arrive late.
+        if (!answer.ok() || answer->version < m_version)
             return sendRequestAfter(retryDelay);
         m_rows.clear();
         for (const auto& it : answer->rows)
--- a/src/directory/TableWatch.h
+++ b/src/directory/TableWatch.h
@@ -32,6 +32,9 @@
     /// its whole timeout. The argument is the time at which the first call answered after an outage of the platform was sent.
     void replaceOlderRequest(Instant answeredCallSentAt);
 
+    /// Reads the table again if its rows are of an earlier era. A watch request that was sent in that era may stay unanswered.
+    void beginEra(PlatformEra);
+
     /// The version of the platform's tables as of which the rows are known.
     RowVersion version() const { return m_version; }
 
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -161,6 +161,12 @@
               configuration = number; },
           [](const absl::Status&) {})
 {
+    rows.onEraChanged([this](PlatformEra era) {
+        if (!sharedRows.isUsingPlatform())
+            return;
+        controlWatch.beginEra(era);
+        configurationWatch.beginEra(era);
+    });
     rows.onReachedAgain([this](Instant sent) {
         controlWatch.replaceOlderRequest(sent);
         configurationWatch.replaceOlderRequest(sent);
--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -358,8 +358,8 @@
 
 TEST_CASE("input that is not a message of the protocol closes the channel and nothing else", "[distribution]")
 {
-    const std::string line = GENERATE(as<std::string> {}, "", "GET / HTTP/1.1", "{}", "[[[[[[[[[[[[[[[[[[[[[[[[", R"({"v":2,"kind":"renew"})", R"({"v":1,"kind":"renew","number":1,"epoch":1,"sessions":1})",
-        R"({"v":1,"kind":"rows","id":1,"version":1,"platform_time":1,"history_lost":false,"rows":[{}]})", R"({"v":1,"kind":"subscribe","instance":"x"})", R"({"v":1,"kind":"grant","number":-1})", "\xff\xfe");
+    const std::string line = GENERATE(as<std::string> {}, "", "GET / HTTP/1.1", "{}", "[[[[[[[[[[[[[[[[[[[[[[[[", R"({"v":1,"kind":"renew"})", R"({"v":2,"kind":"renew","number":1,"epoch":1,"sessions":1})",
+        R"({"v":2,"kind":"rows","id":1,"version":1,"platform_time":1,"history_lost":false,"rows":[{}]})", R"({"v":2,"kind":"subscribe","instance":"x"})", R"({"v":2,"kind":"grant","number":-1})", "\xff\xfe");
     DistributionFixture fixture(4, 1);
     const size_t holder = fixture.holders().front();
     bool isClosed = false;
@@ -459,14 +459,14 @@
     SourceClient client(fixture.loop, connector, rows, lease, daemon.log, { [] {}, [] {}, [] {}, [] {} });
     client.setCandidates({ { InstanceId("source"), { FailureDomainId("domain-0"), "source", 1, 2, 3, 0 }, true } });
     client.start();
-    connector.callbacks.onLine(R"({"v":1,"kind":"grant","number":1,"duration_ms":1e12,"platform_age_ms":0})");
+    connector.callbacks.onLine(R"({"v":2,"kind":"grant","number":1,"duration_ms":1e12,"platform_age_ms":0})");
     CHECK(lease.isValid());
     fixture.run(2510);
     CHECK_FALSE(lease.isValid());
 }
 
 // The platform returns from an older copy. Subscribers whose copies had higher versions kept them, and missed all later changes (issue 23).
-TEST_CASE("changes of configuration reach every daemon after the platform has returned from an older copy", "[restored][known-red]")
+TEST_CASE("changes of configuration reach every daemon after the platform has returned from an older copy", "[restored]")
 {
     DistributionFixture fixture(24, 2);
     const FakeTables::Copy copy = fixture.tables.copy();
--- a/src/distribution/SharedRows.cpp
+++ b/src/distribution/SharedRows.cpp
@@ -130,7 +130,7 @@
     TableCopy& copy = m_copies[request.table].rows;
     if (request.isWhole) {
         if (!copy.setAll(answer))
-            m_log.write("table_answer_ignored", { { "table", request.table }, { "copy_version", std::to_string(copy.version().value()) }, { "answer_version", std::to_string(answer.version.value()) }, { "from", m_way == Way::Source ? "source" : "platform" } });
+            m_log.write("table_answer_ignored", { { "table", request.table }, { "copy_version", textOf(copy.version()) }, { "answer_version", textOf(answer.version) }, { "from", m_way == Way::Source ? "source" : "platform" } });
     } else
         copy.applyChanges(answer);
     m_copyChanged(request.table);
@@ -170,12 +170,22 @@
         return;
     copy.isRefreshing = true;
     m_platform.watch(table, copy.rows.version(), Milliseconds(0), [this, table, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& answer) {
-        if (alive.expired())
-            return;
-        m_copies[table].isRefreshing = false;
-        if (answer.ok())
-            updateCopy({ 0, table, RowVersion(), false }, *answer);
+        if (!alive.expired())
+            applyRefresh(table, false, answer);
     });
 }
 
+// The copy may be of an earlier era than the subscriber's, so that the whole table has to be read.
+void SharedRows::applyRefresh(const std::string& table, bool isWhole, const absl::StatusOr<RowsAnswer>& answer)
+{
+    if (!isWhole && answer.ok() && answer->isHistoryLost)
+        return m_platform.readAll(table, [this, table, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<RowsAnswer>& whole) {
+            if (!alive.expired())
+                applyRefresh(table, true, whole);
+        });
+    m_copies[table].isRefreshing = false;
+    if (answer.ok())
+        updateCopy({ 0, table, RowVersion(), isWhole }, *answer);
+}
+
 }
--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -74,6 +74,7 @@
     void applyPlatformAnswer(const TableRequest&, const absl::StatusOr<RowsAnswer>&);
     void updateCopy(const TableRequest&, const RowsAnswer&);
     void refresh(const std::string& table, Copy&);
+    void applyRefresh(const std::string& table, bool isWhole, const absl::StatusOr<RowsAnswer>&);
 
     EventLoop& m_loop;
     PlatformRows& m_platform;
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-    constexpr unsigned protocolVersion = 1;
+    /// In version 1 the versions of rows had no era.
+    constexpr unsigned protocolVersion = 2;
     /// Between the JSON object and the compressed rows. JSON texts hold no unescaped tab.
     constexpr char compressedRowsSeparator = '\t';
     /// Rows whose text is longer are compressed. Tables hold many similar rows, which shrink to a sixth or less.
--- a/src/distribution/TableCopy.cpp
+++ b/src/distribution/TableCopy.cpp
@@ -16,6 +16,9 @@
 {
     if (m_isComplete && answer.version < m_version)
         return false;
+    // Rows of an earlier era say nothing about the present ones, whatever their versions.
+    if (answer.version.era() != m_version.era())
+        *this = TableCopy();
     std::set<std::string> present;
     for (const auto& it : answer.rows) {
         present.insert(it.key);
@@ -39,7 +42,7 @@
 
 void TableCopy::applyChanges(const RowsAnswer& answer)
 {
-    if (answer.isHistoryLost || !m_isComplete)
+    if (answer.isHistoryLost || !m_isComplete || answer.version.era() != m_version.era())
         return;
     for (const auto& it : answer.rows)
         applyRow(it);
--- a/src/distribution/TableCopy.h
+++ b/src/distribution/TableCopy.h
@@ -8,7 +8,7 @@
 namespace parsleypaddle {
 
 /// A copy of one table of the platform, with its recent changes, from which other daemons' requests are answered. Never returns to
-/// an older state. Does no I/O.
+/// an older state: a copy of one era is replaced as a whole by the first answer of a later one. Does no I/O.
 class TableCopy {
 public:
     /// Takes the whole table as read. Returns false if the copy is newer and stays as it is.
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -41,37 +41,37 @@
 
 FakeTables::Copy FakeTables::copy() const
 {
-    return { m_rows, m_version };
+    return { m_rows, m_version.number() };
 }
 
 void FakeTables::restore(const Copy& copy)
 {
     m_rows = copy.rows;
-    m_version = copy.version;
+    m_version = RowVersion(m_version.era().next(), copy.version);
     notify();
 }
 
 void FakeTables::forgetHistory()
 {
-    m_historyFrom = m_version;
+    m_historyFrom = m_version.number();
     notify();
 }
 
 RowVersion FakeTables::versionOf(const Name& name) const
 {
     auto it = m_rows.find(name);
-    return it == m_rows.end() || it->second.isDeleted ? RowVersion() : it->second.version;
+    return it == m_rows.end() || it->second.isDeleted ? inPresentEra(0) : inPresentEra(it->second.version);
 }
 
 TransactionAnswer FakeTables::apply(const RowsTransaction& transaction)
 {
     TransactionAnswer answer;
     answer.platformTime = time();
-    answer.isApplied = std::all_of(transaction.expected.begin(), transaction.expected.end(), [this](const RowExpectation& it) { return versionOf({ it.table, it.key }) == it.version; });
+    answer.isApplied = std::all_of(transaction.expected.begin(), transaction.expected.end(), [this](const RowExpectation& it) { return versionOf({ it.table, it.key }).number() == it.version.number(); });
     answer.version = m_version;
     if (!answer.isApplied) {
         for (const auto& it : transaction.expected) {
-            if (versionOf({ it.table, it.key }) != RowVersion())
+            if (versionOf({ it.table, it.key }).number() != 0)
                 answer.rows.push_back({ it.table, it.key, m_rows[{ it.table, it.key }].value, versionOf({ it.table, it.key }) });
         }
         return answer;
@@ -79,9 +79,9 @@
     m_version = m_version.next();
     answer.version = m_version;
     for (const auto& it : transaction.writes)
-        m_rows[{ it.table, it.key }] = { it.value, m_version, false };
+        m_rows[{ it.table, it.key }] = { it.value, m_version.number(), false };
     for (const auto& it : transaction.removals)
-        m_rows[{ it.table, it.key }] = { "", m_version, true };
+        m_rows[{ it.table, it.key }] = { "", m_version.number(), true };
     notify();
     return answer;
 }
@@ -93,7 +93,7 @@
     answer.platformTime = time();
     for (const auto& [name, row] : m_rows) {
         if (name.first == table && !row.isDeleted)
-            answer.rows.push_back({ table, name.second, row.value, row.version });
+            answer.rows.push_back({ table, name.second, row.value, inPresentEra(row.version) });
     }
     return answer;
 }
@@ -103,10 +103,10 @@
     RowsAnswer answer;
     answer.version = m_version;
     answer.platformTime = time();
-    answer.isHistoryLost = after < m_historyFrom || after > m_version;
+    answer.isHistoryLost = after.era() != m_version.era() || after.number() < m_historyFrom;
     for (const auto& [name, row] : m_rows) {
-        if (name.first == table && row.version > after)
-            answer.rows.push_back({ table, name.second, row.value, row.version, row.isDeleted });
+        if (name.first == table && inPresentEra(row.version) > after)
+            answer.rows.push_back({ table, name.second, row.value, inPresentEra(row.version), row.isDeleted });
     }
     std::sort(answer.rows.begin(), answer.rows.end(), [](const StoredRow& a, const StoredRow& b) { return a.version < b.version; });
     return answer;
@@ -134,6 +134,8 @@
         if (alive.expired())
             return;
         const bool wasLost = std::exchange(m_isLost, !answer.ok());
+        if (answer.ok() && std::exchange(m_era, std::max(m_era, answer->version.era())) < answer->version.era())
+            tellEraChanged(m_era);
         done(answer);
         if (wasLost && answer.ok())
             tellReachedAgain(sent);
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -28,7 +28,7 @@
     /// The rows as of one moment.
     struct Copy;
     Copy copy() const;
-    /// Returns to a copy: later writes are lost, and their versions are given out again.
+    /// Returns to a copy: an era begins, later writes are lost, and their version numbers are given out again.
     void restore(const Copy&);
 
     /// Forgets which rows changed when, so that watches have to read anew.
@@ -39,12 +39,14 @@
 
     struct Row {
         std::string value;
-        RowVersion version;
+        /// The number of its version. All rows are told with the present era.
+        uint64_t version { 0 };
         bool isDeleted { false };
     };
     using Name = std::pair<std::string, std::string>;
 
     RowVersion versionOf(const Name&) const;
+    RowVersion inPresentEra(uint64_t number) const { return { m_version.era(), number }; }
     TransactionAnswer apply(const RowsTransaction&);
     RowsAnswer readAll(const std::string& table) const;
     RowsAnswer changes(const std::string& table, RowVersion after) const;
@@ -56,14 +58,14 @@
 
     EventLoop& m_loop;
     std::map<Name, Row> m_rows;
-    RowVersion m_version { 1 };
-    RowVersion m_historyFrom;
+    RowVersion m_version { firstEra, 1 };
+    uint64_t m_historyFrom { 0 };
     std::vector<std::weak_ptr<std::function<void()>>> m_watchers;
 };
 
 struct FakeTables::Copy {
     std::map<Name, Row> rows;
-    RowVersion version;
+    uint64_t version;
 };
 
 /// One daemon's way to the tables, with faults.
@@ -99,6 +101,7 @@
     EventLoop& m_loop;
     FakeTables& m_tables;
     bool m_isLost { false };
+    PlatformEra m_era { firstEra };
     Instant m_linkFreeAt;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "platform_ports/RowVersion.h"
 
 #include <absl/status/statusor.h>
 #include <functional>
@@ -72,9 +73,6 @@
     virtual void list(ListDone) = 0;
 };
 
-/// Grows with every change that the platform's table accepts; 0 stands for a row that does not exist.
-using RowVersion = Ordinal<struct RowVersionTag>;
-
 /// One row of a table of the platform.
 struct StoredRow {
     std::string table;
@@ -92,11 +90,12 @@
     RowVersion version;
     /// The platform's own steady clock at that moment.
     Instant platformTime;
-    /// Told to a watch: the changes since the version asked for are forgotten, and the table has to be read again.
+    /// Told to a watch: the changes since the version asked for are forgotten, or the version is of another era, and the table has to be
+    /// read again.
     bool isHistoryLost { false };
 };
 
-/// The version that a row must have for a transaction to be applied.
+/// The version that a row must have for a transaction to be applied. The platform compares the number only; see eraFence().
 struct RowExpectation {
     std::string table;
     std::string key;
@@ -141,7 +140,7 @@
 
     virtual ~PlatformRows() = default;
 
-    /// Reads a whole table.
+    /// Reads a whole table, as of one era.
     virtual void readAll(const std::string& table, RowsDone) = 0;
 
     /// Answers with the changes of a table after a version as soon as there is one, or with none after `wait`.
@@ -149,14 +148,19 @@
 
     virtual void transact(const RowsTransaction&, TransactionDone) = 0;
 
+    /// Called when an answer tells another era than the one before.
+    void onEraChanged(std::function<void(PlatformEra)> function) { m_eraChanged = std::move(function); }
+
     /// Called when a call is answered after others were not, with the moment at which it was sent.
     void onReachedAgain(std::function<void(Instant)> function) { m_reachedAgain = std::move(function); }
 
 protected:
     void tellReachedAgain(Instant sent) { m_reachedAgain(sent); }
+    void tellEraChanged(PlatformEra era) { m_eraChanged(era); }
 
 private:
     std::function<void(Instant)> m_reachedAgain { [](Instant) {} };
+    std::function<void(PlatformEra)> m_eraChanged { [](PlatformEra) {} };
 };
 
 /// Appoints the primary of a group. The platform promotes whomever it is told to, so the caller makes sure that only one
