Reinstate primaries and leases when the platform returns from an older copy

Cause: the epoch that daemons had confirmed (159) was above that of the copy (none), so every renewal of a lease was rejected for good. Behind it stands the same assumption three more times: records of groups were newer by number only, a release was read from rows that the copy does not list, and a record of the copy names a primary that was replaced since. Class of fault: conclusions from the absence of a row in a store that had lost rows.

Evidence: lease_renewal_rejected at every daemon, expected epoch 159, present none.

A daemon whose lease from before is still valid knows that no primary was replaced without it; it goes on and reinstates the record. All others wait for a record of the present era. What nobody knows for certain is written as a change of primary, which asks the targets. Nothing is promoted before the longest lease of earlier eras has expired, since the copy does not list them. The fencing token is era and number, so it never decreases. Leases of the copy do not shrink the list of peers while holders renew.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -51,6 +51,16 @@
         m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("the answer was lost")); });
 }
 
+bool FakePromotions::areFencingTokensOrdered() const
+{
+    for (size_t n = 1; n < requests.size(); ++n) {
+        const bool isSameLeaseHolder = requests[n].leaseHolder == requests[n - 1].leaseHolder;
+        if (requests[n].fencingToken < requests[n - 1].fencingToken || (requests[n].fencingToken == requests[n - 1].fencingToken && !isSameLeaseHolder))
+            return false;
+    }
+    return true;
+}
+
 FailoverDaemon::FailoverDaemon(EventLoop& loop, FakeTables& tables, PromotionPort& promotions, SimulatedTargets& targets, const std::string& name, const std::string& incarnation)
     : rows(loop, tables)
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
@@ -60,8 +70,9 @@
     , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log, [this, &tables] { return targetListVersion.value_or(tables.version()); } })
     , relay(loop, targets, lease, failover, log, metrics, membership)
     , controlWatch(
-          loop, rows, controlTable, Milliseconds(5000), [this](const TableWatch::Rows& it) { failover.setRows(it); }, [](const absl::Status&) {})
+          loop, rows, controlTable, Milliseconds(5000), [this](const TableWatch::Rows& it) { failover.setRows(it, controlWatch.version()); }, [](const absl::Status&) {})
 {
+    rows.onEraChanged([this](PlatformEra era) { controlWatch.beginEra(era); });
     rows.onReachedAgain([this](Instant sent) { controlWatch.replaceOlderRequest(sent); });
 }
 
@@ -169,6 +180,21 @@
     return error;
 }
 
+void FailoverFixture::writeFromAllDaemons()
+{
+    for (size_t it = 0; it < daemons.size(); ++it)
+        write(it);
+}
+
+void FailoverFixture::runWithTraffic(double milliseconds)
+{
+    const Instant end = loop.now() + Milliseconds(milliseconds);
+    while (loop.now() < end) {
+        writeFromAllDaemons();
+        run(20);
+    }
+}
+
 size_t FailoverFixture::suspicionsWritten() const
 {
     size_t n = 0;
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -30,6 +30,9 @@
 
     void promote(const GroupId&, const TargetId&, const InstanceId& leaseHolder, RowVersion fencingToken, Done) override;
 
+    /// Whether no request had a lower token than an earlier one, nor the same as that of another daemon.
+    bool areFencingTokensOrdered() const;
+
     /// Promotions take effect, but the caller gets an error after 1500 ms.
     bool losesAnswers { false };
     /// Requests are accepted, but no target becomes primary.
@@ -81,6 +84,10 @@
     void setListed(const std::string& target, bool isListed);
     /// Sends a write to a daemon and returns its error: None if the write was acknowledged, TimedOut without an answer in 3 s.
     RelayError write(size_t daemon);
+    /// Sends a write to every daemon, so that each of them uses the primary.
+    void writeFromAllDaemons();
+    /// Lets the time pass while every daemon sends writes.
+    void runWithTraffic(double milliseconds);
     /// Number of daemons that know the target as the primary and whose record of it is open.
     size_t countDaemonsUsing(const std::string& target);
     /// Number of suspicions that the running daemons have recorded, according to their logs.
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -1,8 +1,10 @@
 #include "failover/FailoverManager.h"
 
 #include "leases/Epoch.h"
+#include "leases/PlatformEraRow.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -26,7 +28,8 @@
 }
 
 FailoverManager::FailoverManager(FailoverContext context)
-    : m_context(context)
+    : m_context(std::move(context))
+    , m_eraRowWriter(m_context)
 {
 }
 
@@ -52,39 +55,81 @@
     return *failover;
 }
 
-void FailoverManager::setRows(const std::map<std::string, StoredRow>& rows)
+void FailoverManager::setRows(const std::map<std::string, StoredRow>& rows, RowVersion asOf)
 {
+    if (asOf.era() != m_context.era->era)
+        beginEra(asOf.era());
+    applyEraRow(rows);
     const auto epoch = rows.find(epochKey);
-    m_epoch = epoch == rows.end() ? RowVersion() : epoch->second.version;
+    m_epoch = epoch == rows.end() ? RowVersion(asOf.era(), 0) : epoch->second.version;
     m_areRowsKnown = true;
     const std::string prefix = groupKey(GroupId());
     size_t firstRecords = 0;
     RowVersion newest;
     for (auto it = rows.lower_bound(prefix); it != rows.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
         const GroupId group(it->first.substr(prefix.size()));
-        GroupFailover& failover = failoverOf(group);
-        // With hundreds of groups, decoding all records at each change of one would take most of the daemon's time.
-        if (failover.recordVersion() == it->second.version) {
-            failover.setEpoch(m_epoch);
-            failover.setSuspicions(suspectingDaemons(rows, group, failover.knownPrimary().term));
-            continue;
-        }
-        const auto record = decodeGroupRecord(it->second.value);
-        if (!record.ok()) {
-            m_context.log.write("primary_record_malformed", { { "group", group.value() }, { "fault", std::string(record.status().message()) } });
-            continue;
-        }
-        firstRecords += failover.recordVersion() == RowVersion() ? 1 : 0;
+        firstRecords += failoverOf(group).recordVersion() == RowVersion() ? 1 : 0;
         newest = std::max(newest, it->second.version);
-        failover.setRecord(*record, it->second.version, m_epoch);
-        failover.setSuspicions(suspectingDaemons(rows, group, record->term));
-        m_relay->setPrimary(group, failover.knownPrimary());
+        applyRecord(rows, it->second, group);
     }
     if (firstRecords > 0)
-        m_context.log.write("primary_records_received", { { "first_records", std::to_string(firstRecords) }, { "newest_version", std::to_string(newest.value()) }, { "epoch", std::to_string(m_epoch.value()) } });
+        m_context.log.write("primary_records_received", { { "first_records", std::to_string(firstRecords) }, { "newest_version", textOf(newest) }, { "epoch", textOf(m_epoch) } });
     tick();
 }
 
+// Leases of the earlier era that are still valid show that no primary was replaced in it without this daemon's release: a change waits
+// for them, and after the end of the era nobody can read that they have expired.
+void FailoverManager::beginEra(PlatformEra era)
+{
+    const bool knowsPrimaries = m_areRowsKnown && m_context.lease.isValid();
+    if (m_areRowsKnown)
+        m_context.log.write("platform_restored", { { "era", std::to_string(era.value()) }, { "previous", std::to_string(m_context.era->era.value()) }, { "lease", m_context.lease.isValid() ? "valid" : "expired" }, { "epoch", textOf(m_epoch) }, { "groups", std::to_string(m_groups.size()) } });
+    *m_context.era = { era, std::nullopt, Instant() };
+    for (auto& [group, failover] : m_groups) {
+        failover->beginEra(knowsPrimaries);
+        m_relay->setPrimary(group, failover->knownPrimary());
+    }
+}
+
+void FailoverManager::applyEraRow(const std::map<std::string, StoredRow>& rows)
+{
+    PlatformEraState& state = *m_context.era;
+    const auto it = rows.find(eraKey(state.era));
+    if (!state.isRestored() || state.row || it == rows.end())
+        return;
+    const auto row = decodeEraRow(it->second);
+    if (!row.ok()) {
+        m_context.log.write("platform_era_malformed", { { "era", std::to_string(state.era.value()) }, { "fault", std::string(row.status().message()) } });
+        return;
+    }
+    state.row = *row;
+    state.rowSince = m_context.loop.now();
+    m_context.log.write("platform_era_known", { { "era", std::to_string(state.era.value()) }, { "version", textOf(row->version) }, { "began_at", std::to_string(row->beganAt.sinceEpoch()) } });
+}
+
+void FailoverManager::applyRecord(const std::map<std::string, StoredRow>& rows, const StoredRow& row, const GroupId& group)
+{
+    GroupFailover& failover = failoverOf(group);
+    const bool isPresent = m_context.era->isPresent(row.version);
+    // With hundreds of groups, decoding all records at each change of one would take most of the daemon's time.
+    if (row.version == (isPresent ? failover.recordVersion() : failover.rowVersion())) {
+        failover.setEpoch(m_epoch);
+        failover.setSuspicions(suspectingDaemons(rows, group, failover.knownPrimary().term));
+        return;
+    }
+    const auto record = decodeGroupRecord(row.value);
+    if (!record.ok()) {
+        m_context.log.write("primary_record_malformed", { { "group", group.value() }, { "fault", std::string(record.status().message()) } });
+        return;
+    }
+    if (isPresent)
+        failover.setRecord(*record, row.version, m_epoch);
+    else
+        failover.setRecordOfCopy(*record, row.version, m_epoch);
+    failover.setSuspicions(suspectingDaemons(rows, group, failover.knownPrimary().term));
+    m_relay->setPrimary(group, failover.knownPrimary());
+}
+
 void FailoverManager::setTargets(const std::vector<TargetEntry>& entries)
 {
     m_areTargetsKnown = true;
@@ -99,9 +144,9 @@
         failoverOf(group).setTargets(std::move(list));
 }
 
-bool FailoverManager::awaitsFirstRecords() const
+bool FailoverManager::awaitsRecords() const
 {
-    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->awaitsFirstRecord(); });
+    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->awaitsRecord(); });
 }
 
 bool FailoverManager::mayOwnChange() const
@@ -126,6 +171,7 @@
     const bool isIdleTickDue = now >= m_nextIdleTick;
     if (isIdleTickDue)
         m_nextIdleTick = now + idleTickInterval;
+    m_eraRowWriter.tick();
     bool needsFrequentTicks = false;
     for (auto& [group, failover] : m_groups) {
         if (!m_areRowsKnown || (!isIdleTickDue && !failover->needsFrequentTicks()))
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -2,6 +2,7 @@
 
 #include "failover/FailoverTimes.h"
 #include "leases/Epoch.h"
+#include "leases/PlatformEraRow.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,9 +15,6 @@
     /// Delay per rank before a daemon creates a group's record. When a fleet starts, the platform records the first primaries of hundreds
     /// of groups one after the other, which takes longer than staggerPerRank.
     constexpr Milliseconds bootstrapStaggerPerRank { 400 };
-    /// Groups whose first records a daemon prepares at the same time. Each takes some 30 ms if its targets and the platform answer. All
-    /// holders together then have fewer transactions on the way than the platform carries out in a second.
-    constexpr uint32_t maxFirstRecords = 8;
     /// Interval at which the targets of a group without a record are probed, doubled with each round up to the maximum, and the delay after this daemon has written one, until it
     /// receives it.
     constexpr Milliseconds bootstrapProbeInterval { 250 };
@@ -65,12 +63,17 @@
     const bool wasOpen = !m_record || m_record->phase == GroupPhase::Open;
     // FailoverManager writes one line for all first records: a daemon that starts reads those of hundreds of groups at once.
     if (m_record || record.phase != GroupPhase::Open)
-        m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "version", std::to_string(version.value()) } });
+        m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "reinstated", record.isReinstated ? "yes" : "no" }, { "version", textOf(version) } });
     if (!m_isWriting)
         endFirstRecord();
+    if (record.isReinstated)
+        keepEarlierRecord();
     m_record = record;
     m_version = version;
+    m_rowVersion = version;
     m_recordSince = now;
+    if (!record.isReinstated)
+        m_earlierRecord.reset();
     if (record.phase == GroupPhase::Open) {
         m_hasReleasedPrimary = true;
         m_consecutiveFailedProbes = 0;
@@ -120,8 +123,10 @@
 
 bool GroupFailover::needsFrequentTicks() const
 {
-    // Only holders write a group's first record.
-    if (!m_record)
+    if (!m_hasReleasedPrimary)
+        return true;
+    // Only holders write a group's first record in an era.
+    if (!hasPresentRecord())
         return m_context.lease.holdsRow();
     return m_record->phase != GroupPhase::Open || m_isProbeRequested || m_leavingSince || m_missingSince;
 }
@@ -129,7 +134,7 @@
 PrimaryView GroupFailover::knownPrimary() const
 {
     if (!m_record)
-        return {};
+        return m_earlierRecord ? PrimaryView { m_earlierRecord->primary, m_earlierRecord->term, false } : PrimaryView {};
     return { m_record->primary, m_record->term, m_record->phase == GroupPhase::Open };
 }
 
@@ -156,8 +161,12 @@
     // Until the target list has been read, every primary would appear to be missing from it.
     if (m_isWriting || !m_areTargetsKnown)
         return;
-    if (!m_record)
-        return bootstrap();
+    if (!hasPresentRecord())
+        return reinstateRecord();
+    if (m_record->isReinstated && m_earlierRecord)
+        correctReinstatement();
+    if (m_isWriting)
+        return;
     if (m_record->phase == GroupPhase::Open)
         return monitorPrimary(group);
     if (isChangeOwner())
@@ -172,14 +181,15 @@
     const size_t n = group.primaryUses();
     group.abandonPrimary();
     m_hasReleasedPrimary = true;
-    m_context.log.write("primary_released", { { "group", m_group.value() }, { "term", std::to_string(m_record->term.value()) }, { "abandoned", std::to_string(n) } });
+    m_context.log.write("primary_released", { { "group", m_group.value() }, { "term", std::to_string(knownPrimary().term.value()) }, { "abandoned", std::to_string(n) } });
 }
 
 // Creates the group's record when there is none, with a target that reports itself as primary.
 void GroupFailover::bootstrap()
 {
     const Instant now = m_context.loop.now();
-    if (m_targets.empty() || !m_context.lease.holdsRow())
+    const auto platformTime = m_context.lease.platformTime();
+    if (m_targets.empty() || !m_context.lease.holdsRow() || !platformTime || !m_context.era->isSettled(*platformTime))
         return endFirstRecord();
     if (m_recordSince == Instant()) {
         m_recordSince = now;
@@ -194,7 +204,7 @@
     // The rank is computed anew, because the leases of the other holders may have been read only now.
     if (now < m_recordSince + bootstrapStaggerPerRank * m_context.leaseMonitor.rankFor(m_group) || now < m_nextProbe)
         return;
-    if (m_pendingProbes > 0 || *m_context.firstRecords >= maxFirstRecords)
+    if (m_pendingProbes > 0 || *m_context.firstRecords >= maxRecordsPrepared)
         return;
     ++*m_context.firstRecords;
     m_isPreparingFirstRecord = true;
@@ -211,14 +221,13 @@
 // Records the target that reported itself as primary in the last round of probes, if one did.
 bool GroupFailover::createFirstRecord()
 {
-    for (const auto& [id, probe] : m_probes) {
-        if (probe.report && probe.report->isPrimary) {
-            m_nextProbe = m_context.loop.now() + bootstrapRetryDelay;
-            writeRecord(makeOpenRecord(id, probe.report->term), false, "the group has no record yet and this target is primary");
-            return true;
-        }
-    }
-    return false;
+    const auto term = [](const ProbeResult& it) { return it.report && it.report->isPrimary ? it.report->term : Term(); };
+    const auto newest = std::max_element(m_probes.begin(), m_probes.end(), [&term](const auto& a, const auto& b) { return term(a.second) < term(b.second); });
+    if (newest == m_probes.end() || !newest->second.report || !newest->second.report->isPrimary)
+        return false;
+    m_nextProbe = m_context.loop.now() + bootstrapRetryDelay;
+    writeRecord(makeOpenRecord(newest->first, newest->second.report->term), false, "the group has no record yet and this target is primary");
+    return true;
 }
 
 void GroupFailover::monitorPrimary(const RelayGroup& group)
@@ -347,6 +356,7 @@
     record.owner = m_context.lease.instance();
     record.ownerIncarnation = m_context.lease.incarnation();
     record.candidate = TargetId();
+    record.isReinstated = false;
     writeRecord(std::move(record), true, why);
 }
 
@@ -362,7 +372,7 @@
         if (alive.expired())
             return;
         m_isReadingLeases = false;
-        if (!table.ok() || version != m_version || table->hasValidLease(m_record->owner, m_record->ownerIncarnation))
+        if (!table.ok() || version != m_version || !hasPresentRecord() || table->version.era() != m_version.era() || table->hasValidLease(m_record->owner, m_record->ownerIncarnation))
             return;
         GroupRecord record = *m_record;
         record.phase = GroupPhase::Closing;
@@ -386,7 +396,8 @@
 void GroupFailover::writeRecord(GroupRecord record, bool updatesEpoch, std::string_view why)
 {
     RowsTransaction transaction;
-    transaction.expected.push_back({ controlTable, groupKey(m_group), m_version });
+    transaction.expected.push_back({ controlTable, groupKey(m_group), m_rowVersion });
+    transaction.expected.push_back(eraFence(m_context.era->era));
     transaction.writes.push_back({ controlTable, groupKey(m_group), encodeGroupRecord(record) });
     if (updatesEpoch)
         transaction.writes.push_back({ controlTable, epochKey, m_group.value() });
@@ -395,7 +406,7 @@
             transaction.removals.push_back({ controlTable, suspicionKey(m_group, it) });
     }
     m_isWriting = true;
-    m_context.log.write("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "expected_version", std::to_string(m_version.value()) }, { "why", std::string(why) } });
+    m_context.log.write("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "expected_version", textOf(m_rowVersion) }, { "why", std::string(why) } });
     const TargetEntry* old = m_record ? find(m_record->primary) : nullptr;
     const bool isReplaced = old && record.phase == GroupPhase::Open && record.primary != m_record->primary;
     const auto demoted = isReplaced ? std::make_optional(old->target) : std::nullopt;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -2,6 +2,7 @@
 
 #include "failover/GroupRecord.h"
 #include "failover/LeaseMonitor.h"
+#include "failover/PlatformEraState.h"
 #include "failover/TargetProbe.h"
 #include "leases/InstanceLease.h"
 #include "relay/RelayGroup.h"
@@ -29,6 +30,7 @@
     /// Number of groups whose first record this daemon prepares now: it probes their targets or writes the record. Shared, because the
     /// limit is one for all groups.
     std::shared_ptr<uint32_t> firstRecords { std::make_shared<uint32_t>(0) };
+    std::shared_ptr<PlatformEraState> era { std::make_shared<PlatformEraState>() };
 };
 
 /// One daemon's part in the failover of one group. It stops using a primary that is being replaced, and may record a suspicion
@@ -41,8 +43,15 @@
     /// Applies the group's record, unless `version` is not newer than that of the current record. `epoch` is the version of the
     /// epoch row that was read with it, and is applied in either case.
     void setRecord(const GroupRecord&, RowVersion version, RowVersion epoch);
+    /// Applies a record that was in the copy from which the platform has returned. It is used only if no daemon reinstates a later one.
+    void setRecordOfCopy(const GroupRecord&, RowVersion version, RowVersion epoch);
+    /// Notes that an era of the platform has begun. With `knowsPrimary`, this daemon goes on under the record that it has, and
+    /// reinstates it if it is a holder. Otherwise it stops using the primary.
+    void beginEra(bool knowsPrimary);
     /// The version of the current record; 0 without one.
     RowVersion recordVersion() const { return m_version; }
+    /// The version of the platform's row, which may come from a copy; number 0 if there is none.
+    RowVersion rowVersion() const { return m_rowVersion; }
     /// Sets the version of the epoch row when the record has not changed.
     void setEpoch(RowVersion epoch) { m_epoch = epoch; }
     /// Sets the daemons that have recorded a suspicion against the primary of the current term.
@@ -63,8 +72,8 @@
     /// change has ended.
     bool hasReleasedPrimary() const { return m_hasReleasedPrimary; }
 
-    /// Whether the group has targets and no record yet.
-    bool awaitsFirstRecord() const { return !m_record && !m_targets.empty(); }
+    /// Whether the group has targets and no record of the present era.
+    bool awaitsRecord() const { return !hasPresentRecord() && !m_targets.empty(); }
 
     /// Whether this daemon carries out a change, or may be about to because a record is being written.
     bool mayOwnChange() const;
@@ -73,6 +82,16 @@
     PrimaryView knownPrimary() const;
 
 private:
+    bool hasPresentRecord() const;
+    void reinstateRecord();
+    void writeReinstatement(GroupRecord);
+    void correctReinstatement();
+    /// Keeps the present record as one of an earlier era, unless that is later.
+    void keepEarlierRecord();
+    /// Opens the group if a target leads a later term than that of the reinstated record.
+    bool adoptPromotedTarget();
+    /// Whether the probes show that the primary of a reinstated record was not replaced.
+    bool isUnreplaced() const;
     void releasePrimary(RelayGroup&);
     void bootstrap();
     bool createFirstRecord();
@@ -106,8 +125,15 @@
 
     FailoverContext m_context;
     GroupId m_group;
+    /// The record under which this daemon acts. It may be of an earlier era than the present one.
     std::optional<GroupRecord> m_record;
     RowVersion m_version;
+    /// The latest record of an earlier era, of which this daemon does not know whether a later one was lost.
+    std::optional<GroupRecord> m_earlierRecord;
+    /// Whether that was received in its era, instead of being in the copy.
+    bool m_wasEarlierReceived { false };
+    RowVersion m_rowVersion;
+    Instant m_nextReinstatement;
     RowVersion m_epoch;
     /// When this daemon received the current version of the record. While there is no record: since when the group's targets have been
     /// known.
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -34,6 +34,8 @@
         return monitorPromotion();
     if (m_context.loop.now() >= m_nextProbe)
         probeTargets();
+    if (m_record->isReinstated && adoptPromotedTarget())
+        return;
     if (hasPrimaryRecovered())
         return writeRecord(makeOpenRecord(m_record->primary, m_record->term), false, "the primary answers again and its term is unchanged");
     if (m_isReleasedEverywhere && m_isProbeRoundComplete)
@@ -48,6 +50,8 @@
     // Once there is a candidate, its promotion may have been requested, so the old primary must not be used again.
     if (m_record->isPlanned || !m_record->candidate.isEmpty() || !entry || entry->isLeaving || probe == m_probes.end() || !probe->second.report)
         return false;
+    if (m_record->isReinstated && !isUnreplaced())
+        return false;
     return probe->second.report->isPrimary && probe->second.report->term == m_record->term;
 }
 
@@ -62,12 +66,12 @@
         if (alive.expired())
             return;
         m_isReadingLeases = false;
-        if (!table.ok() || version != m_version || !table->isReleasedByAll(epoch))
+        if (!table.ok() || version != m_version || !table->isReleasedByAll(epoch) || !m_context.era->isSettled(table->platformTime))
             return;
         m_isReleasedEverywhere = true;
         // Log positions reported earlier may be outdated, since statements could still write until now.
         m_isProbeRoundComplete = false;
-        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", std::to_string(epoch.value()) }, { "leases", std::to_string(table->entries.size()) } });
+        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", textOf(epoch) }, { "leases", std::to_string(table->entries.size()) } });
     });
 }
 
--- a/src/failover/GroupRecord.cpp
+++ b/src/failover/GroupRecord.cpp
@@ -33,6 +33,7 @@
     value["owner"] = record.owner.value();
     value["incarnation"] = record.ownerIncarnation;
     value["candidate"] = record.candidate.value();
+    value["reinstated"] = record.isReinstated;
     return writeJson(value);
 }
 
@@ -60,6 +61,7 @@
     record.owner = InstanceId(value["owner"].asString());
     record.ownerIncarnation = value["incarnation"].asString();
     record.candidate = TargetId(value["candidate"].asString());
+    record.isReinstated = value["reinstated"].isBool() && value["reinstated"].asBool();
     return record;
 }
 
--- a/src/failover/GroupRecord.h
+++ b/src/failover/GroupRecord.h
@@ -31,6 +31,8 @@
     std::string ownerIncarnation;
     /// The target to promote. Set while Promoting, and kept if the phase returns to Closing.
     TargetId candidate;
+    /// The record was written after the platform had returned from a copy, by a daemon that may not know how far the change had come.
+    bool isReinstated { false };
 };
 
 std::string encodeGroupRecord(const GroupRecord&);
--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -14,6 +14,8 @@
     constexpr Milliseconds secondReadDelay { 1500 };
     /// With many holders each of them reads less often, since every read returns all rows.
     constexpr Milliseconds refreshIntervalPerHolder { 500 };
+    /// After the platform has returned from a copy, all holders that reach it renew their leases in this time.
+    constexpr Milliseconds renewalPeriod { 2500 };
     /// Every recorded suspicion is delivered to all daemons that watch the control table, so the number of
     /// voters is limited.
     constexpr size_t maxVoters = 9;
@@ -25,7 +27,7 @@
 
 bool LeaseTable::isReleasedByAll(RowVersion epoch) const
 {
-    return std::none_of(entries.begin(), entries.end(), [&](const Entry& it) { return it.version <= epoch && !isExpired(it.lease, platformTime); });
+    return version.era() == epoch.era() && std::none_of(entries.begin(), entries.end(), [&](const Entry& it) { return it.version <= epoch && !isExpired(it.lease, platformTime); });
 }
 
 bool LeaseTable::hasValidLease(const InstanceId& instance, const std::string& incarnation) const
@@ -75,6 +77,7 @@
         if (!answer.ok())
             return done(answer.status());
         LeaseTable table;
+        table.version = answer->version;
         table.platformTime = answer->platformTime;
         for (const auto& it : answer->rows) {
             // At each read, a row that cannot be decoded counts as a lease requested just then, since its daemon may be using a
@@ -82,11 +85,29 @@
             const auto lease = decodeLeaseRow(it.value);
             table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : LeaseRow { "", answer->platformTime, malformedRowDuration, {}, 0 }, it.version });
         }
-        applyTable(table);
+        if (!areFromCopy(table))
+            applyTable(table);
         done(table);
     });
 }
 
+bool LeaseMonitor::areFromCopy(const LeaseTable& table)
+{
+    const PlatformEra era = table.version.era();
+    if (era > m_era) {
+        const bool isReturn = m_era != PlatformEra();
+        m_era = era;
+        if (isReturn) {
+            m_fromCopyUntil = m_loop.now() + renewalPeriod;
+            m_loop.after(renewalPeriod, [this, alive = std::weak_ptr<bool>(m_alive)] {
+                if (!alive.expired())
+                    readFrom(m_recent, [](const absl::StatusOr<LeaseTable>&) {});
+            });
+        }
+    }
+    return m_loop.now() < m_fromCopyUntil;
+}
+
 void LeaseMonitor::applyTable(const LeaseTable& table)
 {
     std::map<InstanceId, Peer> peers;
--- a/src/failover/LeaseMonitor.h
+++ b/src/failover/LeaseMonitor.h
@@ -22,10 +22,12 @@
 
     /// One for each row. An instance may have several, of which all but one belong to processes that have ended.
     std::vector<Entry> entries;
+    /// As of which version the leases were read.
+    RowVersion version;
     Instant platformTime;
 
-    /// Whether no daemon can still use a primary whose change began with version `epoch` of the epoch row: every lease was
-    /// renewed later or has expired.
+    /// Whether no daemon can still use a primary under a lease of this era, if the primary's change began with version `epoch` of the
+    /// epoch row: every lease was renewed later or has expired. False for an epoch of another era.
     bool isReleasedByAll(RowVersion epoch) const;
     /// Whether the daemon's process with this incarnation holds a lease that has not expired.
     bool hasValidLease(const InstanceId&, const std::string& incarnation) const;
@@ -40,7 +42,8 @@
 };
 
 /// Reads all leases periodically and derives from them the live daemons, the voters of each group, and this daemon's share of
-/// the connections. Daemons that hold rows are holders; the others are listed in the rows of the holders that grant them leases.
+/// the connections. When the platform returns from a copy, the values below stay as they are until the holders have renewed their
+/// leases. Daemons that hold rows are holders; the others are listed in the rows of the holders that grant them leases.
 class LeaseMonitor {
 public:
     using Done = std::function<void(const absl::StatusOr<LeaseTable>&)>;
@@ -80,6 +83,8 @@
     void refresh();
     void readFrom(PlatformRows&, Done);
     void applyTable(const LeaseTable&);
+    /// Whether the leases are those of a copy from which the platform has just returned, so that live daemons seem to have none.
+    bool areFromCopy(const LeaseTable&);
     void applyHolders(const LeaseTable&);
     void applySessions(const LeaseTable&);
 
@@ -97,6 +102,9 @@
     uint32_t m_position { 0 };
     double m_share { 1 };
     std::vector<Peer> m_peers;
+    PlatformEra m_era;
+    /// Until then leases that were read in the present era are not applied.
+    Instant m_fromCopyUntil;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -1,6 +1,7 @@
 #include "leases/InstanceLease.h"
 
 #include "leases/Epoch.h"
+#include "leases/PlatformEraRow.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +23,7 @@
     /// Duration of a lease in renewal intervals, unless minLeaseDuration is longer. Two renewals can be missed before the lease
     /// expires.
     constexpr double renewIntervalsPerLease = 3.3;
+    static_assert(maxRenewInterval * renewIntervalsPerLease <= InstanceLease::maxDuration && minLeaseDuration <= InstanceLease::maxDuration);
     constexpr Milliseconds retryDelay { 250 };
     /// The clocks of two instances run at the same rate within a few parts per thousand.
     constexpr Milliseconds grantClockDrift { 50 };
@@ -148,6 +150,7 @@
         if (!answer.ok())
             return scheduleRenewal(retryDelay);
         setPlatformTime(answer->platformTime, sentAt);
+        m_era = std::max(m_era, answer->version.era());
         applyInitialState(*answer);
     });
 }
@@ -224,6 +227,13 @@
     return true;
 }
 
+// The epoch row of an earlier era may have the same number and mean other changes of primary. A process that has not read any does not
+// use any primary yet.
+bool InstanceLease::mustConfirmEra() const
+{
+    return m_epoch != RowVersion() && m_epoch.era() < m_era;
+}
+
 // Also expects the row's own version, so that a renewal that the platform applies late cannot overwrite a newer row.
 void InstanceLease::renew()
 {
@@ -233,6 +243,10 @@
         m_isRenewalPending = true;
         return;
     }
+    if (mustConfirmEra()) {
+        m_isRenewalPending = true;
+        return scheduleRenewal(retryDelay);
+    }
     if (isWaitingForMembers())
         return;
     m_isRenewalPending = false;
@@ -248,28 +262,32 @@
     RowsTransaction transaction;
     transaction.expected.push_back({ controlTable, epochKey, m_epoch });
     transaction.expected.push_back({ leaseTable, m_key, m_rowVersion });
+    transaction.expected.push_back(eraFence(std::max(m_era, m_epoch.era())));
     transaction.writes.push_back({ leaseTable, m_key, encodeLeaseRow(row) });
-    m_platform.transact(transaction, [this, sentAt, duration, hasGrants = row.hasGrants, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
+    m_platform.transact(transaction, [this, sentAt, duration, epoch = m_epoch, hasGrants = row.hasGrants, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (alive.expired())
             return;
         if (answer.ok() && answer->isApplied && m_isHolding)
             m_areGrantsAnnounced = hasGrants;
-        applyRenewalAnswer(answer, sentAt, duration);
+        applyRenewalAnswer(answer, sentAt, duration, epoch);
     });
 }
 
-void InstanceLease::applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>& answer, Instant sentAt, Milliseconds duration)
+void InstanceLease::applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>& answer, Instant sentAt, Milliseconds duration, RowVersion epoch)
 {
     m_isRenewing = false;
     if (!answer.ok())
         return scheduleRenewal(retryDelay);
     setPlatformTime(answer->platformTime, sentAt);
+    m_era = std::max(m_era, answer->version.era());
     if (answer->isApplied) {
         m_rowVersion = answer->version;
         m_isRejectionReported = false;
         if (!m_isHolding)
             return deleteRow([] {});
-        m_validUntil = std::max(m_validUntil, sentAt + duration);
+        // A renewal that the platform applied in a later era than that of the epoch confirms nothing there.
+        if (epoch == RowVersion() || epoch.era() == answer->version.era())
+            m_validUntil = std::max(m_validUntil, sentAt + duration);
         reportValidity();
         if (m_isRenewalPending)
             return renew();
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -25,6 +25,9 @@
     /// of primary. That is shorter than the rest of its own lease, so the other subscribers keep theirs.
     static constexpr Milliseconds grantDuration { 2500 };
 
+    /// Longest duration of a lease.
+    static constexpr Milliseconds maxDuration { 6600 };
+
     InstanceLease(EventLoop&, PlatformRows&, InstanceId, std::string incarnation, PeerEndpoint addresses);
     ~InstanceLease() override;
 
@@ -47,7 +50,8 @@
     bool isValidByRow() const { return !m_isReleased && m_loop.now() < m_validUntil; }
 
     /// Confirms that this daemon no longer uses any primary whose change had begun by `version` of the epoch row, and
-    /// renews the row as soon as all daemons with grants have confirmed it too. Has no effect if that version or a later one was
+    /// renews the row as soon as all daemons with grants have confirmed it too. In a new era of the platform, the row is not renewed
+    /// before a version of that era was confirmed: number 0 if there is no epoch row. Has no effect if that version or a later one was
     /// confirmed before.
     void confirmEpoch(RowVersion version);
     RowVersion confirmedEpoch() const { return m_epoch; }
@@ -62,6 +66,8 @@
     Milliseconds grant(const InstanceId&, const std::string& incarnation, RowVersion epoch, uint32_t sessions);
     /// Time since the platform last answered a call about the row; unset before the first answer.
     std::optional<Milliseconds> platformAge() const;
+    /// The platform's clock as of its last answer about the row; unset before the first answer.
+    std::optional<Instant> platformTime() const { return m_platformTime; }
     bool hasGrants() const { return m_grants.hasGrants(m_loop.now()); }
 
     /// Invalidates the lease and requests that its row be deleted, which the platform rejects if a renewal in progress has changed
@@ -109,7 +115,8 @@
     bool isWaitingForMembers();
     void scheduleRenewal(Milliseconds);
     void applyRejection(const TransactionAnswer&);
-    void applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds duration);
+    void applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds duration, RowVersion epoch);
+    bool mustConfirmEra() const;
     void deleteRow(std::function<void()> done);
     void setPlatformTime(Instant platformTime, Instant sentAt);
     Milliseconds renewInterval() const;
@@ -129,6 +136,8 @@
     Instant m_platformTimeRequestedAt;
     RowVersion m_rowVersion;
     RowVersion m_epoch;
+    /// The latest era that the platform's answers about the row have told.
+    PlatformEra m_era;
     /// End of the lease by the row, and by the grants of other daemons.
     Instant m_validUntil;
     Instant m_grantedUntil;
