Use a leaving primary until its change can be carried out

Cause: a change of primary waits until the leases of earlier eras have expired, and a leaving primary was given no work from the moment its report arrived, long before the change could end. Ruled out: the reinstated records (all present 0.4 s after the return, no line of the group until 22.1 s).

A planned change now begins when the era is settled, 2.5 s after the report at the latest, and the primary is given work meanwhile, for 3 s at most: it serves for 7 s after its report. Also without a copy, callers are no longer refused between the report and the beginning of the change.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -214,7 +214,8 @@
     }));
 }
 
-// Replicas copy the log of the primary with the highest term. A primary of a lower term does so only after it was demoted.
+// Replicas copy the log of the primary with the highest term, unless they have followed a later one. A primary of a lower term does so
+// only after it was demoted.
 void FailoverFixture::replicate()
 {
     const SimulatedTargets::Target* primary = nullptr;
@@ -225,7 +226,7 @@
     }
     for (const char* it : { "one", "two", "three" }) {
         auto& target = targets[TargetId(it)];
-        if (!primary || target.isPrimary || target.isDown || target.isSilent)
+        if (!primary || target.isPrimary || target.isDown || target.isSilent || primary->term < target.term)
             continue;
         target.term = primary->term;
         target.applied = primary->applied;
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -23,6 +23,9 @@
     /// Delay per rank before a daemon begins to replace a primary that is leaving or missing, or first
     /// checks a change's owner, so that daemons do not all act at once. A change after a majority suspicion is not delayed.
     constexpr Milliseconds staggerPerRank { 80 };
+    /// When the platform has just returned from a copy, a change takes until the leases of earlier eras have expired. A primary that is
+    /// leaving stays in use until then, but no longer than this, because it serves for a few seconds only.
+    constexpr Milliseconds maxPlannedDelay { 2500 };
     /// A probe that times out does not count as failed if the primary has answered a statement within this time.
     constexpr Milliseconds recentAnswerWindow { 700 };
     /// Failed probes in a row after which a daemon suspects the primary, since a single refused connection may be a transient
@@ -188,8 +191,7 @@
 void GroupFailover::bootstrap()
 {
     const Instant now = m_context.loop.now();
-    const auto platformTime = m_context.lease.platformTime();
-    if (m_targets.empty() || !m_context.lease.holdsRow() || !platformTime || !m_context.era->isSettled(*platformTime))
+    if (m_targets.empty() || !m_context.lease.holdsRow() || !isEraSettled())
         return endFirstRecord();
     if (m_recordSince == Instant()) {
         m_recordSince = now;
@@ -248,7 +250,7 @@
         m_leavingSince = now;
     const bool isHolder = m_context.lease.holdsRow();
     const Milliseconds rankDelay = staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
-    if (isHolder && m_leavingSince && now >= *m_leavingSince + rankDelay)
+    if (isHolder && m_leavingSince && now >= *m_leavingSince + rankDelay && (isEraSettled() || now >= *m_leavingSince + maxPlannedDelay))
         return beginChange(true, "the primary is leaving");
     if (isHolder && m_missingSince && now >= *m_missingSince + rankDelay)
         return beginChange(false, "the primary is missing from the platform's target list");
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -83,6 +83,7 @@
 
 private:
     bool hasPresentRecord() const;
+    bool isEraSettled() const;
     void reinstateRecord();
     void writeReinstatement(GroupRecord);
     void correctReinstatement();
--- a/src/failover/GroupFailoverEra.cpp
+++ b/src/failover/GroupFailoverEra.cpp
@@ -34,6 +34,13 @@
     return m_record && (!m_context.era->isRestored() || m_version.era() == m_context.era->era);
 }
 
+bool GroupFailover::isEraSettled() const
+{
+    const PlatformEraState& era = *m_context.era;
+    const auto platformTime = m_context.lease.platformTime();
+    return (platformTime && era.isSettled(*platformTime)) || era.isSettledSince(m_context.loop.now());
+}
+
 void GroupFailover::beginEra(bool knowsPrimary)
 {
     m_rowVersion = RowVersion(m_context.era->era, 0);
--- a/src/failover/PlatformEraState.cpp
+++ b/src/failover/PlatformEraState.cpp
@@ -4,13 +4,23 @@
 
 namespace parsleypaddle {
 
+namespace {
+
+    bool hasLongestLeaseExpired(Instant since, Instant now)
+    {
+        return isExpired({ "", since, InstanceLease::maxDuration, {}, 0 }, now);
+    }
+
+}
+
 bool PlatformEraState::isSettled(Instant platformTime) const
 {
-    if (!isRestored())
-        return true;
-    if (!row)
-        return false;
-    return isExpired({ "", row->beganAt, InstanceLease::maxDuration, {}, 0 }, platformTime);
+    return !isRestored() || (row && hasLongestLeaseExpired(row->beganAt, platformTime));
+}
+
+bool PlatformEraState::isSettledSince(Instant now) const
+{
+    return !isRestored() || (row && hasLongestLeaseExpired(rowSince, now));
 }
 
 }
--- a/src/failover/PlatformEraState.h
+++ b/src/failover/PlatformEraState.h
@@ -23,6 +23,8 @@
 
     /// Whether all leases of earlier eras have expired. The platform does not list those that were granted after the copy was made.
     bool isSettled(Instant platformTime) const;
+    /// The same by this daemon's clock: false for longer, because the row may have been received late.
+    bool isSettledSince(Instant now) const;
 };
 
 }
--- a/src/failover/RestoredPlatformTests.cpp
+++ b/src/failover/RestoredPlatformTests.cpp
@@ -55,11 +55,20 @@
     FailoverFixture fixture(5);
     fixture.writeFromAllDaemons();
     const FakeTables::Copy copy = fixture.tables.copy();
-    fixture.daemons[4]->rows.isCut = true;
+    const size_t cutOff = GENERATE(range(0U, 5U));
+    const size_t restarted = (cutOff + 1) % 5;
+    CAPTURE(cutOff);
+    fixture.daemons[cutOff]->rows.isCut = true;
     fixture.run(7000);
     replaceFirstPrimary(fixture);
     fixture.restorePlatform(copy, 1000);
-    fixture.restart(3, 10);
+    fixture.restart(restarted, 10);
+    // The two reach the platform before all others.
+    for (size_t it = 0; it < 5; ++it)
+        fixture.daemons[it]->rows.isCut = it != cutOff && it != restarted;
+    fixture.runWithTraffic(2000);
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = false;
     fixture.runWithTraffic(15'000);
     CHECK(fixture.staleWrites == 0);
     for (size_t it = 0; it < 5; ++it)
@@ -83,6 +92,23 @@
         CHECK(fixture.write(it) == RelayError::None);
 }
 
+// The promoted target is down, so only the term of the replica that followed it shows that the primary of the copy was replaced.
+TEST_CASE("after a return from a copy a primary is not used again if a replica follows a later term", "[restored]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    const FakeTables::Copy copy = fixture.tables.copy();
+    replaceFirstPrimary(fixture);
+    fixture.targets[fixture.promotions.requests[0].target].isDown = true;
+    fixture.restorePlatform(copy, 1000);
+    for (size_t it = 0; it < 3; ++it)
+        fixture.restart(it, 0);
+    fixture.runWithTraffic(20'000);
+    CHECK(fixture.staleWrites == 0);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+}
+
 // Leases that were renewed after the copy was made are not listed in it. Their holders may use the old primary until they expire.
 TEST_CASE("no target is promoted after a return from a copy before all leases of the earlier era have expired", "[restored]")
 {
@@ -105,6 +131,30 @@
     CHECK(fixture.staleWrites == 0);
 }
 
+// A planned change within the settling time would stop all writes until its end.
+TEST_CASE("a primary that leaves soon after a return from a copy stays in use until the change can be carried out", "[restored]")
+{
+    FailoverFixture fixture(3);
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.run(8000);
+    fixture.writeFromAllDaemons();
+    fixture.restorePlatform(copy, 1000);
+    fixture.run(4800);
+    fixture.setLeaving("one");
+    Instant lastWrite = fixture.loop.now();
+    Milliseconds longestGap;
+    for (int it = 0; it < 200; ++it) {
+        if (fixture.write(0) == RelayError::None) {
+            longestGap = std::max(longestGap, fixture.loop.now() - lastWrite);
+            lastWrite = fixture.loop.now();
+        }
+        fixture.run(20);
+    }
+    CHECK(longestGap < Milliseconds(1500));
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+    CHECK(fixture.staleWrites == 0);
+}
+
 // The outage outlasts the leases, so no daemon knows whether the primary was replaced before the platform returned.
 TEST_CASE("writes succeed again after a long outage that ends with a copy", "[restored]")
 {
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -22,6 +22,9 @@
     constexpr uint32_t minStatements = 2;
     /// Limit of connections to one peer daemon for one database.
     constexpr uint32_t connectionsPerPeer = 8;
+    /// How long a primary that will shut down soon may be given new work until the change of primary has begun. It serves for seven
+    /// seconds after the platform has received its report, which this daemon may hear of late.
+    constexpr Milliseconds maxLeavingPrimaryUse { 3000 };
     /// Expected duration of a statement at a target without recent answers.
     constexpr Milliseconds defaultDelay { 20 };
     /// Typical duration of a failover when all daemons are healthy: about 600 ms for the promotion, the rest for detection.
@@ -172,7 +175,9 @@
 std::optional<StatementDestination> RelayGroup::primaryDestination(const RelayJob& job, const std::set<TargetId>& tried)
 {
     auto target = primaryTarget();
-    if (!target || target->entry().isLeaving || !m_primary.isAvailable)
+    if (!target || !m_primary.isAvailable)
+        return std::nullopt;
+    if (const auto since = target->leavingSince(); since && m_loop.now() >= *since + maxLeavingPrimaryUse)
         return std::nullopt;
     const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
     const bool isReachable = !target->experience().isAvoided(m_loop.now());
