Tests for each check that guards a return from a copy, shown by mutants

Each check of the fix was taken out in a scratch copy. 'Always settled' and 'trust the copy' were caught; five others were not: knowing primaries without a lease, no look at the terms of replicas, no era fence, a release read across eras, renewals in an era that was not confirmed. The new tests are for these.

--- a/src/directory/TableWatchTests.cpp
+++ b/src/directory/TableWatchTests.cpp
@@ -22,6 +22,7 @@
 
     WatchFixture()
     {
+        rows.onEraChanged([this](PlatformEra era) { watch.beginEra(era); });
         rows.onReachedAgain([this](Instant sent) { watch.replaceOlderRequest(sent); });
     }
 };
@@ -111,3 +112,42 @@
     fixture.loop.advance(Milliseconds(20));
     CHECK(fixture.rowCount == 1);
 }
+
+// A watch request that was sent before the platform returned from a copy may wait for a version that is gone, without an answer.
+TEST_CASE("a watch reads the table again as soon as any answer tells a new era", "[directory]")
+{
+    WatchFixture fixture;
+    fixture.tables.put("op", "a", "1");
+    fixture.watch.start();
+    fixture.loop.advance(Milliseconds(20));
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.tables.put("op", "b", "1");
+    fixture.loop.advance(Milliseconds(20));
+    REQUIRE(fixture.rowCount == 2);
+    fixture.tables.dropWatches();
+    fixture.tables.restore(copy);
+    fixture.rows.transact({}, [](const auto&) {});
+    fixture.loop.advance(Milliseconds(20));
+    CHECK(fixture.rowCount == 1);
+    CHECK(fixture.watch.version().era() == firstEra.next());
+}
+
+// The numbers of the platform have passed that of the watch before it is sent again. Without the era it would skip all changes below.
+TEST_CASE("a watch that resumes above the platform's number in a new era reads the table again", "[directory]")
+{
+    WatchFixture fixture;
+    fixture.tables.put("op", "a", "1");
+    fixture.watch.start();
+    fixture.loop.advance(Milliseconds(20));
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.tables.put("op", "lost", "1");
+    fixture.loop.advance(Milliseconds(20));
+    fixture.rows.isCut = true;
+    fixture.tables.restore(copy);
+    for (const std::string it : { "b", "c", "d", "e" })
+        fixture.tables.put("op", it, "1");
+    fixture.loop.advance(watchTimeout + Milliseconds(1000));
+    fixture.rows.isCut = false;
+    fixture.loop.advance(Milliseconds(10'000));
+    CHECK(fixture.rowCount == 5);
+}
--- a/src/distribution/TableCopyTests.cpp
+++ b/src/distribution/TableCopyTests.cpp
@@ -81,3 +81,36 @@
     CHECK(copy.changesAfter(RowVersion(11)).isHistoryLost);
     CHECK(copy.changesAfter(copy.version()).rows.empty());
 }
+
+// The numbers of another era are given out again, so they say nothing about rows that an earlier era had.
+TEST_CASE("a copy is replaced as a whole by the first answer of a later era", "[distribution]")
+{
+    const auto inEra = [](uint64_t era, uint64_t number) { return RowVersion(PlatformEra(era), number); };
+    RowsAnswer first;
+    first.version = inEra(1, 30);
+    first.rows = { { "table", "a", "lost", inEra(1, 30), false }, { "table", "b", "lost", inEra(1, 20), false } };
+    RowsAnswer second;
+    second.version = inEra(2, 12);
+    second.rows = { { "table", "a", "old", inEra(2, 5), false } };
+    TableCopy copy;
+    CHECK(copy.setAll(first));
+    SECTION("with a lower number")
+    {
+        CHECK(copy.setAll(second));
+        REQUIRE(copy.wholeTable().rows.size() == 1);
+        CHECK(copy.wholeTable().rows[0].value == "old");
+        CHECK(copy.changesAfter(inEra(1, 30)).isHistoryLost);
+        CHECK(copy.changesAfter(inEra(2, 11)).isHistoryLost);
+    }
+    SECTION("but not by its changes")
+    {
+        copy.applyChanges(second);
+        CHECK(copy.wholeTable().rows[0].value == "lost");
+    }
+    SECTION("and does not return to the earlier one")
+    {
+        CHECK(copy.setAll(second));
+        CHECK_FALSE(copy.setAll(first));
+        CHECK(copy.version() == inEra(2, 12));
+    }
+}
--- a/src/failover/LeaseMonitorTests.cpp
+++ b/src/failover/LeaseMonitorTests.cpp
@@ -71,3 +71,16 @@
     CHECK(fixture.voters().size() == 4);
     CHECK(fixture.leaseMonitor.liveDaemonCount() == 6);
 }
+
+// After the platform has returned from a copy, the leases are read in another era than that of the change.
+TEST_CASE("leases of another era do not show that a primary was released", "[restored]")
+{
+    const auto inEra = [](uint64_t era, uint64_t number) { return RowVersion(PlatformEra(era), number); };
+    LeaseTable table;
+    table.platformTime = Instant(1000);
+    table.version = inEra(2, 9);
+    table.entries.push_back({ InstanceId("one"), { "first", Instant(900), Milliseconds(6000), {}, 0 }, inEra(2, 8) });
+    CHECK(table.isReleasedByAll(inEra(2, 7)));
+    CHECK_FALSE(table.isReleasedByAll(inEra(2, 8)));
+    CHECK_FALSE(table.isReleasedByAll(inEra(1, 7)));
+}
--- a/src/leases/InstanceLeaseTests.cpp
+++ b/src/leases/InstanceLeaseTests.cpp
@@ -2,6 +2,7 @@
 #include "leases/LeaseRow.h"
 
 #include "leases/Epoch.h"
+#include "leases/PlatformEraRow.h"
 
 #include "base/VirtualLoop.h"
 #include "platform_ports/FakeRows.h"
@@ -151,3 +152,37 @@
     CHECK(fixture.tables.find(leaseTable, "one"));
     CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
 }
+
+// The epoch row of the copy may have the number that this daemon has confirmed, and stand for another change of primary.
+TEST_CASE("a lease is not renewed in a new era before a version of that era was confirmed", "[restored]")
+{
+    LeaseFixture fixture;
+    fixture.tables.put(controlTable, epochKey, "a");
+    const RowVersion epoch = fixture.tables.version();
+    fixture.lease.start();
+    fixture.lease.confirmEpoch(epoch);
+    fixture.loop.advance(Milliseconds(3000));
+    REQUIRE(fixture.lease.isValid());
+    fixture.tables.restore(fixture.tables.copy());
+    fixture.loop.advance(Milliseconds(8000));
+    CHECK_FALSE(fixture.lease.isValid());
+    fixture.lease.confirmEpoch(RowVersion(epoch.era().next(), epoch.number()));
+    fixture.loop.advance(Milliseconds(300));
+    CHECK(fixture.lease.isValid());
+}
+
+TEST_CASE("a renewal that the platform applies only after the next era has begun leaves the row as it is", "[restored]")
+{
+    LeaseFixture fixture;
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(1000));
+    const FakeTables::Copy copy = fixture.tables.copy();
+    const LeaseRow before = fixture.row();
+    fixture.rows.appliesLate = Milliseconds(3000);
+    fixture.loop.advance(Milliseconds(900));
+    fixture.rows.isCut = true;
+    fixture.tables.restore(copy);
+    fixture.tables.put(controlTable, eraKey(firstEra.next()), encodeEraRow(Instant(0)));
+    fixture.loop.advance(Milliseconds(5000));
+    CHECK(fixture.row().requestedAt == before.requestedAt);
+}
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -31,6 +31,9 @@
     /// Returns to a copy: an era begins, later writes are lost, and their version numbers are given out again.
     void restore(const Copy&);
 
+    /// Leaves the watches that wait now without an answer before their wait is over.
+    void dropWatches() { m_watchers.clear(); }
+
     /// Forgets which rows changed when, so that watches have to read anew.
     void forgetHistory();
 
