--- a/tests/platform/whole-path.sh
+++ b/tests/platform/whole-path.sh
@@ -47,6 +47,22 @@
 platform_trouble back
 check "and after its return" platform_writes 1 orders "WRITE back yes"
 
+platform_trouble copy
+platform_trouble down/two
+platform_trouble down/three
+check "a change of primary that the copy lacks" platform_writes 0 orders "WRITE copied no"
+platform_trouble up/two
+platform_trouble up/three
+platform_trouble away
+sleep 1
+platform_trouble restore
+platform_trouble back
+check "writes go on after the platform has returned from an older copy" platform_writes 1 orders "WRITE copied yes"
+check "all daemons know the new era" bash -c "for it in 0 1 2; do grep -q platform_era_known $fleet_dir/daemon-\$it.log || exit 1; done"
+sleep 7
+check "and when the leases from before have expired" platform_writes 2 orders "WRITE copied later"
+check "it is read through another daemon" platform_reads 0 orders copied later
+
 kill -TERM "${fleet_pids[daemon-0]}"
 fleet_wait 20 bash -c "! curl -s -m 1 -f -o /dev/null http://127.0.0.1:${ready_ports[0]}/readiness" || { echo "FAILED: a daemon that stops is still ready"; exit 1; }
 wait "${fleet_pids[daemon-0]}" || { echo "FAILED: a daemon does not stop cleanly"; exit 1; }
