A holder does not wait for its subscribers to confirm an epoch of the copy

Cause: a holder renews its row only when all its grants have confirmed the epoch. A return from a copy brings an epoch of a new era, and subscribers that had moved to another source while the platform was away cannot confirm it to the first one. It waited for their grants to expire (2.5 s), longer than its own lease lasted after the outage. Ruled out: refusals by the platform (no 429), late rows (all daemons knew the era by 17.25 s).

An epoch row of the copy belongs to no change that goes on: records of the copy are not acted upon, and what is reinstated as a change writes the row anew. So only epochs written in the present era have to be confirmed by subscribers; none gets a further grant before it has confirmed the era.

--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -3,6 +3,7 @@
 #include "base/VirtualLoop.h"
 #include "directory/TableWatch.h"
 #include "distribution/SourceRole.h"
+#include "failover/PlatformEraState.h"
 #include "fleet/NodeLoop.h"
 #include "leases/Epoch.h"
 #include "platform_ports/FakeRows.h"
@@ -104,8 +105,9 @@
     void stop(size_t daemon, double drain = 3000);
 
     void writeConfiguration(int number);
-    /// The platform is away for a second, in which its tables return to a copy, and the operator writes the newest configuration again.
-    void restorePlatform(const FakeTables::Copy&, int newestConfiguration);
+    /// The platform is away for `outage` milliseconds, in which its tables return to a copy. The operator writes the newest configuration
+    /// again, and the row of the era is written.
+    void restorePlatform(const FakeTables::Copy&, int newestConfiguration, double outage = 1000);
     /// Begins a change of primary. Returns the version of the epoch row.
     RowVersion beginChange();
     /// Time until no daemon can use the primary any more according to the leases, or `limit`.
@@ -130,6 +132,8 @@
 
 private:
     void start(size_t daemon, bool isFirstStart);
+    /// The present era, by the rows of the control table.
+    PlatformEraState readEra();
 
     size_t m_domains;
     uint64_t m_seed;
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -10,6 +10,15 @@
     /// Interval at which parts of a long line arrive.
     constexpr Milliseconds partInterval { 100 };
 
+    PlatformEraState eraOf(const TableWatch::Rows& rows, RowVersion asOf)
+    {
+        PlatformEraState state { asOf.era(), std::nullopt, Instant() };
+        auto it = rows.find(eraKey(asOf.era()));
+        if (const auto row = it == rows.end() ? absl::NotFoundError("no row") : decodeEraRow(it->second); row.ok())
+            state.row = *row;
+        return state;
+    }
+
 }
 
 /// Both ends of a channel.
@@ -149,9 +158,10 @@
     , role({ loop, leaseMonitor, lease, sharedRows, service, *this, log, [] { return true; } }, seed)
     , controlWatch(
           loop, sharedRows, controlTable, Milliseconds(7500), [this](const TableWatch::Rows& it) {
+              const PlatformEraState era = eraOf(it, controlWatch.version());
               auto epoch = it.find(epochKey);
-              if (epoch != it.end())
-                  lease.confirmEpoch(epoch->second.version); },
+              const RowVersion version = epoch == it.end() ? RowVersion(era.era, 0) : epoch->second.version;
+              lease.confirmEpoch(version, era.isPresent(version) ? InstanceLease::EpochOrigin::PresentEra : InstanceLease::EpochOrigin::Copy); },
           [](const absl::Status&) {})
     , configurationWatch(
           loop, sharedRows, testConfigurationTable, Milliseconds(7500), [this](const TableWatch::Rows& it) {
@@ -264,19 +274,33 @@
     tables.put(testConfigurationTable, testConfigurationKey, std::to_string(number));
 }
 
-void DistributionFixture::restorePlatform(const FakeTables::Copy& copy, int newestConfiguration)
+void DistributionFixture::restorePlatform(const FakeTables::Copy& copy, int newestConfiguration, double outage)
 {
-    const auto setCut = [this](bool isCut) {
-        for (auto& it : daemons) {
-            if (it)
-                it->rows.isCut = isCut;
-        }
-    };
-    setCut(true);
-    run(1000);
+    std::vector<DistributionDaemon*> reached;
+    for (auto& it : daemons) {
+        if (it && !std::exchange(it->rows.isCut, true))
+            reached.push_back(it.get());
+    }
+    run(outage);
     tables.restore(copy);
-    setCut(false);
     writeConfiguration(newestConfiguration);
+    m_observer.readAll(controlTable, [this](const absl::StatusOr<RowsAnswer>& answer) { tables.put(controlTable, eraKey(answer->version.era()), encodeEraRow(answer->platformTime)); });
+    run(5);
+    for (DistributionDaemon* it : reached)
+        it->rows.isCut = false;
+}
+
+PlatformEraState DistributionFixture::readEra()
+{
+    PlatformEraState state;
+    m_observer.readAll(controlTable, [&state](const absl::StatusOr<RowsAnswer>& answer) {
+        TableWatch::Rows rows;
+        for (const auto& it : answer->rows)
+            rows[it.key] = it;
+        state = eraOf(rows, answer->version);
+    });
+    run(5);
+    return state;
 }
 
 void DistributionFixture::limitLinks(double bytesPerSecond)
@@ -288,7 +312,12 @@
 {
     tables.put(controlTable, epochKey, "next");
     RowVersion epoch;
-    m_observer.readAll(controlTable, [&epoch](const absl::StatusOr<RowsAnswer>& answer) { epoch = answer->rows.front().version; });
+    m_observer.readAll(controlTable, [&epoch](const absl::StatusOr<RowsAnswer>& answer) {
+        for (const auto& it : answer->rows) {
+            if (it.key == epochKey)
+                epoch = it.version;
+        }
+    });
     run(5);
     return epoch;
 }
@@ -305,8 +334,9 @@
     const Instant begin = loop.now();
     LeaseMonitor monitor(loop, m_observer, m_observer, InstanceId("observer"));
     bool isReleased = false;
+    const PlatformEraState era = readEra();
     while (!isReleased && loop.now() < begin + Milliseconds(limit)) {
-        monitor.read([&](const absl::StatusOr<LeaseTable>& table) { isReleased = table.ok() && table->isReleasedByAll(epoch); });
+        monitor.read([&](const absl::StatusOr<LeaseTable>& table) { isReleased = table.ok() && table->isReleasedByAll(epoch) && era.isSettled(table->platformTime); });
         run(10);
     }
     return loop.now() - begin;
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -190,7 +190,7 @@
 {
     const bool haveAllReleased = std::all_of(m_groups.begin(), m_groups.end(), [](const auto& it) { return it.second->hasReleasedPrimary(); });
     if (haveAllReleased && m_areRowsKnown)
-        m_context.lease.confirmEpoch(m_epoch);
+        m_context.lease.confirmEpoch(m_epoch, m_context.era->isPresent(m_epoch) ? InstanceLease::EpochOrigin::PresentEra : InstanceLease::EpochOrigin::Copy);
 }
 
 }
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -102,11 +102,13 @@
     reportValidity();
 }
 
-void InstanceLease::confirmEpoch(RowVersion version)
+void InstanceLease::confirmEpoch(RowVersion version, EpochOrigin origin)
 {
     if (version <= m_epoch)
         return;
     m_epoch = version;
+    if (origin == EpochOrigin::PresentEra)
+        m_memberEpoch = version;
     renew();
     if (m_onEpochConfirmed)
         m_onEpochConfirmed();
@@ -219,7 +221,7 @@
 {
     const Instant now = m_loop.now();
     m_grants.expire(now);
-    const auto until = m_grants.unconfirmedUntil(m_epoch, now);
+    const auto until = m_grants.unconfirmedUntil(m_memberEpoch, now);
     if (!until)
         return false;
     m_isRenewalPending = true;
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -49,11 +49,19 @@
     /// Whether the lease is valid by this daemon's own row.
     bool isValidByRow() const { return !m_isReleased && m_loop.now() < m_validUntil; }
 
-    /// Confirms that this daemon no longer uses any primary whose change had begun by `version` of the epoch row, and
-    /// renews the row as soon as all daemons with grants have confirmed it too. In a new era of the platform, the row is not renewed
-    /// before a version of that era was confirmed: number 0 if there is no epoch row. Has no effect if that version or a later one was
-    /// confirmed before.
-    void confirmEpoch(RowVersion version);
+    /// Where a version of the epoch row was written.
+    enum class EpochOrigin {
+        /// In the present era of the platform.
+        PresentEra,
+        /// In an earlier one: the row was in the copy from which the platform has returned, or there is none. No change of primary goes
+        /// on under it, so it need not be confirmed by the daemons with grants.
+        Copy,
+    };
+
+    /// Confirms that this daemon no longer uses any primary whose change had begun by `version` of the epoch row, and renews the row as
+    /// soon as all daemons with grants have confirmed it too. In a new era, the row is not renewed before a version of that era was
+    /// confirmed: number 0 if there is no epoch row. Has no effect if that version or a later one was confirmed before.
+    void confirmEpoch(RowVersion version, EpochOrigin = EpochOrigin::PresentEra);
     RowVersion confirmedEpoch() const { return m_epoch; }
 
     /// Adds a subscriber, which may be granted the lease once the row says that there are grants. Has little effect if it was added
@@ -136,6 +144,8 @@
     Instant m_platformTimeRequestedAt;
     RowVersion m_rowVersion;
     RowVersion m_epoch;
+    /// What daemons with grants have to confirm before the row is renewed.
+    RowVersion m_memberEpoch;
     /// The latest era that the platform's answers about the row have told.
     PlatformEra m_era;
     /// End of the lease by the row, and by the grants of other daemons.
--- a/src/leases/InstanceLeaseTests.cpp
+++ b/src/leases/InstanceLeaseTests.cpp
@@ -186,3 +186,23 @@
     fixture.loop.advance(Milliseconds(5000));
     CHECK(fixture.row().requestedAt == before.requestedAt);
 }
+
+TEST_CASE("a holder waits for its subscribers to confirm an epoch of the present era, but not one of a copy", "[restored]")
+{
+    LeaseFixture fixture;
+    const LeaseMember member { InstanceId("two"), {}, 0 };
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(100));
+    fixture.lease.addMember(member, "first");
+    fixture.loop.advance(Milliseconds(100));
+    fixture.tables.put(controlTable, epochKey, "a");
+    fixture.tables.restore(fixture.tables.copy());
+    const auto origin = GENERATE(InstanceLease::EpochOrigin::Copy, InstanceLease::EpochOrigin::PresentEra);
+    REQUIRE(fixture.lease.grant(member.instance, "first", RowVersion(), 0) > Milliseconds(0));
+    const Instant before = fixture.row().requestedAt;
+    fixture.lease.confirmEpoch(RowVersion(fixture.tables.version().era(), fixture.tables.version().number()), origin);
+    fixture.loop.advance(Milliseconds(600));
+    CHECK((fixture.row().requestedAt > before) == (origin == InstanceLease::EpochOrigin::Copy));
+    // The subscriber is granted nothing more until it has confirmed the epoch, wherever that was written.
+    CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
+}
