Do not use a leaving target because of an entry of the copy

A target that reported that it would shut down within the span that a copy lacks is listed as ready after the return, until it writes again (two seconds at most). Cause: the list took whatever was listed last. An entry with a lower sequence than the one that said leaving is an older one, unless the target has restarted, so the target stays out of use for the grace period of 2.5 s or until a later entry.

--- a/src/directory/TargetList.cpp
+++ b/src/directory/TargetList.cpp
@@ -19,8 +19,16 @@
             known.missingSince = now;
     }
     for (auto& it : listed) {
-        const TargetId id = it.target.id;
-        m_known[id] = { std::move(it), std::nullopt };
+        Known& known = m_known[it.target.id];
+        if (it.isLeaving)
+            known.lastLeavingSequence = it.sequence;
+        const bool isOutdated = !it.isLeaving && it.sequence < known.lastLeavingSequence;
+        if (!isOutdated)
+            known.outdatedSince.reset();
+        else if (!known.outdatedSince)
+            known.outdatedSince = now;
+        known.missingSince.reset();
+        known.entry = std::move(it);
     }
 }
 
@@ -34,19 +42,23 @@
             continue;
         }
         targets.push_back(it->second.entry);
+        // A target that has restarted counts from the beginning, too, so this is not for long.
+        const auto& outdatedSince = it->second.outdatedSince;
+        if (outdatedSince && now < *outdatedSince + missingGracePeriod)
+            targets.back().isLeaving = true;
         ++it;
     }
     return targets;
 }
 
-std::optional<Instant> TargetList::nextExpiry() const
+std::optional<Instant> TargetList::nextExpiry(Instant now) const
 {
     std::optional<Instant> next;
     for (const auto& [id, known] : m_known) {
-        if (!known.missingSince)
-            continue;
-        const Instant end = *known.missingSince + missingGracePeriod;
-        next = next ? std::min(*next, end) : end;
+        for (const auto& since : { known.missingSince, known.outdatedSince }) {
+            if (since && *since + missingGracePeriod > now)
+                next = std::min(next.value_or(*since + missingGracePeriod), *since + missingGracePeriod);
+        }
     }
     return next;
 }
--- a/src/directory/TargetList.h
+++ b/src/directory/TargetList.h
@@ -10,7 +10,8 @@
 namespace parsleypaddle {
 
 /// The targets to use: those in the platform's list, and those missing from it for less than a grace period. Entries expire
-/// while the platform is unavailable; running targets are listed again within two seconds of its return. Does no I/O.
+/// while the platform is unavailable; running targets are listed again within two seconds of its return. When it returns from an older
+/// copy, a leaving target may be listed as it was before its report, so it is taken for leaving for the same period. Does no I/O.
 class TargetList {
 public:
     /// Replaces the list. Targets missing from the new one stay in use until their grace period ends.
@@ -19,13 +20,16 @@
     /// The targets to use at `now`; removes those whose grace period has ended.
     std::vector<TargetEntry> targets(Instant now);
 
-    /// When the next grace period ends; nullopt while no target is missing.
-    std::optional<Instant> nextExpiry() const;
+    /// When the next grace period ends; nullopt while there is none.
+    std::optional<Instant> nextExpiry(Instant now) const;
 
 private:
     struct Known {
         TargetEntry entry;
         std::optional<Instant> missingSince;
+        /// Since when a lower sequence than before has been listed for a target that was leaving.
+        std::optional<Instant> outdatedSince;
+        uint64_t lastLeavingSequence { 0 };
     };
 
     std::map<TargetId, Known> m_known;
--- a/src/directory/TargetListTests.cpp
+++ b/src/directory/TargetListTests.cpp
@@ -22,10 +22,10 @@
     roster.setListed({ entryOf("one"), entryOf("two") }, Instant(0));
     roster.setListed({ entryOf("two") }, Instant(1000));
     CHECK(roster.targets(Instant(1000)).size() == 2);
-    CHECK(roster.nextExpiry() == Instant(3500));
+    CHECK(roster.nextExpiry(Instant(1000)) == Instant(3500));
     CHECK(roster.targets(Instant(3400)).size() == 2);
     CHECK(roster.targets(Instant(3500)).size() == 1);
-    CHECK_FALSE(roster.nextExpiry());
+    CHECK_FALSE(roster.nextExpiry(Instant(3500)));
 }
 
 TEST_CASE("a target that is listed again within its grace period stays in use", "[directory]")
@@ -45,3 +45,35 @@
     roster.setListed({ entryOf("two") }, Instant(2000));
     CHECK(roster.targets(Instant(3500)).size() == 1);
 }
+
+// The platform returns from a copy that was made before the target reported that it would shut down. It is listed again within two
+// seconds; until then it must not be given new work.
+TEST_CASE("a target that was leaving is not used because of an older entry", "[directory]")
+{
+    const auto listed = [](uint64_t sequence, bool isLeaving) {
+        TargetEntry entry = entryOf("one");
+        entry.sequence = sequence;
+        entry.isLeaving = isLeaving;
+        return std::vector<TargetEntry> { entry };
+    };
+    TargetList roster;
+    roster.setListed(listed(7, true), Instant(0));
+    roster.setListed(listed(5, false), Instant(1000));
+    CHECK(roster.targets(Instant(1000)).front().isLeaving);
+    CHECK(roster.nextExpiry(Instant(1000)) == Instant(3500));
+    SECTION("until it is listed as leaving again")
+    {
+        roster.setListed(listed(8, true), Instant(2000));
+        CHECK(roster.targets(Instant(9000)).front().isLeaving);
+    }
+    SECTION("unless it has restarted and counts from the beginning")
+    {
+        CHECK_FALSE(roster.targets(Instant(3500)).front().isLeaving);
+        CHECK_FALSE(roster.nextExpiry(Instant(3500)));
+    }
+    SECTION("unless it has changed its mind")
+    {
+        roster.setListed(listed(8, false), Instant(2000));
+        CHECK_FALSE(roster.targets(Instant(2000)).front().isLeaving);
+    }
+}
