--- a/src/failover/EraRowWriter.cpp
+++ b/src/failover/EraRowWriter.cpp
@@ -54,7 +54,10 @@
     m_context.platform.transact(transaction, [this, beganAt, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (alive.expired())
             return;
-        m_context.log.write("platform_era_written", { { "era", std::to_string(m_era.value()) }, { "began_at", std::to_string(beganAt.sinceEpoch()) }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied" : "rejected: another daemon has written it, or a later era has begun" } });
+        std::string outcome = answer.ok() ? "rejected: another daemon has written it, or a later era has begun" : std::string(answer.status().message());
+        if (answer.ok() && answer->isApplied)
+            outcome = "applied";
+        m_context.log.write("platform_era_written", { { "era", std::to_string(m_era.value()) }, { "began_at", std::to_string(beganAt.sinceEpoch()) }, { "answer", outcome } });
     });
 }
 
