--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -562,3 +562,19 @@
         CHECK(fixture.countConfiguration(number) == 18);
     }
 }
+
+// All daemons notice the return within a second. Only the holders may call the platform then, a few times each.
+TEST_CASE("the calls of a second after a return from a copy stay below the platform's limit, whatever the size of the fleet", "[restored]")
+{
+    const size_t daemons = GENERATE(30, 295);
+    DistributionFixture fixture(daemons, 6);
+    const FakeTables::Copy copy = fixture.tables.copy();
+    fixture.run(5000);
+    fixture.restorePlatform(copy, 1, 700);
+    const uint64_t before = fixture.calls();
+    fixture.run(1000);
+    // What one part of the platform's tables takes in a second.
+    constexpr uint64_t transactionsPerSecond = 300;
+    CHECK(fixture.calls() - before <= transactionsPerSecond);
+    CHECK(fixture.countValidLeases() == daemons);
+}
