--- a/src/platform_ports/RowVersion.h
+++ b/src/platform_ports/RowVersion.h
@@ -18,6 +18,9 @@
 /// does not exist.
 class RowVersion {
 public:
+    /// Later eras cannot be told apart.
+    static constexpr uint64_t maxEra = (uint64_t { 1 } << 24) - 1;
+
     constexpr RowVersion() = default;
     /// From value().
     constexpr explicit RowVersion(uint64_t value)
