--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -57,7 +57,7 @@
 
 void FailoverManager::setRows(const std::map<std::string, StoredRow>& rows, RowVersion asOf)
 {
-    if (asOf.era() != m_context.era->era)
+    if (asOf.era() > m_context.era->era)
         beginEra(asOf.era());
     applyEraRow(rows);
     const auto epoch = rows.find(epochKey);
