Count a leaving primary's last seconds from the list, not from its first use

The list now says since when a target is leaving; unknown, as after a start, means that it is given none. A reinstated primary is used again only by probes that were sent after the leases had expired. Test: 'the list says since when a target is leaving, unless it was so from the beginning'.

--- a/src/directory/TargetEntry.h
+++ b/src/directory/TargetEntry.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "base/Time.h"
 #include "configuration/Configuration.h"
 #include "groups/TargetStatus.h"
 
-#include <map>
-#include <vector>
+#include <optional>
 
 namespace parsleypaddle {
 
@@ -17,6 +17,8 @@
     uint64_t sequence { 0 };
     /// The target will shut down soon and accepts no new work.
     bool isLeaving { false };
+    /// When this daemon received the first list that says so; unset if that was the first list with the target.
+    std::optional<Instant> leavingSince;
     /// The role that the target reports.
     TargetRole role { TargetRole::Replica };
 };
--- a/src/directory/TargetList.cpp
+++ b/src/directory/TargetList.cpp
@@ -19,19 +19,29 @@
             known.missingSince = now;
     }
     for (auto& it : listed) {
-        Known& known = m_known[it.target.id];
-        if (it.isLeaving)
-            known.lastLeavingSequence = it.sequence;
-        const bool isOutdated = !it.isLeaving && it.sequence < known.lastLeavingSequence;
-        if (!isOutdated)
-            known.outdatedSince.reset();
-        else if (!known.outdatedSince)
-            known.outdatedSince = now;
-        known.missingSince.reset();
-        known.entry = std::move(it);
+        const auto [known, isNew] = m_known.try_emplace(it.target.id);
+        update(known->second, std::move(it), isNew, now);
     }
 }
 
+void TargetList::update(Known& known, TargetEntry entry, bool isNew, Instant now)
+{
+    const bool wasOutdated = known.outdatedSince.has_value();
+    const bool isOutdated = !entry.isLeaving && entry.sequence < known.lastLeavingSequence;
+    if (!isOutdated)
+        known.outdatedSince.reset();
+    else if (!wasOutdated)
+        known.outdatedSince = now;
+    if (entry.isLeaving)
+        known.lastLeavingSequence = entry.sequence;
+    if (entry.isLeaving || isOutdated)
+        entry.leavingSince = known.entry.leavingSince;
+    if (entry.isLeaving && !known.entry.isLeaving && !isNew && !wasOutdated)
+        entry.leavingSince = now;
+    known.missingSince.reset();
+    known.entry = std::move(entry);
+}
+
 std::vector<TargetEntry> TargetList::targets(Instant now)
 {
     std::vector<TargetEntry> targets;
--- a/src/directory/TargetList.h
+++ b/src/directory/TargetList.h
@@ -32,6 +32,8 @@
         uint64_t lastLeavingSequence { 0 };
     };
 
+    static void update(Known&, TargetEntry, bool isNew, Instant now);
+
     std::map<TargetId, Known> m_known;
 };
 
--- a/src/directory/TargetListTests.cpp
+++ b/src/directory/TargetListTests.cpp
@@ -57,7 +57,8 @@
         return std::vector<TargetEntry> { entry };
     };
     TargetList roster;
-    roster.setListed(listed(7, true), Instant(0));
+    roster.setListed(listed(6, false), Instant(0));
+    roster.setListed(listed(7, true), Instant(500));
     roster.setListed(listed(5, false), Instant(1000));
     CHECK(roster.targets(Instant(1000)).front().isLeaving);
     CHECK(roster.nextExpiry(Instant(1000)) == Instant(3500));
@@ -65,6 +66,7 @@
     {
         roster.setListed(listed(8, true), Instant(2000));
         CHECK(roster.targets(Instant(9000)).front().isLeaving);
+        CHECK(roster.targets(Instant(9000)).front().leavingSince == Instant(500));
     }
     SECTION("unless it has restarted and counts from the beginning")
     {
@@ -77,3 +79,24 @@
         CHECK_FALSE(roster.targets(Instant(2000)).front().isLeaving);
     }
 }
+
+// A daemon that has just started does not know for how long a leaving target has been leaving.
+TEST_CASE("the list says since when a target is leaving, unless it was so from the beginning", "[directory]")
+{
+    TargetEntry leaving = entryOf("one");
+    leaving.isLeaving = true;
+    TargetList roster;
+    SECTION("since the first list that says so")
+    {
+        roster.setListed({ entryOf("one") }, Instant(0));
+        roster.setListed({ leaving }, Instant(1000));
+        roster.setListed({ leaving }, Instant(2000));
+        CHECK(roster.targets(Instant(2000)).front().leavingSince == Instant(1000));
+    }
+    SECTION("unknown in the first list")
+    {
+        roster.setListed({ leaving }, Instant(0));
+        roster.setListed({ leaving }, Instant(1000));
+        CHECK_FALSE(roster.targets(Instant(1000)).front().leavingSince);
+    }
+}
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -150,8 +150,12 @@
 
 void FailoverFixture::setLeaving(const std::string& target)
 {
-    for (auto& it : m_targetList)
-        it.isLeaving = it.isLeaving || it.target.id == TargetId(target);
+    for (auto& it : m_targetList) {
+        if (it.target.id != TargetId(target))
+            continue;
+        it.isLeaving = true;
+        it.leavingSince = loop.now();
+    }
     publishTargets();
 }
 
--- a/src/failover/GroupFailoverEra.cpp
+++ b/src/failover/GroupFailoverEra.cpp
@@ -136,7 +136,7 @@
 // before shows its term, as do the replicas that follow it.
 bool GroupFailover::isUnreplaced() const
 {
-    if (!m_isReleasedEverywhere)
+    if (!m_isReleasedEverywhere || !m_isProbeRoundComplete)
         return false;
     size_t reports = 0;
     for (const auto& [id, probe] : m_probes) {
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -177,7 +177,8 @@
     auto target = primaryTarget();
     if (!target || !m_primary.isAvailable)
         return std::nullopt;
-    if (const auto since = target->leavingSince(); since && m_loop.now() >= *since + maxLeavingPrimaryUse)
+    const auto& leavingSince = target->entry().leavingSince;
+    if (target->entry().isLeaving && (!leavingSince || m_loop.now() >= *leavingSince + maxLeavingPrimaryUse))
         return std::nullopt;
     const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
     const bool isReachable = !target->experience().isAvoided(m_loop.now());
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -102,15 +102,6 @@
 {
 }
 
-void RelayTarget::setEntry(const TargetEntry& entry)
-{
-    if (!entry.isLeaving)
-        m_leavingSince.reset();
-    else if (!m_leavingSince)
-        m_leavingSince = m_loop.now();
-    m_entry = entry;
-}
-
 void RelayTarget::setLimits(uint32_t connections, uint32_t statements)
 {
     if (connections == m_connectionLimit && statements == m_statementLimit)
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 
 namespace parsleypaddle {
 
@@ -55,9 +54,7 @@
     RelayTarget(EventLoop&, TargetConnector&, TargetEntry, uint64_t seed);
 
     const TargetEntry& entry() const { return m_entry; }
-    void setEntry(const TargetEntry&);
-    /// Since when this daemon has known that the target will shut down soon; unset while it does not.
-    std::optional<Instant> leavingSince() const { return m_leavingSince; }
+    void setEntry(const TargetEntry& entry) { m_entry = entry; }
     /// Sets the maximum number of this daemon's connections to the target, and of statements that it starts there at the same time.
     /// Statements of open transactions are not counted.
     void setLimits(uint32_t connections, uint32_t statements);
@@ -88,7 +85,6 @@
 
     EventLoop& m_loop;
     TargetEntry m_entry;
-    std::optional<Instant> m_leavingSince;
     uint32_t m_connectionLimit { 1 };
     uint32_t m_statementLimit { 1 };
     /// Connections that open transactions hold.
