--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -578,3 +578,24 @@
     CHECK(fixture.calls() - before <= transactionsPerSecond);
     CHECK(fixture.countValidLeases() == daemons);
 }
+
+// Chausse-cloud-large, hunt-91b3-7: the platform refuses a source, and the other sources of its failure domain do not answer. Its subscribers
+// reach the platform, and have to be served by a change of configuration within six seconds.
+TEST_CASE("subscribers of a source that the platform refuses receive a change within six seconds although no other source answers", "[distribution][known-red]")
+{
+    DistributionFixture fixture(40, 2);
+    const size_t source = holderWithSubscribers(fixture);
+    const auto subscribers = fixture.subscribersOf(source);
+    fixture.daemons[source]->rows.isCut = true;
+    for (const size_t it : fixture.holders()) {
+        if (it != source && it % 2 == source % 2)
+            fixture.network.silentHosts.insert("daemon-" + std::to_string(it));
+    }
+    fixture.run(600);
+    fixture.writeConfiguration(2);
+    fixture.run(6000);
+    for (const size_t it : subscribers) {
+        CAPTURE(it);
+        CHECK(fixture.daemons[it]->configuration == 2);
+    }
+}
