Known red: the end of a drain cuts off statements that have just arrived

While most daemons of a failure domain stop, the load balancer sends callers to all of them, and the drain listens until its end. The test shows it without network.

--- a/src/relay/RelayDrainTests.cpp
+++ b/src/relay/RelayDrainTests.cpp
@@ -2,6 +2,8 @@
 #include "relay/RelayFixture.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 using namespace parsleypaddle;
 
@@ -63,3 +65,23 @@
     CHECK(busy.last().error == RelayError::None);
     CHECK(busy.isClosed);
 }
+
+// Vizitka-sofia-grown, hunt-958c-3: while most daemons of a failure domain stop, the load balancer sends callers to all of them, and a
+// statement that arrived 5.1 s after the stop began was cut off by the end of the drain.
+TEST_CASE("a statement that a draining daemon has taken is answered before its session is closed", "[relay][known-red]")
+{
+    RelayFixture scene;
+    scene.targets[TargetId("one")].delay = Milliseconds(60);
+    RelayDrain drain(scene.loop, scene.relay, Milliseconds(6000));
+    DrainRecorder recorder;
+    drain.startDraining(recorder.recordingSteps());
+    // Callers that come all the while, so that the drain does not end early.
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    while (recorder.steps.empty()) {
+        callers.push_back(std::make_unique<TestCaller>(scene.relay, "orders"));
+        callers.back()->send(RelayKind::Write, "WRITE 1 a");
+        scene.run(30);
+    }
+    for (const auto& it : callers)
+        CHECK_FALSE((it->isClosed && it->answers.empty()));
+}
