--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -85,27 +85,26 @@
             const auto lease = decodeLeaseRow(it.value);
             table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : LeaseRow { "", answer->platformTime, malformedRowDuration, {}, 0 }, it.version });
         }
-        if (!areFromCopy(table))
+        noteEra(table.version.era());
+        if (m_loop.now() >= m_keptUntil)
             applyTable(table);
         done(table);
     });
 }
 
-bool LeaseMonitor::areFromCopy(const LeaseTable& table)
+void LeaseMonitor::noteEra(PlatformEra era)
 {
-    const PlatformEra era = table.version.era();
-    if (era > m_era) {
-        const bool isReturn = m_era != PlatformEra();
-        m_era = era;
-        if (isReturn) {
-            m_fromCopyUntil = m_loop.now() + renewalPeriod;
-            m_loop.after(renewalPeriod, [this, alive = std::weak_ptr<bool>(m_alive)] {
-                if (!alive.expired())
-                    readFrom(m_recent, [](const absl::StatusOr<LeaseTable>&) {});
-            });
-        }
-    }
-    return m_loop.now() < m_fromCopyUntil;
+    if (era <= m_era)
+        return;
+    const bool isFirstKnown = m_era == PlatformEra();
+    m_era = era;
+    if (isFirstKnown)
+        return;
+    m_keptUntil = m_loop.now() + renewalPeriod;
+    m_loop.after(renewalPeriod, [this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired())
+            readFrom(m_recent, [](const absl::StatusOr<LeaseTable>&) {});
+    });
 }
 
 void LeaseMonitor::applyTable(const LeaseTable& table)
--- a/src/failover/LeaseMonitor.h
+++ b/src/failover/LeaseMonitor.h
@@ -83,8 +83,9 @@
     void refresh();
     void readFrom(PlatformRows&, Done);
     void applyTable(const LeaseTable&);
-    /// Whether the leases are those of a copy from which the platform has just returned, so that live daemons seem to have none.
-    bool areFromCopy(const LeaseTable&);
+    /// When the leases are the first ones of a later era, keeps the values derived from the earlier ones for some seconds: the leases of
+    /// the copy have expired, so that live daemons seem to have none.
+    void noteEra(PlatformEra);
     void applyHolders(const LeaseTable&);
     void applySessions(const LeaseTable&);
 
@@ -103,8 +104,8 @@
     double m_share { 1 };
     std::vector<Peer> m_peers;
     PlatformEra m_era;
-    /// Until then leases that were read in the present era are not applied.
-    Instant m_fromCopyUntil;
+    /// Until then the values derived from earlier leases stay as they are.
+    Instant m_keptUntil;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/failover/LeaseMonitorTests.cpp
+++ b/src/failover/LeaseMonitorTests.cpp
@@ -84,3 +84,22 @@
     CHECK_FALSE(table.isReleasedByAll(inEra(2, 8)));
     CHECK_FALSE(table.isReleasedByAll(inEra(1, 7)));
 }
+
+// All leases of a copy have expired. Without the delay a large fleet would lose its list of homes until the next periodic read.
+TEST_CASE("the list of live daemons stays as it is until the holders have renewed their leases after a return from a copy", "[restored]")
+{
+    LeaseMonitorFixture fixture;
+    for (int n = 1; n < 6; ++n)
+        fixture.addLease(n, "north", Milliseconds(9000));
+    const FakeTables::Copy copy = fixture.tables.copy();
+    for (int n = 1; n < 6; ++n)
+        fixture.addLease(n, "north", Milliseconds(0));
+    fixture.voters();
+    REQUIRE(fixture.leaseMonitor.liveDaemonCount() == 6);
+    fixture.tables.restore(copy);
+    fixture.voters();
+    CHECK(fixture.leaseMonitor.liveDaemonCount() == 6);
+    fixture.addLease(1, "north", Milliseconds(0));
+    fixture.loop.advance(Milliseconds(3000));
+    CHECK(fixture.leaseMonitor.liveDaemonCount() == 2);
+}
