--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -117,6 +117,10 @@
 
     std::vector<size_t> holders() const;
     std::vector<size_t> subscribersOf(size_t holder) const;
+    /// A holder that has subscribers. There has to be one.
+    size_t holderWithSubscribers() const;
+    /// Lets the time pass and returns whether at least `expected` daemons held valid leases at every 20 ms of it.
+    bool keepsLeases(double milliseconds, size_t expected);
     size_t countValidLeases() const;
     size_t countConfiguration(int number) const;
     uint64_t calls() const;
--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -7,17 +7,6 @@
 
 namespace {
 
-/// Runs the fleet and returns whether all daemons held valid leases at every 20 ms of it.
-bool keepsLeases(DistributionFixture& fixture, double milliseconds, size_t expected)
-{
-    bool areValid = true;
-    for (double it = 0; it < milliseconds; it += 20) {
-        fixture.run(20);
-        areValid = areValid && fixture.countValidLeases() >= expected;
-    }
-    return areValid;
-}
-
 /// Adds 96 KB of rows that can hardly be compressed.
 void putLargeTable(DistributionFixture& fixture)
 {
@@ -31,16 +20,6 @@
     fixture.run(1000);
 }
 
-size_t holderWithSubscribers(const DistributionFixture& fixture)
-{
-    for (const size_t it : fixture.holders()) {
-        if (!fixture.subscribersOf(it).empty())
-            return it;
-    }
-    FAIL("no holder has subscribers");
-    return 0;
-}
-
 }
 
 // The load that a fleet of hundreds of daemons puts on the platform must not grow with their number: 40 calls a second at 295
@@ -101,9 +80,9 @@
 {
     const bool losesPower = GENERATE(false, true);
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.kill(source, losesPower);
-    CHECK(keepsLeases(fixture, 5000, 23));
+    CHECK(fixture.keepsLeases(5000, 23));
     fixture.writeConfiguration(2);
     fixture.run(100);
     CHECK(fixture.countConfiguration(2) == 23);
@@ -112,9 +91,9 @@
 TEST_CASE("subscribers whose channels fall silent subscribe anew and keep their leases", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.network.silenceChannels("daemon-" + std::to_string(source));
-    CHECK(keepsLeases(fixture, 5000, 24));
+    CHECK(fixture.keepsLeases(5000, 24));
     fixture.writeConfiguration(2);
     fixture.run(100);
     CHECK(fixture.countConfiguration(2) == 24);
@@ -193,9 +172,9 @@
 TEST_CASE("a planned stop of a source interrupts no subscriber's lease and delays no later change", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.daemons[source]->role.stopServing();
-    CHECK(keepsLeases(fixture, 3000, 24));
+    CHECK(fixture.keepsLeases(3000, 24));
     fixture.stop(source, 0);
     const RowVersion epoch = fixture.beginChange();
     CHECK(fixture.waitForRelease(epoch) <= Milliseconds(100));
@@ -205,7 +184,7 @@
 TEST_CASE("a change waits for the grant of a frozen subscriber and for no longer", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     const size_t frozen = fixture.subscribersOf(source).front();
     fixture.daemons[frozen]->loop.setPaused(true);
     const RowVersion epoch = fixture.beginChange();
@@ -213,7 +192,7 @@
     CHECK(fixture.countUsing(epoch) == 0);
     CHECK(wait <= Milliseconds(3000));
     // The other daemons keep their leases meanwhile.
-    CHECK(keepsLeases(fixture, 3000, 23));
+    CHECK(fixture.keepsLeases(3000, 23));
     fixture.daemons[frozen]->loop.setPaused(false);
     CHECK(fixture.countUsing(epoch) == 0);
     fixture.run(2000);
@@ -223,9 +202,9 @@
 TEST_CASE("a change waits for the row of a frozen source, whose subscribers move on", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.daemons[source]->loop.setPaused(true);
-    CHECK(keepsLeases(fixture, 3000, 23));
+    CHECK(fixture.keepsLeases(3000, 23));
     const RowVersion epoch = fixture.beginChange();
     CHECK(fixture.waitForRelease(epoch) <= Milliseconds(7000));
     CHECK(fixture.countUsing(epoch) == 0);
@@ -241,7 +220,7 @@
 TEST_CASE("a new process does not replace a row under which grants may last", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     for (const size_t it : fixture.subscribersOf(source))
         fixture.daemons[it]->loop.setPaused(true);
     fixture.kill(source);
@@ -256,7 +235,7 @@
 TEST_CASE("a source that restarts delays a change only until the grants of its earlier process have expired", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.kill(source);
     fixture.restart(source);
     const RowVersion epoch = fixture.beginChange();
@@ -267,7 +246,7 @@
 TEST_CASE("a subscriber that restarts under its name is served again at once", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     const size_t subscriber = fixture.subscribersOf(source).front();
     fixture.kill(subscriber);
     fixture.writeConfiguration(2);
@@ -280,7 +259,7 @@
 TEST_CASE("subscribers of a source that is cut off from the platform receive changes through another one", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
-    const size_t source = holderWithSubscribers(fixture);
+    const size_t source = fixture.holderWithSubscribers();
     fixture.daemons[source]->rows.isCut = true;
     fixture.run(4500);
     fixture.writeConfiguration(2);
@@ -310,7 +289,7 @@
     for (auto& it : fixture.daemons)
         it->rows.isCut = true;
     const uint64_t before = fixture.calls();
-    CHECK(keepsLeases(fixture, 4000, 295));
+    CHECK(fixture.keepsLeases(4000, 295));
     fixture.run(4000);
     CHECK(static_cast<double>(fixture.calls() - before) / 8 <= 90);
     for (auto& it : fixture.daemons)
@@ -370,232 +349,3 @@
     CHECK(fixture.daemons[holder]->hasLogged("peer_message_rejected"));
     CHECK(fixture.countValidLeases() == 4);
 }
-
-// Kills, losses of power, freezes, cuts from the platform, silent channels, restarts under the same name, and planned stops, while
-// configurations and changes of primary are written.
-TEST_CASE("under random faults no daemon uses a primary after all leases say that it is released", "[distribution]")
-{
-    const auto seed = static_cast<uint64_t>(GENERATE(range(1, 25)));
-    CAPTURE(seed);
-    std::mt19937_64 random(seed);
-    DistributionFixture fixture(18, 2, seed);
-    int number = 1;
-    for (int round = 0; round < 12; ++round) {
-        const auto one = [&random] { return static_cast<size_t>(random() % 18); };
-        for (int it = 0; it < 3; ++it) {
-            const size_t daemon = one();
-            auto& process = fixture.daemons[daemon];
-            switch (random() % 7) {
-            case 0:
-                fixture.kill(daemon, random() % 2 == 0);
-                break;
-            case 1:
-                if (process)
-                    process->loop.setPaused(true);
-                break;
-            case 2:
-                if (process)
-                    process->rows.isCut = true;
-                break;
-            case 3:
-                if (process)
-                    process->rows.losesAnswers = true;
-                break;
-            case 4:
-                fixture.network.silenceChannels("daemon-" + std::to_string(daemon));
-                break;
-            case 5:
-                if (process)
-                    process->rows.appliesLate = Milliseconds(1500);
-                break;
-            default:
-                fixture.network.silentHosts.insert("daemon-" + std::to_string(daemon));
-            }
-        }
-        fixture.run(static_cast<double>(random() % 2000));
-        fixture.writeConfiguration(++number);
-        const RowVersion epoch = fixture.beginChange();
-        const bool isReleased = fixture.waitForRelease(epoch, 12'000) < Milliseconds(12'000);
-        CHECK(isReleased);
-        for (size_t it = 0; it < 18; ++it) {
-            if (random() % 2 == 0)
-                continue;
-            fixture.restart(it);
-            auto& process = fixture.daemons[it];
-            process->loop.setPaused(false);
-            process->rows.isCut = false;
-            process->rows.losesAnswers = false;
-            process->rows.appliesLate = Milliseconds(0);
-            fixture.network.silentHosts.erase("daemon-" + std::to_string(it));
-        }
-        for (int it = 0; it < 50; ++it) {
-            REQUIRE((!isReleased || fixture.countUsing(epoch) == 0));
-            fixture.run(40);
-        }
-        REQUIRE_FALSE(fixture.hasAnyGoneBack());
-    }
-}
-
-// A source whose answer says more than the protocol allows, as by a fault.
-TEST_CASE("a grant never lasts longer than the protocol allows", "[distribution]")
-{
-    DistributionFixture fixture(1, 1);
-    DistributionDaemon& daemon = *fixture.daemons[0];
-    SharedRows rows(fixture.loop, daemon.rows, daemon.log, { controlTable });
-    FakeRows platform(fixture.loop, fixture.tables);
-    InstanceLease lease(fixture.loop, platform, InstanceId("other"), "first", {});
-    struct Connector final : PeerConnector {
-        PeerChannelCallbacks callbacks;
-        struct Channel final : PeerChannel {
-            void send(const std::string&) override { }
-            void close() override { }
-        };
-        std::shared_ptr<PeerChannel> connect(const PeerEndpoint&, PeerChannelCallbacks it) override
-        {
-            callbacks = std::move(it);
-            return std::make_shared<Channel>();
-        }
-    } connector;
-    SourceClient client(fixture.loop, connector, rows, lease, daemon.log, { [] {}, [] {}, [] {}, [] {} });
-    client.setCandidates({ { InstanceId("source"), { FailureDomainId("domain-0"), "source", 1, 2, 3, 0 }, true } });
-    client.start();
-    connector.callbacks.onLine(R"({"v":2,"kind":"grant","number":1,"duration_ms":1e12,"platform_age_ms":0})");
-    CHECK(lease.isValid());
-    fixture.run(2510);
-    CHECK_FALSE(lease.isValid());
-}
-
-// The platform returns from an older copy. Subscribers whose copies had higher versions kept them, and missed all later changes (issue 23).
-TEST_CASE("changes of configuration reach every daemon after the platform has returned from an older copy", "[restored]")
-{
-    DistributionFixture fixture(24, 2);
-    const FakeTables::Copy copy = fixture.tables.copy();
-    fixture.run(5000);
-    fixture.writeConfiguration(2);
-    fixture.run(4000);
-    fixture.restorePlatform(copy, 2);
-    fixture.run(2000);
-    fixture.writeConfiguration(3);
-    fixture.run(1000);
-    CHECK(fixture.countConfiguration(3) == 24);
-    CHECK(fixture.countValidLeases() == 24);
-}
-
-// Subscribers that have moved to another source while the platform was away still hold grants of the first one. That one waited for them
-// before it renewed its row, longer than its own lease lasted: 185 of 295 daemons had no lease for a moment.
-TEST_CASE("all daemons keep their leases through a return from a copy although subscribers have moved meanwhile", "[restored]")
-{
-    DistributionFixture fixture(40, 2);
-    fixture.run(2000);
-    const FakeTables::Copy copy = fixture.tables.copy();
-    fixture.run(3000);
-    for (auto& it : fixture.daemons)
-        it->rows.isCut = true;
-    fixture.run(2300);
-    // The channel is closed, so the subscribers go elsewhere.
-    fixture.network.closeChannels("daemon-" + std::to_string(holderWithSubscribers(fixture)));
-    for (auto& it : fixture.daemons)
-        it->rows.isCut = false;
-    fixture.restorePlatform(copy, 1, 700);
-    CHECK(keepsLeases(fixture, 6000, 40));
-}
-
-// Daemons are killed, frozen, silent or cut off from the platform while it returns from copies.
-TEST_CASE("under random faults and returns from copies no daemon uses a primary after all leases say that it is released", "[restored]")
-{
-    const auto seed = static_cast<uint64_t>(GENERATE(range(1, 13)));
-    CAPTURE(seed);
-    std::mt19937_64 random(seed);
-    DistributionFixture fixture(18, 2, seed);
-    int number = 1;
-    FakeTables::Copy copy = fixture.tables.copy();
-    for (int round = 0; round < 8; ++round) {
-        if (random() % 2 == 0)
-            copy = fixture.tables.copy();
-        fixture.run(static_cast<double>(random() % 4000));
-        fixture.writeConfiguration(++number);
-        for (int it = 0; it < 3; ++it) {
-            const auto daemon = static_cast<size_t>(random() % 18);
-            auto& process = fixture.daemons[daemon];
-            switch (random() % 5) {
-            case 0:
-                fixture.kill(daemon, random() % 2 == 0);
-                break;
-            case 1:
-                if (process)
-                    process->loop.setPaused(true);
-                break;
-            case 2:
-                if (process)
-                    process->rows.isCut = true;
-                break;
-            case 3:
-                if (process)
-                    process->rows.appliesLate = Milliseconds(1500);
-                break;
-            default:
-                fixture.network.silentHosts.insert("daemon-" + std::to_string(daemon));
-            }
-        }
-        if (random() % 3 == 0)
-            (void)fixture.beginChange();
-        fixture.run(static_cast<double>(random() % 2000));
-        fixture.restorePlatform(copy, number, static_cast<double>(random() % 1500));
-        fixture.run(static_cast<double>(random() % 1000));
-        fixture.writeConfiguration(++number);
-        const RowVersion epoch = fixture.beginChange();
-        const bool isReleased = fixture.waitForRelease(epoch, 16'000) < Milliseconds(16'000);
-        CHECK(isReleased);
-        for (int it = 0; it < 25; ++it) {
-            REQUIRE((!isReleased || fixture.countUsing(epoch) == 0));
-            fixture.run(40);
-        }
-        for (size_t it = 0; it < 18; ++it) {
-            fixture.restart(it);
-            auto& process = fixture.daemons[it];
-            process->loop.setPaused(false);
-            process->rows.isCut = false;
-            process->rows.appliesLate = Milliseconds(0);
-            fixture.network.silentHosts.erase("daemon-" + std::to_string(it));
-        }
-        fixture.run(4000);
-        CHECK(fixture.countConfiguration(number) == 18);
-    }
-}
-
-// All daemons notice the return within a second. Only the holders may call the platform then, a few times each.
-TEST_CASE("the calls of a second after a return from a copy stay below the platform's limit, whatever the size of the fleet", "[restored]")
-{
-    const size_t daemons = GENERATE(30, 295);
-    DistributionFixture fixture(daemons, 6);
-    const FakeTables::Copy copy = fixture.tables.copy();
-    fixture.run(5000);
-    fixture.restorePlatform(copy, 1, 700);
-    const uint64_t before = fixture.calls();
-    fixture.run(1000);
-    // What one part of the platform's tables takes in a second.
-    constexpr uint64_t transactionsPerSecond = 300;
-    CHECK(fixture.calls() - before <= transactionsPerSecond);
-    CHECK(fixture.countValidLeases() == daemons);
-}
-
-// Chausse-cloud-large, hunt-91b3-7: the platform refuses a source, and the other sources of its failure domain do not answer. Its subscribers
-// reach the platform, and have to be served by a change of configuration within six seconds.
-TEST_CASE("subscribers of a source that the platform refuses receive a change within six seconds although no other source answers", "[distribution][known-red]")
-{
-    DistributionFixture fixture(40, 2);
-    const size_t source = holderWithSubscribers(fixture);
-    const auto subscribers = fixture.subscribersOf(source);
-    fixture.daemons[source]->rows.isCut = true;
-    for (const size_t it : fixture.holders()) {
-        if (it != source && it % 2 == source % 2)
-            fixture.network.silentHosts.insert("daemon-" + std::to_string(it));
-    }
-    fixture.run(600);
-    fixture.writeConfiguration(2);
-    fixture.run(6000);
-    for (const size_t it : subscribers) {
-        CAPTURE(it);
-        CHECK(fixture.daemons[it]->configuration == 2);
-    }
-}
--- /dev/null
+++ b/src/failover/FailoverFaultTests.cpp
@@ -0,0 +1,114 @@
+#include "failover/FailoverFixture.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+// The platform does not answer for some seconds. With leases of 3 s, no writes were possible for the rest of such an outage
+// (incident inc-8376).
+TEST_CASE("writes continue during a short outage of the platform", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    for (int second = 1; second <= 4; ++second) {
+        fixture.run(1000);
+        CHECK(fixture.write(0) == RelayError::None);
+    }
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = false;
+    fixture.runWithTraffic(5000);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.staleWrites == 0);
+}
+
+// The platform does not answer for longer than a lease lasts, and the primary crashes meanwhile.
+TEST_CASE("leases expire during a long outage of the platform, and writes succeed again after it", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    fixture.run(4500);
+    CHECK(fixture.write(0) == RelayError::None);
+    fixture.run(2500);
+    CHECK(fixture.write(0) == RelayError::Busy);
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.run(1000);
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = false;
+    fixture.run(1500);
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.staleWrites == 0);
+}
+
+TEST_CASE("a change of primary is noticed even if the platform has lost its history of row changes", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    fixture.tables.forgetHistory();
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(2500);
+    fixture.tables.forgetHistory();
+    fixture.run(200);
+    CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") == 3);
+}
+
+TEST_CASE("under random faults no replaced primary acknowledges a write, and fencing tokens do not decrease", "[failover]")
+{
+    const auto seed = GENERATE(range(1U, 31U));
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    FailoverFixture fixture(5);
+    const std::vector<std::string> names { "one", "two", "three" };
+    for (int step = 0; step < 25; ++step) {
+        const size_t daemon = random() % fixture.daemons.size();
+        auto& rows = fixture.daemons[daemon]->rows;
+        auto& target = fixture.targets[TargetId(names[random() % names.size()])];
+        switch (random() % 7) {
+        case 0:
+            rows.isCut = !rows.isCut;
+            break;
+        case 1:
+            rows.losesAnswers = !rows.losesAnswers;
+            break;
+        case 2:
+            rows.appliesLate = rows.appliesLate > Milliseconds(0) ? Milliseconds(0) : Milliseconds(static_cast<double>(200 + random() % 3000));
+            break;
+        case 3:
+            target.isDown = !target.isDown;
+            break;
+        case 4:
+            target.isSilent = !target.isSilent;
+            break;
+        case 5:
+            fixture.restart(daemon, static_cast<double>(50 + random() % 500));
+            break;
+        default:
+            fixture.promotions.losesAnswers = !fixture.promotions.losesAnswers;
+            break;
+        }
+        for (int n = 0; n < 3; ++n) {
+            fixture.write(random() % fixture.daemons.size());
+            fixture.run(static_cast<double>(random() % 400));
+        }
+    }
+    CHECK(fixture.staleWrites == 0);
+    CHECK(fixture.promotions.areFencingTokensOrdered());
+    // After all faults have ended, writes succeed again.
+    for (auto& it : fixture.daemons) {
+        it->rows.isCut = false;
+        it->rows.losesAnswers = false;
+        it->rows.appliesLate = Milliseconds(0);
+    }
+    fixture.promotions.losesAnswers = false;
+    for (const auto& it : names) {
+        fixture.targets[TargetId(it)].isDown = false;
+        fixture.targets[TargetId(it)].isSilent = false;
+    }
+    fixture.runWithTraffic(12'000);
+    CHECK(fixture.write(0) == RelayError::None);
+}
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -27,8 +27,8 @@
     DecisionLog& log;
     /// The version of the platform's tables as of which the target list is known.
     std::function<RowVersion()> targetListVersion;
-    /// Number of groups whose first record this daemon prepares now: it probes their targets or writes the record. Shared, because the
-    /// limit is one for all groups.
+    /// Number of groups whose first record of an era this daemon prepares now: it probes their targets or writes the record. Shared,
+    /// because the limit is one for all groups.
     std::shared_ptr<uint32_t> firstRecords { std::make_shared<uint32_t>(0) };
     std::shared_ptr<PlatformEraState> era { std::make_shared<PlatformEraState>() };
 };
--- a/src/failover/RestoredPlatformTests.cpp
+++ b/src/failover/RestoredPlatformTests.cpp
@@ -31,7 +31,7 @@
 }
 
 // The epoch that all daemons had confirmed was above that of the copy, so no lease was renewed any more, and every request was refused
-// (issue 23).
+//.
 TEST_CASE("writes go on after the platform has returned from a copy without the last change of primary", "[restored]")
 {
     FailoverFixture fixture(3);
@@ -49,7 +49,7 @@
 }
 
 // A copy names the primary before the last change. A process that has started since, and one that was cut off during the change, know
-// nothing later (issue 23).
+// nothing later.
 TEST_CASE("daemons without a lease from before the copy do not use the primary that the copy names", "[restored]")
 {
     FailoverFixture fixture(5);
--- a/src/relay/RelayDrainTests.cpp
+++ b/src/relay/RelayDrainTests.cpp
@@ -66,7 +66,7 @@
     CHECK(busy.isClosed);
 }
 
-// Vizitka-sofia-grown, hunt-958c-3: while most daemons of a failure domain stop, the load balancer sends callers to all of them, and a
+// While most daemons of a failure domain stop, the load balancer sends callers to all of them, and a
 // statement that arrived 5.1 s after the stop began was cut off by the end of the drain.
 TEST_CASE("a statement that a draining daemon has taken is answered before its session is closed", "[relay][known-red]")
 {
