--- a/src/acknowledgement/GroupControlTests.cpp
+++ b/src/acknowledgement/GroupControlTests.cpp
@@ -49,7 +49,7 @@
     LogPosition commit(Term term)
     {
         auto batch = controlBatch(TargetOperation::Write, term);
-        batch.ledgerKey = { ShopId("shop"), RequestId(std::to_string(++commits)), 1 };
+        batch.ledgerKey = { OrganisationId("shop"), RequestId(std::to_string(++commits)), 1 };
         batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { "key", "value" } };
         ModelTransaction connection;
         return model().execute(targetA, batch, connection)->status.position;
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -4,8 +4,8 @@
 
 namespace parsleypaddle {
 
-/// A shop (tenant): its records and its share of capacity are separate from those of other shops.
-using ShopId = Name<struct ShopTag>;
+/// An organisation (tenant): its records and its share of capacity are separate from those of other organisations.
+using OrganisationId = Name<struct OrganisationTag>;
 /// A caller's session. Reads of a session see its earlier writes.
 using SessionId = Name<struct SessionTag>;
 /// A caller's request, as "<milliseconds since the epoch>-<unique text>". Retries of a request carry the same id.
--- a/src/baseline/NaiveFleet.cpp
+++ b/src/baseline/NaiveFleet.cpp
@@ -97,7 +97,7 @@
         batch.term = firstTerm;
         batch.statement = request.statement;
         // It has no ledger: what is asked again runs again.
-        batch.ledgerKey = { request.shop, RequestId(absl::StrCat(request.id.value(), "#", request.attempt)), 0 };
+        batch.ledgerKey = { request.organisation, RequestId(absl::StrCat(request.id.value(), "#", request.attempt)), 0 };
         return batch;
     }
 
--- a/src/checking/CallerLoad.cpp
+++ b/src/checking/CallerLoad.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    const ShopId callerShop("shop-1");
+    const OrganisationId callerOrganisation("shop-1");
     /// What the way to the daemon and back may add to a deadline.
     constexpr Milliseconds deadlineGrace { 50 };
     constexpr Milliseconds pauseBeforeAgain { 40 };
@@ -90,7 +90,7 @@
 {
     auto sending = std::make_shared<Sending>();
     StatementRequest& request = sending->request;
-    request.shop = callerShop;
+    request.organisation = callerOrganisation;
     request.session = SessionId(session->name);
     request.id = RequestId(std::to_string(static_cast<int64_t>(m_loop.now().sinceEpoch())) + "-" + std::to_string(++m_requests) + ".");
     request.workload = ClassName("counter");
--- a/src/checking/FaultCountsTests.cpp
+++ b/src/checking/FaultCountsTests.cpp
@@ -24,7 +24,7 @@
         TargetBatch batch;
         batch.operation = operation;
         batch.term = term;
-        batch.ledgerKey = { ShopId("shop"), RequestId("1700000000000-s1-" + id), 1 };
+        batch.ledgerKey = { OrganisationId("shop"), RequestId("1700000000000-s1-" + id), 1 };
         batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { "s1", std::to_string(number) } };
         return targets.model(DatabaseId("db")).execute(TargetId(target), batch, connection);
     }
--- a/src/checking/InvariantTests.cpp
+++ b/src/checking/InvariantTests.cpp
@@ -34,7 +34,7 @@
     StatementRequest request(AccessMode mode, const std::string& id)
     {
         StatementRequest made;
-        made.shop = ShopId("shop");
+        made.organisation = OrganisationId("shop");
         made.session = SessionId("session");
         made.workload = ClassName("counter");
         made.database = database;
--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -73,8 +73,8 @@
     double longWorkShare { 0.5 };
     /// Work whose estimated or actual run time exceeds this counts as long-running.
     Milliseconds longWork { 50 };
-    /// Relative share of a shop among the shops of the same class.
-    double shopWeight { 1 };
+    /// Relative share of an organisation among the organisations of the same class.
+    double organisationWeight { 1 };
 };
 
 /// Identifies a member of Policy that an exception overrides.
@@ -84,13 +84,13 @@
     Acknowledge,
     LongWorkShare,
     LongWork,
-    ShopWeight,
+    OrganisationWeight,
 };
 
 /// The requests to which an exception applies; an empty id matches every value.
 struct ExceptionScope {
     DatabaseId database;
-    ShopId shop;
+    OrganisationId organisation;
     ClassName workload;
 };
 
--- a/src/configuration/ConfigurationChecks.cpp
+++ b/src/configuration/ConfigurationChecks.cpp
@@ -55,7 +55,7 @@
                 faults.add({ items[n].node, items[n].path + ".database" }, "\"" + scope.database.value() + "\" is not declared", "a database under groups");
             if (!scope.workload.isEmpty() && !configuration.findClass(scope.workload))
                 faults.add({ items[n].node, items[n].path + ".class" }, "\"" + scope.workload.value() + "\" is not declared", "a class under classes");
-            if (!scopesAndSettings.insert({ scope.database.value(), scope.shop.value(), scope.workload.value(), exception.setting }).second)
+            if (!scopesAndSettings.insert({ scope.database.value(), scope.organisation.value(), scope.workload.value(), exception.setting }).second)
                 faults.add(items[n], "a second exception for the same scope and setting", "one exception for each scope and setting");
         }
     }
--- a/src/configuration/ConfigurationYaml.cpp
+++ b/src/configuration/ConfigurationYaml.cpp
@@ -114,7 +114,7 @@
         if (map.has("database"))
             scope.database = DatabaseId(map.text("database", "the database's name"));
         if (map.has("shop"))
-            scope.shop = ShopId(map.text("shop", "the shop's name"));
+            scope.organisation = OrganisationId(map.text("shop", "the shop's name"));
         if (map.has("class"))
             scope.workload = ClassName(map.text("class", "the class's name"));
         if (!map.has("database") && !map.has("shop") && !map.has("class"))
--- a/src/configuration/ConfigurationYamlTests.cpp
+++ b/src/configuration/ConfigurationYamlTests.cpp
@@ -122,21 +122,21 @@
         configuration.exceptions.push_back({ std::to_string(configuration.exceptions.size()), scope, PolicySetting::GreatestAge, value, "test", "test", until });
     };
     const DatabaseId database("fitting-1");
-    const ShopId shop("shop-12");
+    const OrganisationId organisation("shop-12");
     const ClassName history("history");
     const Instant now(1'700'000'000'000.0);
-    const auto age = [&] { return resolvePolicy(configuration, shop, database, history, now).greatestAge; };
+    const auto age = [&] { return resolvePolicy(configuration, organisation, database, history, now).greatestAge; };
 
-    CHECK(resolvePolicy(configuration, shop, database, ClassName("other"), now).greatestAge == configuration.defaults.greatestAge);
+    CHECK(resolvePolicy(configuration, organisation, database, ClassName("other"), now).greatestAge == configuration.defaults.greatestAge);
     CHECK(age() == configuration.findClass(history)->greatestAge);
-    add({ {}, shop, {} }, "11s");
+    add({ {}, organisation, {} }, "11s");
     add({ {}, {}, history }, "12s");
     CHECK(age() == Milliseconds(11'000));
     add({ database, {}, history }, "13s");
     CHECK(age() == Milliseconds(13'000));
-    add({ database, shop, history }, "14s", now);
+    add({ database, organisation, history }, "14s", now);
     CHECK(age() == Milliseconds(13'000));
-    add({ database, ShopId("shop-13"), history }, "15s");
+    add({ database, OrganisationId("shop-13"), history }, "15s");
     CHECK(age() == Milliseconds(13'000));
     configuration.exceptions[3].until = now + Milliseconds(1);
     CHECK(age() == Milliseconds(14'000));
--- a/src/configuration/ConfigurationYamlWriter.cpp
+++ b/src/configuration/ConfigurationYamlWriter.cpp
@@ -77,7 +77,7 @@
         out << YAML::BeginMap;
         emit(out, "id", exception.id);
         emitIfSet(out, "database", exception.scope.database);
-        emitIfSet(out, "shop", exception.scope.shop);
+        emitIfSet(out, "shop", exception.scope.organisation);
         emitIfSet(out, "class", exception.scope.workload);
         emit(out, "setting", policySettingInfo(exception.setting).name);
         emit(out, "value", exception.value);
--- a/src/configuration/PolicySettings.cpp
+++ b/src/configuration/PolicySettings.cpp
@@ -64,19 +64,19 @@
         return scope.isEmpty() || scope == value;
     }
 
-    bool matches(const ExceptionScope& scope, const ShopId& shop, const DatabaseId& database, const ClassName& workload)
+    bool matches(const ExceptionScope& scope, const OrganisationId& organisation, const DatabaseId& database, const ClassName& workload)
     {
-        return matches(scope.shop, shop) && matches(scope.database, database) && matches(scope.workload, workload);
+        return matches(scope.organisation, organisation) && matches(scope.database, database) && matches(scope.workload, workload);
     }
 
-    // Orders scopes by their number of fields. With equally many fields, a scope that names a shop ranks above one that
+    // Orders scopes by their number of fields. With equally many fields, a scope that names an organisation ranks above one that
     // does not, then one that names a database.
     int specificity(const ExceptionScope& scope)
     {
-        const int shop = scope.shop.isEmpty() ? 0 : 1;
+        const int organisation = scope.organisation.isEmpty() ? 0 : 1;
         const int database = scope.database.isEmpty() ? 0 : 1;
         const int workload = scope.workload.isEmpty() ? 0 : 1;
-        return (shop + database + workload) * 8 + shop * 4 + database * 2 + workload;
+        return (organisation + database + workload) * 8 + organisation * 4 + database * 2 + workload;
     }
 
 }
@@ -89,7 +89,7 @@
         { PolicySetting::Acknowledge, "acknowledge", &Policy::acknowledge, 0, 0, "term-confirmed or replicated" },
         { PolicySetting::LongWorkShare, "long-work-share", &Policy::longWorkShare, 0.01, 1, "a number from 0.01 to 1" },
         { PolicySetting::LongWork, "long-work", &Policy::longWork, 1, 3'600'000, "a duration from 1ms to 1h, such as 250ms or 2s" },
-        { PolicySetting::ShopWeight, "shop-weight", &Policy::shopWeight, 0.01, 100, "a number from 0.01 to 100" },
+        { PolicySetting::OrganisationWeight, "shop-weight", &Policy::organisationWeight, 0.01, 100, "a number from 0.01 to 100" },
     };
     return settings;
 }
@@ -118,7 +118,7 @@
     return std::visit(FormatValue { policy }, info.member);
 }
 
-Policy resolvePolicy(const Configuration& configuration, const ShopId& shop, const DatabaseId& database, const ClassName& workload, Instant now)
+Policy resolvePolicy(const Configuration& configuration, const OrganisationId& organisation, const DatabaseId& database, const ClassName& workload, Instant now)
 {
     Policy policy = configuration.defaults;
     if (const auto* found = configuration.findClass(workload)) {
@@ -128,7 +128,7 @@
     std::vector<const PolicyException*> matching;
     for (const auto& it : configuration.exceptions) {
         const bool hasEnded = it.until && *it.until <= now;
-        if (!hasEnded && matches(it.scope, shop, database, workload))
+        if (!hasEnded && matches(it.scope, organisation, database, workload))
             matching.push_back(&it);
     }
     std::stable_sort(matching.begin(), matching.end(), [](const auto* a, const auto* b) { return specificity(a->scope) < specificity(b->scope); });
--- a/src/configuration/PolicySettings.h
+++ b/src/configuration/PolicySettings.h
@@ -38,6 +38,6 @@
 
 /// Returns the settings that apply to a request. Its class overrides the defaults, and matching exceptions override
 /// both; among these, the one with more scope fields takes precedence. Expired exceptions are ignored.
-Policy resolvePolicy(const Configuration&, const ShopId&, const DatabaseId&, const ClassName&, Instant now);
+Policy resolvePolicy(const Configuration&, const OrganisationId&, const DatabaseId&, const ClassName&, Instant now);
 
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -54,7 +54,7 @@
         if (!logger()->isEnabledFor(level))
             return;
         LOG4CXX_LOG(logger(), level,
-            "event=answered request=" << answer.id.value() << " shop=" << measure.shop.value() << " class=" << measure.workload.value() << " database=" << database.value()
+            "event=answered request=" << answer.id.value() << " shop=" << measure.organisation.value() << " class=" << measure.workload.value() << " database=" << database.value()
                                       << " term=" << term.value() << " target=" << answer.target.value() << " code=" << static_cast<unsigned>(answer.code)
                                       << " total_ms=" << measure.total.count());
     }
@@ -176,7 +176,7 @@
             m_metrics.count(MetricCounter::Retries);
     });
     m_node->homes().onWorkDone([this](const HomeCall& call, const CallMeasurement& times) {
-        m_metrics.recordWork({ call.request.shop, call.request.workload, times.queueTime, times.runTime });
+        m_metrics.recordWork({ call.request.organisation, call.request.workload, times.queueTime, times.runTime });
         if (times.code == ResultCode::TargetSilent)
             m_metrics.count(MetricCounter::SilentConnections);
     });
@@ -263,7 +263,7 @@
 void Daemon::Parts::handleStatement(StatementRequest request, std::function<void(StatementAnswer)> done)
 {
     RequestMeasure measure;
-    measure.shop = request.shop;
+    measure.organisation = request.organisation;
     measure.workload = request.workload;
     measure.wasRead = request.mode == AccessMode::Read;
     const Instant arrivedAt = m_loop->now();
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -42,7 +42,7 @@
         return done(makeErrorAnswer(request.id, status));
     SessionState session;
     if (!request.token.empty()) {
-        auto opened = m_context.sealer.verify(request.shop, request.session, request.token);
+        auto opened = m_context.sealer.verify(request.organisation, request.session, request.token);
         if (!opened.ok())
             return done(makeErrorAnswer(request.id, opened.status()));
         session = std::move(*opened);
@@ -82,7 +82,7 @@
 void Entry::startExecution(StatementRequest request, SessionState session, std::shared_ptr<const GroupConfiguration> group, Done done)
 {
     const Instant now = m_context.loop.now();
-    const Policy policy = resolvePolicy(*m_context.configuration, request.shop, request.database, request.workload, now);
+    const Policy policy = resolvePolicy(*m_context.configuration, request.organisation, request.database, request.workload, now);
     if (request.deadline == Instant())
         request.deadline = now + policy.deadline;
     ++m_inFlight;
--- a/src/entry/RequestExecution.cpp
+++ b/src/entry/RequestExecution.cpp
@@ -150,7 +150,7 @@
     m_context.loop.cancel(m_deadlineTimer);
     answer.id = m_request.id;
     if (!m_request.session.isEmpty())
-        answer.token = m_context.sealer.sign(m_request.shop, m_request.session, m_session);
+        answer.token = m_context.sealer.sign(m_request.organisation, m_request.session, m_session);
     Done done;
     std::swap(done, m_done);
     done(std::move(answer));
--- a/src/entry/TransactionStepExecution.cpp
+++ b/src/entry/TransactionStepExecution.cpp
@@ -76,7 +76,7 @@
         if (isFinished())
             return;
         if (!answer.token.empty()) {
-            auto session = m_context.sealer.verify(m_request.shop, m_request.session, answer.token);
+            auto session = m_context.sealer.verify(m_request.organisation, m_request.session, answer.token);
             if (session.ok())
                 m_session = *session;
         }
--- a/src/fleet/CommitOutcomeTests.cpp
+++ b/src/fleet/CommitOutcomeTests.cpp
@@ -29,7 +29,7 @@
     StatementAnswer ask(TransactionStep step, const std::string& id)
     {
         StatementRequest request;
-        request.shop = ShopId("shop");
+        request.organisation = OrganisationId("shop");
         request.session = SessionId("session");
         request.workload = ClassName("counter");
         request.database = DatabaseId("db");
--- a/src/fleet/ExampleFleet.h
+++ b/src/fleet/ExampleFleet.h
@@ -9,7 +9,7 @@
 namespace parsleypaddle {
 
 inline const DatabaseId orders("orders-1");
-inline const ShopId counter("shop-1");
+inline const OrganisationId counter("shop-1");
 
 /// One database of three targets, one in each of the failure domains a, b and c; the first is primary.
 inline std::shared_ptr<const Configuration> exampleConfiguration()
@@ -40,7 +40,7 @@
     StatementRequest request(AccessMode mode, const std::string& id, SqlStatement statement)
     {
         StatementRequest made;
-        made.shop = counter;
+        made.organisation = counter;
         made.session = SessionId("session-1");
         made.workload = ClassName("counter");
         made.database = orders;
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -150,12 +150,12 @@
 {
     WorkItem work;
     work.id = WorkId(++m_lastWorkId);
-    work.shop = call.request.shop;
+    work.organisation = call.request.organisation;
     work.workload = call.request.workload;
     work.statement = fingerprintOfText(call.request.statement);
     work.arrived = m_loop.now();
     work.deadline = call.request.deadline;
-    work.shopWeight = policyOf(call).shopWeight;
+    work.organisationWeight = policyOf(call).organisationWeight;
     work.isTransactionStep = isInOpenTransaction(call);
     if (const ClassConfiguration* found = m_configuration->findClass(call.request.workload)) {
         work.urgency = found->urgency;
@@ -166,7 +166,7 @@
 
 Policy TargetHome::policyOf(const HomeCall& call) const
 {
-    return resolvePolicy(*m_configuration, call.request.shop, call.request.database, call.request.workload, m_loop.now());
+    return resolvePolicy(*m_configuration, call.request.organisation, call.request.database, call.request.workload, m_loop.now());
 }
 
 void TargetHome::dispatchQueue()
@@ -201,7 +201,7 @@
 
 void TargetHome::runInOpenTransaction(const JobPointer& job)
 {
-    auto transaction = m_transactions.acquire(job->call.request.transaction->id, job->call.request.shop);
+    auto transaction = m_transactions.acquire(job->call.request.transaction->id, job->call.request.organisation);
     if (!transaction.ok())
         return refuse(job, transaction.status());
     job->transaction = *transaction;
@@ -238,7 +238,7 @@
     TargetBatch batch;
     batch.operation = operationOf(call);
     batch.statement = call.request.statement;
-    batch.ledgerKey = { call.request.shop, call.request.id, fingerprintOf(call.request.statement) };
+    batch.ledgerKey = { call.request.organisation, call.request.id, fingerprintOf(call.request.statement) };
     if (call.operation == HomeOperation::Read) {
         batch.term = call.minimumTerm;
         batch.minimumPosition = m_settings.brokenRules.isDisabled(BrokenRule::SessionPosition) ? LogPosition() : call.minimumPosition;
@@ -298,7 +298,7 @@
         return;
     if (isStep(job->call.request, TransactionStep::Begin)) {
         if (reply.ok())
-            job->transaction = m_transactions.open(job->call.request.shop, m_group.view().term, std::move(job->connection));
+            job->transaction = m_transactions.open(job->call.request.organisation, m_group.view().term, std::move(job->connection));
         else
             job->connection->discard();
     }
--- a/src/homes/TransactionTable.cpp
+++ b/src/homes/TransactionTable.cpp
@@ -42,11 +42,11 @@
 {
 }
 
-std::shared_ptr<OpenTransaction> TransactionTable::open(const ShopId& shop, Term term, std::unique_ptr<PooledConnection> connection)
+std::shared_ptr<OpenTransaction> TransactionTable::open(const OrganisationId& organisation, Term term, std::unique_ptr<PooledConnection> connection)
 {
     auto transaction = std::make_shared<OpenTransaction>();
     transaction->id = TransactionId(absl::StrCat(m_idPrefix, ++m_lastNumber));
-    transaction->shop = shop;
+    transaction->organisation = organisation;
     transaction->term = term;
     transaction->connection = std::move(connection);
     transaction->isBusy = true;
@@ -55,10 +55,10 @@
     return transaction;
 }
 
-absl::StatusOr<std::shared_ptr<OpenTransaction>> TransactionTable::acquire(const TransactionId& id, const ShopId& shop)
+absl::StatusOr<std::shared_ptr<OpenTransaction>> TransactionTable::acquire(const TransactionId& id, const OrganisationId& organisation)
 {
     auto it = m_transactions.find(id);
-    if (it == m_transactions.end() || it->second->shop != shop)
+    if (it == m_transactions.end() || it->second->organisation != organisation)
         return makeError(ResultCode::TransactionUnknown, "no open transaction of this shop has that id; it may have been rolled back after the idle timeout");
     if (it->second->isBusy)
         return makeError(ResultCode::TransactionBusy, "another statement of the transaction is still running");
--- a/src/homes/TransactionTable.h
+++ b/src/homes/TransactionTable.h
@@ -12,7 +12,7 @@
 /// An open transaction and the connection that is reserved for it.
 struct OpenTransaction {
     TransactionId id;
-    ShopId shop;
+    OrganisationId organisation;
     Term term;
     std::unique_ptr<PooledConnection> connection;
     bool isBusy { false };
@@ -27,11 +27,11 @@
     TransactionTable(EventLoop&, std::string idPrefix, Milliseconds idleTimeout);
 
     /// Adds a transaction that was started on the given connection. It is marked as busy until release() is called.
-    std::shared_ptr<OpenTransaction> open(const ShopId&, Term, std::unique_ptr<PooledConnection>);
+    std::shared_ptr<OpenTransaction> open(const OrganisationId&, Term, std::unique_ptr<PooledConnection>);
 
-    /// Marks the transaction as busy with one statement. TransactionUnknown when the shop has no open transaction with that
+    /// Marks the transaction as busy with one statement. TransactionUnknown when the organisation has no open transaction with that
     /// id, TransactionBusy while another statement of the transaction runs.
-    absl::StatusOr<std::shared_ptr<OpenTransaction>> acquire(const TransactionId&, const ShopId&);
+    absl::StatusOr<std::shared_ptr<OpenTransaction>> acquire(const TransactionId&, const OrganisationId&);
 
     /// An arbitrary open transaction; there must be at least one. Used by the test hook that deliberately runs statements on
     /// a connection that may belong to another transaction.
--- a/src/measure/Arrivals.cpp
+++ b/src/measure/Arrivals.cpp
@@ -33,7 +33,7 @@
             drawn.at = at;
             drawn.traffic = chooseTraffic(isUrgent);
             const Traffic& traffic = m_deployment.traffic[drawn.traffic];
-            drawn.shop = below(shops);
+            drawn.organisation = below(organisations);
             drawn.daemon = below(m_deployment.daemons());
             drawn.isWrite = unit() < traffic.writeShare;
             drawn.isTransaction = unit() < transactionShare && drawn.isWrite;
--- a/src/measure/Arrivals.h
+++ b/src/measure/Arrivals.h
@@ -23,7 +23,7 @@
     /// Since the start of the run.
     Milliseconds at;
     size_t traffic { 0 };
-    size_t shop { 0 };
+    size_t organisation { 0 };
     size_t daemon { 0 };
     bool isWrite { false };
     bool isTransaction { false };
@@ -35,8 +35,8 @@
     Milliseconds runTime;
 };
 
-/// Shops that share the databases evenly.
-constexpr size_t shops = 60;
+/// Organisations that share the databases evenly.
+constexpr size_t organisations = 60;
 
 /// Draws the arrivals of a run; the same seed gives the same ones. Stragglers of share 0 leave all else as it is.
 std::vector<Arrival> drawArrivals(const Deployment&, const std::vector<Phase>&, const Stragglers&, uint64_t seed);
--- a/src/measure/ArrivalsTests.cpp
+++ b/src/measure/ArrivalsTests.cpp
@@ -9,7 +9,7 @@
 
 bool isSameBesidesStraggling(const Arrival& a, const Arrival& b)
 {
-    return a.at == b.at && a.traffic == b.traffic && a.shop == b.shop && a.daemon == b.daemon && a.isWrite == b.isWrite
+    return a.at == b.at && a.traffic == b.traffic && a.organisation == b.organisation && a.daemon == b.daemon && a.isWrite == b.isWrite
         && a.isTransaction == b.isTransaction && a.isFollowUp == b.isFollowUp;
 }
 
--- a/src/measure/Callers.cpp
+++ b/src/measure/Callers.cpp
@@ -10,8 +10,8 @@
 
     constexpr Milliseconds pauseBeforeAskingAgain { 300 };
     constexpr uint32_t mostAttempts = 8;
-    /// Sessions of one shop that are there from the start; more join when all are busy.
-    constexpr size_t sessionsOfShop = 20;
+    /// Sessions of one organisation that are there from the start; more join when all are busy.
+    constexpr size_t sessionsOfOrganisation = 20;
     /// How much longer than the deadline a caller listens for the answer to arrive.
     constexpr Milliseconds patience { 20 };
 
@@ -43,7 +43,7 @@
     std::shared_ptr<Session> session;
     StatementRequest statement;
     CallerResult result;
-    size_t shop { 0 };
+    size_t organisation { 0 };
     size_t daemon { 0 };
     Milliseconds allowance;
     /// Tells the answer that is waited for from late ones.
@@ -56,10 +56,10 @@
     , m_deployment(deployment)
     , m_proxy(proxy)
     , m_start(loop.now())
-    , m_idle(shops)
+    , m_idle(organisations)
 {
     for (auto& idle : m_idle) {
-        for (size_t n = 0; n < sessionsOfShop; ++n)
+        for (size_t n = 0; n < sessionsOfOrganisation; ++n)
             idle.push_back(newSession());
     }
 }
@@ -102,7 +102,7 @@
 
 std::shared_ptr<Callers::Session> Callers::idleSession(const Arrival& arrival)
 {
-    auto& idle = m_idle[arrival.shop];
+    auto& idle = m_idle[arrival.organisation];
     if (idle.empty())
         idle.push_back(newSession());
     if (arrival.isFollowUp)
@@ -118,10 +118,10 @@
     const auto& groups = m_deployment.configuration->groups;
     Session& session = *request.session;
     StatementRequest& made = request.statement;
-    made.shop = ShopId(absl::StrCat("shop-", arrival.shop));
+    made.organisation = OrganisationId(absl::StrCat("shop-", arrival.organisation));
     made.session = SessionId(session.id);
     made.workload = traffic.workload.name;
-    made.database = groups[arrival.shop % groups.size()].database;
+    made.database = groups[arrival.organisation % groups.size()].database;
     made.mode = arrival.isWrite ? AccessMode::Write : AccessMode::Read;
     made.greatestAge = traffic.workload.greatestAge;
     request.result.write = arrival.isWrite ? ++session.writes : session.acknowledged;
@@ -131,7 +131,7 @@
     if (arrival.isTransaction)
         made.transaction = TransactionPart { TransactionStep::Begin, {} };
     request.allowance = traffic.workload.deadline;
-    request.shop = arrival.shop;
+    request.organisation = arrival.organisation;
     request.daemon = arrival.daemon;
     request.result.database = made.database;
     request.result.key = session.id;
@@ -222,7 +222,7 @@
     if (isWrite && answer.outcome() == Outcome::Done)
         session.acknowledged = result.write;
     if (!isUnsure)
-        m_idle[request->shop].push_back(request->session);
+        m_idle[request->organisation].push_back(request->session);
     m_results.push_back(std::move(result));
 }
 
--- a/src/measure/Scenarios.cpp
+++ b/src/measure/Scenarios.cpp
@@ -196,7 +196,7 @@
                     continue;
                 ++reads;
                 allowed += it.mightUseReplica ? 1 : 0;
-                const bool isAtPrimary = it.target == world.group(world.arrivalOf(it).shop % 3).targets.front().id;
+                const bool isAtPrimary = it.target == world.group(world.arrivalOf(it).organisation % 3).targets.front().id;
                 atReplicas += outcomeOf(it.code) == Outcome::Done && !isAtPrimary ? 1 : 0;
             }
             m_measures.replicaReadShare = share(atReplicas, reads);
--- a/src/peers/HomeCallJson.cpp
+++ b/src/peers/HomeCallJson.cpp
@@ -37,7 +37,7 @@
     void write(JsonWriter& writer, const StatementRequest& request, Instant now)
     {
         writer.beginObject();
-        writer.field("shop", request.shop.value());
+        writer.field("shop", request.organisation.value());
         writer.field("session", request.session.value());
         writer.field("id", request.id.value());
         writer.field("class", request.workload.value());
@@ -62,7 +62,7 @@
 
     bool read(const Json::Value& object, Instant now, StatementRequest& request)
     {
-        request.shop = ShopId(object["shop"].asString());
+        request.organisation = OrganisationId(object["shop"].asString());
         request.session = SessionId(object["session"].asString());
         request.id = RequestId(object["id"].asString());
         request.workload = ClassName(object["class"].asString());
--- a/src/peers/HomeCallJsonTests.cpp
+++ b/src/peers/HomeCallJsonTests.cpp
@@ -17,7 +17,7 @@
     call.minimumTerm = Term(3);
     call.greatestAge = Milliseconds(12.5);
     auto& request = call.request;
-    request.shop = ShopId("yoff-3");
+    request.organisation = OrganisationId("yoff-3");
     request.session = SessionId("s");
     request.id = RequestId("1700000000000-a");
     request.workload = ClassName("fitting");
--- a/src/pq/PipelineStep.cpp
+++ b/src/pq/PipelineStep.cpp
@@ -40,7 +40,7 @@
 
     std::vector<SqlValue> ledgerParameters(const LedgerKey& key)
     {
-        return { key.shop.value(), key.request.value(), std::to_string(key.fingerprint) };
+        return { key.organisation.value(), key.request.value(), std::to_string(key.fingerprint) };
     }
 
     PipelineStep ledgerEnter(const TargetBatch& batch)
--- a/src/pq/PqConnection.cpp
+++ b/src/pq/PqConnection.cpp
@@ -114,7 +114,7 @@
         return makeError(ResultCode::StatementFailed, "a transaction is already open on this connection");
     if (!isOpen && continuesTransaction(batch.operation) && batch.operation != TargetOperation::Rollback)
         return makeError(ResultCode::TransactionUnknown, "no transaction is open on this connection");
-    if (hasZeroByte(batch.statement) || hasZeroByte({ batch.ledgerKey.shop.value(), { batch.ledgerKey.request.value() } }))
+    if (hasZeroByte(batch.statement) || hasZeroByte({ batch.ledgerKey.organisation.value(), { batch.ledgerKey.request.value() } }))
         return makeError(ResultCode::StatementFailed, "a text holds a zero byte");
     return absl::OkStatus();
 }
--- a/src/pq/PqConnectorTests.cpp
+++ b/src/pq/PqConnectorTests.cpp
@@ -100,7 +100,7 @@
 TargetBatch wireWrite(const std::string& request, TargetOperation operation = TargetOperation::Write)
 {
     TargetBatch batch = wireBatch(operation);
-    batch.ledgerKey = { ShopId("shop"), RequestId(request), 7 };
+    batch.ledgerKey = { OrganisationId("shop"), RequestId(request), 7 };
     batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { "key", request } };
     return batch;
 }
--- a/src/promotion/Promoter.cpp
+++ b/src/promotion/Promoter.cpp
@@ -13,7 +13,7 @@
     constexpr Milliseconds checkInterval { 25 };
     constexpr Milliseconds maximumBackoff { 3000 };
     constexpr Milliseconds firstCommitRetryInterval { 250 };
-    const ShopId promotionShop("parsleypaddle-promotion");
+    const OrganisationId promotionOrganisation("parsleypaddle-promotion");
     constexpr uint32_t maximumBackoffDoublings { 4 };
 
     class GroupPromoter final : public Promoter {
@@ -176,7 +176,7 @@
         TargetBatch batch;
         batch.operation = TargetOperation::Settle;
         batch.term = view.term;
-        batch.ledgerKey = { promotionShop, RequestId("term-" + std::to_string(view.term.value())), view.term.value() };
+        batch.ledgerKey = { promotionOrganisation, RequestId("term-" + std::to_string(view.term.value())), view.term.value() };
         m_control.run(view.primary, batch, [](const absl::StatusOr<TargetReply>&) {});
     }
 
--- a/src/promotion/PromotionFixtureTests.cpp
+++ b/src/promotion/PromotionFixtureTests.cpp
@@ -70,7 +70,7 @@
     TargetBatch batch;
     batch.operation = TargetOperation::Write;
     batch.term = m_control->view().term;
-    batch.ledgerKey = { ShopId("shop"), RequestId(m_domain.value() + "-" + std::to_string(++m_writes)), 1 };
+    batch.ledgerKey = { OrganisationId("shop"), RequestId(m_domain.value() + "-" + std::to_string(++m_writes)), 1 };
     batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { batch.ledgerKey.request.value(), "value" } };
     m_connection->run(batch, writeTimeout, [this, alive, batch](const absl::StatusOr<TargetReply>& reply) {
         if (!alive.expired())
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -15,14 +15,14 @@
 
 }
 
-std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, ShopId caller, CallerKind kind, CallerPort& port)
+std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, OrganisationId caller, CallerKind kind, CallerPort& port)
 {
     std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(caller), kind, port));
     relay.addSession(session);
     return session;
 }
 
-CallerSession::CallerSession(Relay& relay, DatabaseId database, ShopId caller, CallerKind kind, CallerPort& port)
+CallerSession::CallerSession(Relay& relay, DatabaseId database, OrganisationId caller, CallerKind kind, CallerPort& port)
     : m_relay(relay)
     , m_database(std::move(database))
     , m_caller(std::move(caller))
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -29,7 +29,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
     /// `port` must remain valid until detach() is called.
-    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort& port);
+    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort& port);
 
     /// Runs the statement, or queues it while an earlier one is running. Closes the caller's connection when the queue is
     /// full.
@@ -56,7 +56,7 @@
 private:
     using Handler = void (CallerSession::*)(const RelayStep&);
 
-    CallerSession(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort&);
+    CallerSession(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort&);
 
     void dispatch(const RelayStep&);
     void dispatchNextWaiting();
@@ -83,7 +83,7 @@
 
     Relay& m_relay;
     DatabaseId m_database;
-    ShopId m_caller;
+    OrganisationId m_caller;
     CallerKind m_kind;
     CallerPort* m_port;
     std::shared_ptr<const CallerSessionState> m_sessionState { std::make_shared<CallerSessionState>() };
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -147,7 +147,7 @@
 }
 
 TestCaller::TestCaller(Relay& relay, const std::string& database, const std::string& name, CallerKind kind)
-    : m_session(CallerSession::create(relay, DatabaseId(database), ShopId(name), kind, *this))
+    : m_session(CallerSession::create(relay, DatabaseId(database), OrganisationId(name), kind, *this))
 {
 }
 
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -33,7 +33,7 @@
     using Done = std::function<void(RelayResult)>;
 
     std::shared_ptr<const Route> route;
-    ShopId caller;
+    OrganisationId caller;
     RelayStep step;
     /// Definition of the prepared statement that the step executes; empty for other steps.
     std::string definition;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -68,7 +68,7 @@
 WorkItem RelayRun::work() const
 {
     WorkItem work;
-    work.shop = m_job.caller;
+    work.organisation = m_job.caller;
     work.workload = ClassName(m_job.route->database.value());
     work.urgency = m_job.route->urgency;
     // Among routes of equal urgency, those with a shorter objective receive a larger share of a busy target.
--- a/src/relay/StatementLog.cpp
+++ b/src/relay/StatementLog.cpp
@@ -66,7 +66,7 @@
 void recordStatementMetrics(RelayGroup& group, const RelayJob& job, RelayError error)
 {
     RequestMeasure measure;
-    measure.shop = job.caller;
+    measure.organisation = job.caller;
     measure.workload = ClassName(job.route->database.value());
     measure.code = resultCodeFor(error);
     measure.total = group.loop().now() - job.arrived;
--- a/src/scheduling/ClassQueue.cpp
+++ b/src/scheduling/ClassQueue.cpp
@@ -4,12 +4,12 @@
 
 namespace {
 
-    /// Number of flows above which those of shops without waiting work are erased.
+    /// Number of flows above which those of organisations without waiting work are erased.
     constexpr size_t idleFlowSweepSize = 256;
 
 }
 
-const ScheduledWork* ClassQueue::ShopQueue::next(Eligibility eligibility) const
+const ScheduledWork* ClassQueue::OrganisationQueue::next(Eligibility eligibility) const
 {
     if (longWork.empty() || eligibility == Eligibility::ShortOnly)
         return shortWork.empty() ? nullptr : &shortWork.front();
@@ -20,67 +20,67 @@
 
 void ClassQueue::add(const ScheduledWork& scheduled)
 {
-    auto [it, isNew] = m_shops.try_emplace(scheduled.work.shop);
-    ShopQueue& shop = it->second;
+    auto [it, isNew] = m_organisations.try_emplace(scheduled.work.organisation);
+    OrganisationQueue& organisation = it->second;
     if (isNew) {
-        shop.weight = std::max(scheduled.work.shopWeight, 0.001);
-        m_totalWeight += shop.weight;
-        m_shares.activate(scheduled.work.shop, shop.weight);
+        organisation.weight = std::max(scheduled.work.organisationWeight, 0.001);
+        m_totalWeight += organisation.weight;
+        m_shares.activate(scheduled.work.organisation, organisation.weight);
     }
-    (scheduled.isLong ? shop.longWork : shop.shortWork).push_back(scheduled);
-    shop.backlog = shop.backlog + scheduled.cost;
+    (scheduled.isLong ? organisation.longWork : organisation.shortWork).push_back(scheduled);
+    organisation.backlog = organisation.backlog + scheduled.cost;
     m_backlog = m_backlog + scheduled.cost;
     m_shortWaiting += scheduled.isLong ? 0 : 1;
 }
 
 void ClassQueue::remove(const ScheduledWork& scheduled)
 {
-    auto found = m_shops.find(scheduled.work.shop);
-    if (found == m_shops.end())
+    auto found = m_organisations.find(scheduled.work.organisation);
+    if (found == m_organisations.end())
         return;
-    ShopQueue& shop = found->second;
-    auto& queue = scheduled.isLong ? shop.longWork : shop.shortWork;
+    OrganisationQueue& organisation = found->second;
+    auto& queue = scheduled.isLong ? organisation.longWork : organisation.shortWork;
     auto it = std::find_if(queue.begin(), queue.end(), [&scheduled](const ScheduledWork& each) { return each.work.id == scheduled.work.id; });
     if (it == queue.end())
         return;
     const Milliseconds cost = it->cost;
     m_shortWaiting -= it->isLong ? 0 : 1;
     queue.erase(it);
-    shop.backlog = shop.backlog - cost;
+    organisation.backlog = organisation.backlog - cost;
     m_backlog = m_backlog - cost;
-    if (!shop.isEmpty())
+    if (!organisation.isEmpty())
         return;
-    m_totalWeight -= shop.weight;
-    m_shops.erase(found);
+    m_totalWeight -= organisation.weight;
+    m_organisations.erase(found);
     // Discards the rounding errors that have accumulated in the sums.
-    if (m_shops.empty()) {
+    if (m_organisations.empty()) {
         m_backlog = {};
         m_totalWeight = 0;
     }
     if (m_shares.size() > idleFlowSweepSize)
-        m_shares.eraseIdle([this](const ShopId& id) { return m_shops.count(id) == 0; });
+        m_shares.eraseIdle([this](const OrganisationId& id) { return m_organisations.count(id) == 0; });
 }
 
 bool ClassQueue::hasEligible(Eligibility eligibility) const
 {
-    return eligibility == Eligibility::Any ? !m_shops.empty() : m_shortWaiting > 0;
+    return eligibility == Eligibility::Any ? !m_organisations.empty() : m_shortWaiting > 0;
 }
 
 const ScheduledWork* ClassQueue::next(Eligibility eligibility) const
 {
-    const ShopId* best = m_shares.next([this, eligibility](const ShopId& id) {
-        auto it = m_shops.find(id);
-        return it != m_shops.end() && it->second.next(eligibility);
+    const OrganisationId* best = m_shares.next([this, eligibility](const OrganisationId& id) {
+        auto it = m_organisations.find(id);
+        return it != m_organisations.end() && it->second.next(eligibility);
     });
-    return best ? m_shops.at(*best).next(eligibility) : nullptr;
+    return best ? m_organisations.at(*best).next(eligibility) : nullptr;
 }
 
 const ScheduledWork* ClassQueue::shedCandidate() const
 {
-    const ShopQueue* worst = nullptr;
-    for (const auto& [id, shop] : m_shops) {
-        if (!worst || shop.backlog.count() / shop.weight > worst->backlog.count() / worst->weight)
-            worst = &shop;
+    const OrganisationQueue* worst = nullptr;
+    for (const auto& [id, organisation] : m_organisations) {
+        if (!worst || organisation.backlog.count() / organisation.weight > worst->backlog.count() / worst->weight)
+            worst = &organisation;
     }
     if (!worst)
         return nullptr;
@@ -89,18 +89,18 @@
 
 void ClassQueue::charge(const ScheduledWork& scheduled)
 {
-    m_shares.charge(scheduled.work.shop, scheduled.cost.count());
+    m_shares.charge(scheduled.work.organisation, scheduled.cost.count());
 }
 
 void ClassQueue::adjustCharge(const WorkItem& work, Milliseconds difference)
 {
-    m_shares.adjustCharge(work.shop, difference.count());
+    m_shares.adjustCharge(work.organisation, difference.count());
 }
 
-Milliseconds ClassQueue::backlogAhead(const ShopId& id, double weight) const
+Milliseconds ClassQueue::backlogAhead(const OrganisationId& id, double weight) const
 {
-    auto it = m_shops.find(id);
-    if (it == m_shops.end())
+    auto it = m_organisations.find(id);
+    if (it == m_organisations.end())
         return Milliseconds(0);
     const double share = std::max(weight, 0.001) / m_totalWeight;
     return std::min(m_backlog, it->second.backlog * (1 / share));
--- a/src/scheduling/UrgencyQueue.cpp
+++ b/src/scheduling/UrgencyQueue.cpp
@@ -102,7 +102,7 @@
     for (const auto& [name, queue] : m_classes)
         weights += queue.isEmpty() ? 0 : m_weights.at(name);
     const double share = m_weights.at(work.workload) / weights;
-    return std::min(backlog(), it->second.backlogAhead(work.shop, work.shopWeight) * (1 / share));
+    return std::min(backlog(), it->second.backlogAhead(work.organisation, work.organisationWeight) * (1 / share));
 }
 
 bool UrgencyQueue::isUnderDeadlinePressure(Instant now) const
--- a/src/scheduling/UrgencyQueue.h
+++ b/src/scheduling/UrgencyQueue.h
@@ -21,7 +21,7 @@
     /// waiting work. Steps of open transactions are never candidates.
     const ScheduledWork* shedCandidate() const;
 
-    /// Charges the class and the shop with the estimated cost of work that is about to start.
+    /// Charges the class and the organisation with the estimated cost of work that is about to start.
     void charge(const ScheduledWork&);
     /// Corrects both charges by the `difference` between actual and estimated cost.
     void adjustCharge(const WorkItem&, Milliseconds difference);
@@ -29,7 +29,7 @@
     /// Estimated slot time of the waiting work, without steps of open transactions.
     Milliseconds backlog() const;
     /// Estimated slot time of the waiting work of this urgency that starts before `work`, with ideal fair shares between
-    /// classes and shops. Steps of open transactions are not counted. 0 when the shop has no waiting work in the class.
+    /// classes and organisations. Steps of open transactions are not counted. 0 when the organisation has no waiting work in the class.
     Milliseconds backlogAhead(const WorkItem&) const;
 
     /// Whether at least half of the time between arrival and latest start has passed for the work whose latest start comes
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -17,11 +17,11 @@
 /// Work to be run in a slot of a target, as its caller submits it.
 struct WorkItem {
     WorkId id;
-    ShopId shop;
+    OrganisationId organisation;
     ClassName workload;
     Urgency urgency { Urgency::Normal };
     double classWeight { 1 };
-    double shopWeight { 1 };
+    double organisationWeight { 1 };
     /// Key of the run-time estimate, which all work with the same key shares: a hash of the statement's text or, in the relay,
     /// of the database, whether the work opens a transaction and whether it is a write.
     uint64_t statement { 0 };
--- a/src/scheduling/WorkQueueTests.cpp
+++ b/src/scheduling/WorkQueueTests.cpp
@@ -28,11 +28,11 @@
         queue = WorkQueue::create(settings);
     }
 
-    WorkItem work(Urgency urgency, const std::string& shop = "s", uint64_t statement = shortStatement, Milliseconds timeToDeadline = Milliseconds(5000))
+    WorkItem work(Urgency urgency, const std::string& organisation = "s", uint64_t statement = shortStatement, Milliseconds timeToDeadline = Milliseconds(5000))
     {
         WorkItem it;
         it.id = WorkId(++lastId);
-        it.shop = ShopId(shop);
+        it.organisation = OrganisationId(organisation);
         it.workload = ClassName(urgency == Urgency::Urgent ? "urgent" : "other");
         it.urgency = urgency;
         it.statement = statement;
@@ -107,22 +107,22 @@
     }
 }
 
-TEST_CASE("shops of a class share the starts by weight even when one of them floods the queue", "[scheduling]")
+TEST_CASE("organisations of a class share the starts by weight even when one of them floods the queue", "[scheduling]")
 {
     QueueFixture fixture(1);
-    std::map<WorkId, std::string> shops;
+    std::map<WorkId, std::string> organisations;
     for (int n = 0; n < 300; ++n) {
-        shops[fixture.offer(fixture.work(Urgency::Normal, "greedy"))] = "greedy";
+        organisations[fixture.offer(fixture.work(Urgency::Normal, "greedy"))] = "greedy";
         if (n % 5 != 0)
             continue;
         WorkItem modest = fixture.work(Urgency::Normal, "modest");
-        modest.shopWeight = 2;
-        shops[fixture.offer(modest)] = "modest";
+        modest.organisationWeight = 2;
+        organisations[fixture.offer(modest)] = "modest";
     }
     std::map<std::string, int> started;
     for (int n = 0; n < 60; ++n) {
         const auto id = fixture.queue->startNext(fixture.now);
-        ++started[shops.at(id.value())];
+        ++started[organisations.at(id.value())];
         fixture.now = fixture.now + Milliseconds(1);
         fixture.queue->finish(*id, fixture.now);
     }
@@ -181,7 +181,7 @@
         fixture.offer(fixture.work(Urgency::Urgent, "s", shortStatement, Milliseconds(200)));
         CHECK(fixture.admission.status.ok());
     }
-    SECTION("work of a shop without waiting work is still admitted")
+    SECTION("work of an organisation without waiting work is still admitted")
     {
         fixture.offer(fixture.work(Urgency::Normal, "modest", shortStatement, Milliseconds(200)));
         CHECK(fixture.admission.status.ok());
@@ -287,7 +287,7 @@
 
 }
 
-// The reference model has no shops, deadlines or long work, so the test uses one shop, one class per urgency, distant
+// The reference model has no organisations, deadlines or long work, so the test uses one organisation, one class per urgency, distant
 // deadlines and short work of equal cost.
 TEST_CASE("without deadline pressure the queue starts work in the same order as a reference model", "[scheduling][differential]")
 {
--- a/src/sessions/TokenSigner.cpp
+++ b/src/sessions/TokenSigner.cpp
@@ -34,10 +34,10 @@
         }
     };
 
-    std::string signatureOf(const TokenKey& key, const ShopId& shop, const SessionId& session, std::string_view body)
+    std::string signatureOf(const TokenKey& key, const OrganisationId& organisation, const SessionId& session, std::string_view body)
     {
         Poco::HMACEngine<Sha256Engine> engine(key.secret);
-        engine.update(absl::StrCat(shop.value().size(), ":", shop.value(), session.value().size(), ":", session.value()));
+        engine.update(absl::StrCat(organisation.value().size(), ":", organisation.value(), session.value().size(), ":", session.value()));
         engine.update(body.data(), body.size());
         const auto& digest = engine.digest();
         return absl::WebSafeBase64Escape(std::string(digest.begin(), digest.end()));
@@ -99,14 +99,14 @@
     return TokenSigner(std::move(keys));
 }
 
-std::string TokenSigner::sign(const ShopId& shop, const SessionId& session, const SessionState& state) const
+std::string TokenSigner::sign(const OrganisationId& organisation, const SessionId& session, const SessionState& state) const
 {
     const TokenKey& key = m_keys.front();
     const std::string body = absl::WebSafeBase64Escape(bodyOf(state));
-    return absl::StrCat(key.id, ".", body, ".", signatureOf(key, shop, session, body));
+    return absl::StrCat(key.id, ".", body, ".", signatureOf(key, organisation, session, body));
 }
 
-absl::StatusOr<SessionState> TokenSigner::verify(const ShopId& shop, const SessionId& session, std::string_view token) const
+absl::StatusOr<SessionState> TokenSigner::verify(const OrganisationId& organisation, const SessionId& session, std::string_view token) const
 {
     const std::vector<std::string> parts = absl::StrSplit(absl::string_view(token.data(), token.size()), partSeparator);
     if (parts.size() != tokenPartCount)
@@ -114,7 +114,7 @@
     const TokenKey* key = findKey(parts[0]);
     if (!key)
         return invalidToken("it is signed with an unknown key");
-    if (!equalsInConstantTime(signatureOf(*key, shop, session, parts[1]), parts[2]))
+    if (!equalsInConstantTime(signatureOf(*key, organisation, session, parts[1]), parts[2]))
         return invalidToken("its signature does not match its contents, or it belongs to another shop or session");
 
     SessionState state;
--- a/src/sessions/TokenSigner.h
+++ b/src/sessions/TokenSigner.h
@@ -17,7 +17,7 @@
 };
 
 /// Encodes a session's state in a signed token that the client stores and sends with its next requests, and decodes it.
-/// The signature (HMAC-SHA-256) also covers the shop and the session. The contents are not encrypted.
+/// The signature (HMAC-SHA-256) also covers the organisation and the session. The contents are not encrypted.
 class TokenSigner {
 public:
     /// The first key signs new tokens. Tokens signed with any of the keys are accepted, so that keys can be replaced while
@@ -26,11 +26,11 @@
     static absl::StatusOr<TokenSigner> create(std::vector<TokenKey>);
 
     /// Encodes and signs the state.
-    std::string sign(const ShopId&, const SessionId&, const SessionState&) const;
+    std::string sign(const OrganisationId&, const SessionId&, const SessionState&) const;
 
-    /// Verifies and decodes a token. TokenInvalid when the token is malformed, was changed, belongs to another shop or
+    /// Verifies and decodes a token. TokenInvalid when the token is malformed, was changed, belongs to another organisation or
     /// session, or is signed with an unknown key.
-    absl::StatusOr<SessionState> verify(const ShopId&, const SessionId&, std::string_view token) const;
+    absl::StatusOr<SessionState> verify(const OrganisationId&, const SessionId&, std::string_view token) const;
 
 private:
     explicit TokenSigner(std::vector<TokenKey> keys)
--- a/src/standin_program/PipelineBatch.cpp
+++ b/src/standin_program/PipelineBatch.cpp
@@ -105,7 +105,7 @@
             break;
         case Kind::LedgerEnter:
         case Kind::LedgerSettle:
-            batch.ledgerKey = { ShopId(textOf(statement, 0)), RequestId(textOf(statement, 1)), numberOf(statement, 2) };
+            batch.ledgerKey = { OrganisationId(textOf(statement, 0)), RequestId(textOf(statement, 1)), numberOf(statement, 2) };
             break;
         case Kind::WorkItem:
             batch.statement = statement;
--- a/src/standins/GroupModel.cpp
+++ b/src/standins/GroupModel.cpp
@@ -305,7 +305,7 @@
     event.operation = batch.operation;
     event.term = target.term;
     event.position = position;
-    event.shop = batch.ledgerKey.shop;
+    event.organisation = batch.ledgerKey.organisation;
     event.request = batch.ledgerKey.request;
     event.committed = std::move(committed);
     event.wasLeaving = target.isLeaving;
--- a/src/standins/GroupModel.h
+++ b/src/standins/GroupModel.h
@@ -31,7 +31,7 @@
     Term term;
     /// Position of the commit, or the applied position that a read saw.
     LogPosition position;
-    ShopId shop;
+    OrganisationId organisation;
     RequestId request;
     /// The requests whose statements were committed together.
     std::vector<RequestId> committed;
--- a/src/standins/GroupModelTests.cpp
+++ b/src/standins/GroupModelTests.cpp
@@ -18,7 +18,7 @@
     TargetBatch batch;
     batch.operation = TargetOperation::Write;
     batch.term = term;
-    batch.ledgerKey = { ShopId("shop"), RequestId(request), 7 };
+    batch.ledgerKey = { OrganisationId("shop"), RequestId(request), 7 };
     batch.statement = { "INSERT INTO records (key, value) VALUES ($1, $2)", { "key", request } };
     return batch;
 }
--- a/src/standins/ModelTarget.h
+++ b/src/standins/ModelTarget.h
@@ -30,7 +30,7 @@
 /// The key of a ledger entry within a target.
 inline std::pair<std::string, std::string> ledgerIndex(const LedgerKey& key)
 {
-    return { key.shop.value(), key.request.value() };
+    return { key.organisation.value(), key.request.value() };
 }
 
 }
--- a/src/statements/StatementFields.cpp
+++ b/src/statements/StatementFields.cpp
@@ -262,7 +262,7 @@
 
     constexpr std::array<StatementField, 15> statementFields { {
         { "version", true, decodeVersion },
-        { "shop", true, decodeName<&StatementRequest::shop> },
+        { "shop", true, decodeName<&StatementRequest::organisation> },
         { "session", false, decodeName<&StatementRequest::session> },
         { "request_id", true, decodeRequestId },
         { "class", true, decodeName<&StatementRequest::workload> },
--- a/src/statements/StatementJsonTests.cpp
+++ b/src/statements/StatementJsonTests.cpp
@@ -45,7 +45,7 @@
         requestWith(R"("session":"s-1","parameters":["a\u00e9",12345678901234567890123,0.10,true,null,-7],"greatest_age_ms":1500,"repeatable":true,"attempt":3,"token":"t")"), decodeTime);
     INFO(request.status());
     REQUIRE(request.ok());
-    CHECK(request->shop == ShopId("plateau-12"));
+    CHECK(request->organisation == OrganisationId("plateau-12"));
     CHECK(request->session == SessionId("s-1"));
     CHECK(request->id == RequestId("1700000000000-a_B-9"));
     CHECK(request->workload == ClassName("fitting"));
--- a/src/statements/StatementRequest.h
+++ b/src/statements/StatementRequest.h
@@ -36,7 +36,7 @@
 
 /// A caller's request after decoding and validation.
 struct StatementRequest {
-    ShopId shop;
+    OrganisationId organisation;
     /// Empty when the caller asks for no session guarantee.
     SessionId session;
     RequestId id;
--- a/src/targets/TargetConnection.h
+++ b/src/targets/TargetConnection.h
@@ -39,7 +39,7 @@
 
 /// Identifies a write in the ledger, the target's record of executed requests.
 struct LedgerKey {
-    ShopId shop;
+    OrganisationId organisation;
     RequestId request;
     /// Hash of the statement, which detects a request id that is reused for another statement.
     uint64_t fingerprint { 0 };
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -99,7 +99,7 @@
 class Metrics::Internals {
 public:
     explicit Internals(const MetricsLimits& limits)
-        : byShop(registry, "shop", limits.shops)
+        : byOrganisation(registry, "shop", limits.organisations)
         , byClass(registry, "class", limits.classes)
         , answers(prometheus::BuildCounter().Name("parsleypaddle_answers_total").Help("Answers to callers, by result code").Register(registry))
     {
@@ -110,7 +110,7 @@
     }
 
     prometheus::Registry registry;
-    DurationHistograms byShop;
+    DurationHistograms byOrganisation;
     DurationHistograms byClass;
     prometheus::Family<prometheus::Counter>& answers;
     std::array<prometheus::Counter*, counterInfos.size()> counters {};
@@ -127,7 +127,7 @@
 
 void Metrics::recordRequest(const RequestMeasure& measure)
 {
-    m_internals->byShop.total.observe(measure.shop.value(), measure.total);
+    m_internals->byOrganisation.total.observe(measure.organisation.value(), measure.total);
     m_internals->byClass.total.observe(measure.workload.value(), measure.total);
     auto& counter = m_internals->byCode[static_cast<uint16_t>(measure.code)];
     if (!counter)
@@ -139,8 +139,8 @@
 
 void Metrics::recordWork(const WorkMeasure& measure)
 {
-    m_internals->byShop.wait.observe(measure.shop.value(), measure.wait);
-    m_internals->byShop.run.observe(measure.shop.value(), measure.run);
+    m_internals->byOrganisation.wait.observe(measure.organisation.value(), measure.wait);
+    m_internals->byOrganisation.run.observe(measure.organisation.value(), measure.run);
     m_internals->byClass.wait.observe(measure.workload.value(), measure.wait);
     m_internals->byClass.run.observe(measure.workload.value(), measure.run);
 }
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -12,7 +12,7 @@
 
 /// The result and duration of a caller's request.
 struct RequestMeasure {
-    ShopId shop;
+    OrganisationId organisation;
     ClassName workload;
     ResultCode code { ResultCode::Done };
     /// From arrival to answer.
@@ -25,7 +25,7 @@
 /// The durations of one work item on a target whose connections this daemon owns (its home). Another daemon may have sent
 /// the item.
 struct WorkMeasure {
-    ShopId shop;
+    OrganisationId organisation;
     ClassName workload;
     /// Time spent waiting for a free execution slot.
     Milliseconds wait;
@@ -62,7 +62,7 @@
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
 struct MetricsLimits {
-    size_t shops { 100 };
+    size_t organisations { 100 };
     size_t classes { 32 };
 };
 
--- a/src/telemetry/MetricsTests.cpp
+++ b/src/telemetry/MetricsTests.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-RequestMeasure measureOf(const std::string& shop, ResultCode code = ResultCode::Done)
+RequestMeasure measureOf(const std::string& organisation, ResultCode code = ResultCode::Done)
 {
-    return { ShopId(shop), ClassName("fitting"), code, Milliseconds(7), true, true };
+    return { OrganisationId(organisation), ClassName("fitting"), code, Milliseconds(7), true, true };
 }
 
 bool hasLine(const std::string& text, const std::string& line)
@@ -27,7 +27,7 @@
     metrics.recordRequest(measureOf("shop-1"));
     metrics.recordRequest(measureOf("shop-1", ResultCode::Overloaded));
     for (int n = 0; n < 2; ++n)
-        metrics.recordWork({ ShopId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
+        metrics.recordWork({ OrganisationId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
     metrics.count(MetricCounter::Promotions);
     for (const double it : { 2.0, 5.0, 5.0 })
         metrics.raiseTo(MetricCounter::KeysRefused, it);
@@ -44,7 +44,7 @@
     CHECK(hasLine(text, "parsleypaddle_configuration_version 7"));
 }
 
-TEST_CASE("shops beyond the limit share the label \"other\"", "[telemetry]")
+TEST_CASE("organisations beyond the limit share the label \"other\"", "[telemetry]")
 {
     Metrics metrics({ 2, 1 });
     for (int n = 0; n < 1000; ++n)
@@ -65,7 +65,7 @@
     }
     Metrics metrics({});
     metrics.recordRequest(measureOf("shop-1"));
-    metrics.recordWork({ ShopId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
+    metrics.recordWork({ OrganisationId("shop-1"), ClassName("fitting"), Milliseconds(1), Milliseconds(3) });
     std::set<std::string> exposed;
     std::istringstream text(metrics.text());
     for (std::string line; std::getline(text, line);) {
--- a/src/tool/ExceptionCommands.cpp
+++ b/src/tool/ExceptionCommands.cpp
@@ -19,7 +19,7 @@
             return makeError(ResultCode::ReasonMissing, "--reason: an exception needs a written reason");
         PolicyException exception;
         exception.id = options.id;
-        exception.scope = { DatabaseId(options.database), ShopId(options.shop), ClassName(options.workload) };
+        exception.scope = { DatabaseId(options.database), OrganisationId(options.organisation), ClassName(options.workload) };
         exception.setting = setting->setting;
         exception.value = options.value;
         exception.reason = options.reason;
@@ -37,7 +37,7 @@
         Json::Value value;
         value["id"] = exception.id;
         value["database"] = exception.scope.database.value();
-        value["shop"] = exception.scope.shop.value();
+        value["shop"] = exception.scope.organisation.value();
         value["class"] = exception.scope.workload.value();
         value["setting"] = policySettingInfo(exception.setting).name;
         value["value"] = exception.value;
@@ -56,7 +56,7 @@
                 scope += (scope.empty() ? "" : ", ") + std::string(kind) + " " + id;
         };
         add("database", exception.scope.database.value());
-        add("shop", exception.scope.shop.value());
+        add("shop", exception.scope.organisation.value());
         add("class", exception.scope.workload.value());
         return scope;
     }
--- a/src/tool/ToolOptions.cpp
+++ b/src/tool/ToolOptions.cpp
@@ -36,7 +36,7 @@
         { "base", OptionKind::Special, nullptr, nullptr, "VERSION that the document started from; else the document's own" },
         { "id", OptionKind::Text, nullptr, &ToolOptions::id, "ID of the exception" },
         { "database", OptionKind::Text, nullptr, &ToolOptions::database, "DATABASE that the exception holds for" },
-        { "shop", OptionKind::Text, nullptr, &ToolOptions::shop, "SHOP that the exception holds for" },
+        { "shop", OptionKind::Text, nullptr, &ToolOptions::organisation, "SHOP that the exception holds for" },
         { "class", OptionKind::Text, nullptr, &ToolOptions::workload, "CLASS that the exception holds for" },
         { "setting", OptionKind::Text, nullptr, &ToolOptions::setting, "NAME of the setting that it changes" },
         { "value", OptionKind::Text, nullptr, &ToolOptions::value, "VALUE of the setting" },
--- a/src/tool/ToolOptions.h
+++ b/src/tool/ToolOptions.h
@@ -27,7 +27,7 @@
     std::optional<uint64_t> base;
     std::string id;
     std::string database;
-    std::string shop;
+    std::string organisation;
     std::string workload;
     std::string setting;
     std::string value;
