--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "configuration/Configuration.h"
+#include "directory/OrganisationDirectory.h"
 
 #include <map>
 #include <memory>
@@ -31,6 +32,8 @@
     /// Latency objective of an operation, from its arrival to its answer.
     Milliseconds latencyObjective;
     Urgency urgency { Urgency::Normal };
+    /// Whether callers without a key may use the route. Only matters where the table has organisations.
+    bool isPublic { false };
 };
 
 /// Limits of one group, the same for each of its targets.
@@ -46,6 +49,8 @@
     std::map<GroupId, GroupLimits> groups;
     /// A transaction without a statement for longer than this may be rolled back.
     Milliseconds transactionIdleTimeout;
+    /// Null where the configuration names no organisations, and callers are not identified.
+    std::shared_ptr<const OrganisationDirectory> organisations;
 };
 
 }
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -33,7 +33,10 @@
     using Done = std::function<void(RelayResult)>;
 
     std::shared_ptr<const Route> route;
+    /// The name that the caller gives for itself, for logs and metrics.
     OrganisationId caller;
+    /// The organisation in whose name the statement runs at a target; empty where callers are not identified.
+    OrganisationId organisation;
     RelayStep step;
     /// Definition of the prepared statement that the step executes; empty for other steps.
     std::string definition;
