--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -29,7 +29,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
     /// `port` must remain valid until detach() is called.
-    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort& port);
+    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort& port);
 
     /// Runs the statement, or queues it while an earlier one is running. Closes the caller's connection when the queue is
     /// full.
@@ -41,6 +41,7 @@
 
     /// Whether no statement is running or queued and no transaction is open.
     bool isIdle() const { return !m_isRunning && m_waiting.empty() && m_state == TransactionState::Idle; }
+    bool hasUnansweredStatement() const { return m_isRunning || !m_waiting.empty(); }
     bool isInTransaction() const { return m_state != TransactionState::Idle; }
     Instant lastUsed() const { return m_lastUsed; }
 
@@ -56,7 +57,7 @@
 private:
     using Handler = void (CallerSession::*)(const RelayStep&);
 
-    CallerSession(Relay&, DatabaseId, ShopId caller, CallerKind, CallerPort&);
+    CallerSession(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort&);
 
     void dispatch(const RelayStep&);
     void dispatchNextWaiting();
@@ -83,7 +84,7 @@
 
     Relay& m_relay;
     DatabaseId m_database;
-    ShopId m_caller;
+    OrganisationId m_caller;
     CallerKind m_kind;
     CallerPort* m_port;
     std::shared_ptr<const CallerSessionState> m_sessionState { std::make_shared<CallerSessionState>() };
