Subscribers of a source without the platform follow the first that becomes a holder

Cause: a source that the platform refuses is noticed up to 0.8 s late, its subscribers then waited for a random second besides 0.2 s for each rank, and each of them had to read the leases itself.

Change: a subscriber sends its next heartbeat when its source may have passed the greatest age, the first in rank reads the leases at once, and a subscriber that has become a holder says so in its leave message. The source names it in its grants, so the others move without a call to the platform. A subscriber that the platform did not answer tries again after 0.2 to 0.4 s for each daemon of the failure domain. Both fields are optional: daemons of the version before ignore them.

--- a/src/distribution/DistributionFaultTests.cpp
+++ b/src/distribution/DistributionFaultTests.cpp
@@ -101,7 +101,7 @@
 
 // The platform refuses a source, and the other sources of its failure domain do not answer. Its subscribers
 // reach the platform, and have to be served by a change of configuration within six seconds.
-TEST_CASE("subscribers of a source that the platform refuses receive a change within six seconds although no other source answers", "[distribution][known-red]")
+TEST_CASE("subscribers of a source that the platform refuses receive a change within six seconds although no other source answers", "[distribution]")
 {
     DistributionFixture fixture(40, 2);
     const size_t source = fixture.holderWithSubscribers();
@@ -119,3 +119,40 @@
         CHECK(fixture.daemons[it]->configuration == 2);
     }
 }
+
+// While the whole platform is away, all subscribers of a failure domain look for a way of their own.
+TEST_CASE("77 subscribers whose sources have lost the platform make at most ten calls a second together", "[distribution]")
+{
+    DistributionFixture fixture(80, 1);
+    fixture.run(10'000);
+    REQUIRE(fixture.holders().size() == 3);
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    const auto callsOfSubscribers = [&fixture] {
+        uint64_t n = 0;
+        for (const auto& it : fixture.daemons)
+            n += it->role.isHolder() ? 0 : it->rows.calls;
+        return n;
+    };
+    for (int window = 0; window < 15; ++window) {
+        const uint64_t before = callsOfSubscribers();
+        fixture.run(2000);
+        CAPTURE(window);
+        CHECK(callsOfSubscribers() - before <= 20);
+    }
+}
+
+// Without the announcement each subscriber would read the leases itself, one every 200 ms.
+TEST_CASE("the subscribers of a source that loses the platform follow the first of them that becomes a holder", "[distribution]")
+{
+    DistributionFixture fixture(80, 1);
+    fixture.run(10'000);
+    for (const size_t it : fixture.holders())
+        fixture.daemons[it]->rows.isCut = true;
+    fixture.run(6000);
+    fixture.writeConfiguration(2);
+    fixture.run(500);
+    CHECK(fixture.countConfiguration(2) >= 77);
+    // The sources that the platform refuses lose their own leases.
+    CHECK(fixture.countValidLeases() >= 77);
+}
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -20,6 +20,9 @@
     /// A source that the platform has not answered for this long may have missed a change. It normally hears from the platform
     /// at each renewal of its row.
     constexpr Milliseconds maxPlatformAge { 3500 };
+    /// A source without the platform tells in its answers of a daemon that reaches it. These renewals stay in the failure domain.
+    constexpr Milliseconds staleRenewInterval { 300 };
+    constexpr Milliseconds minRenewInterval { 50 };
 
     uint64_t affinity(const InstanceId& own, const InstanceId& source)
     {
@@ -137,12 +140,12 @@
     m_callbacks.onExhausted();
 }
 
-void SourceClient::stop()
+void SourceClient::stop(bool holdsRow)
 {
     m_loop.cancel(std::exchange(m_timer, TimerId::None));
     if (!m_link)
         return;
-    send(LeaveMessage {});
+    send(LeaveMessage { holdsRow });
     m_link->channel->close();
     m_link.reset();
 }
@@ -167,6 +170,35 @@
     m_timer = m_loop.after(delay, [this] { tick(); });
 }
 
+// Renews again as soon as the source may have passed the greatest age, so that a loss of the platform is noticed at once.
+void SourceClient::scheduleRenewal(Milliseconds platformAge)
+{
+    if (platformAge > maxPlatformAge)
+        renewAfter(staleRenewInterval);
+    else if (platformAge + renewInterval > maxPlatformAge)
+        renewAfter(std::max(maxPlatformAge - platformAge, minRenewInterval));
+}
+
+void SourceClient::addCandidate(const LeaseMember& holder)
+{
+    const bool isOwn = holder.instance == m_lease.instance();
+    const bool isOfOtherDomain = holder.addresses.failureDomain != m_lease.addresses().failureDomain;
+    if (isOwn || isOfOtherDomain || holder.addresses.sourcePort == 0)
+        return;
+    auto candidates = m_candidates;
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [&holder](const Peer& it) { return it.instance == holder.instance; }), candidates.end());
+    candidates.push_back({ holder.instance, holder.addresses, true });
+    setCandidates(candidates);
+}
+
+bool SourceClient::moveFromStale()
+{
+    if (!isStale() || !nextCandidate())
+        return false;
+    lose("the source has not reached the platform for some time", Loss::Stale);
+    return true;
+}
+
 void SourceClient::tick()
 {
     m_timer = TimerId::None;
@@ -202,9 +234,12 @@
     const bool isGranted = message.duration > Milliseconds(0);
     if (isGranted)
         m_lease.extendByGrant(sentAt + std::min(message.duration, InstanceLease::grantDuration));
-    else
+    scheduleRenewal(message.platformAge);
+    if (!isGranted)
         renewAfter(shortRenewInterval);
     m_link->isStale = message.platformAge > maxPlatformAge;
+    if (m_link->isStale && message.newHolder)
+        addCandidate(*message.newHolder);
     if (m_link->isStale && nextCandidate())
         return lose("the source has not reached the platform for " + std::to_string(static_cast<int64_t>(message.platformAge.count())) + " ms", Loss::Stale);
     if (!m_link->isAttached)
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -37,8 +37,11 @@
     void setCandidates(const std::vector<Peer>&);
     /// Starts to subscribe, unless this daemon does so already. Calls onExhausted() if there is no candidate.
     void start();
-    /// Leaves the source. This daemon must no longer rely on its grants.
-    void stop();
+    /// Leaves the source. This daemon must no longer rely on its grants. A source that has lost the platform tells its other
+    /// subscribers of this daemon if it `holdsRow` now.
+    void stop(bool holdsRow = false);
+    /// Moves from a source that has lost the platform to another one, if there is one. Returns whether it moved.
+    bool moveFromStale();
     /// Reports the confirmed epoch and asks for a longer grant now.
     void renew();
 
@@ -90,6 +93,8 @@
     void apply(const Message&);
     void attach();
     void renewAfter(Milliseconds);
+    void scheduleRenewal(Milliseconds platformAge);
+    void addCandidate(const LeaseMember&);
     void tick();
     void lose(const std::string& why, Loss = Loss::Refused);
     void send(const SourceMessage&);
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -87,17 +87,34 @@
         return SourceMessage(std::move(message));
     }
 
+    void encodeAddresses(Json::Value& value, const PeerEndpoint& addresses)
+    {
+        value["failure_domain"] = addresses.failureDomain.value();
+        value["host"] = addresses.host;
+        value["platform_port"] = addresses.platformProxyPort;
+        value["caller_port"] = addresses.callerPort;
+        value["source_port"] = addresses.sourcePort;
+        value["cores"] = addresses.cores;
+    }
+
+    PeerEndpoint decodeAddresses(FieldReader& fields)
+    {
+        PeerEndpoint addresses;
+        addresses.failureDomain = FailureDomainId(fields.text("failure_domain"));
+        addresses.host = fields.text("host");
+        addresses.platformProxyPort = static_cast<uint16_t>(fields.shortNumber("platform_port", UINT16_MAX));
+        addresses.callerPort = static_cast<uint16_t>(fields.shortNumber("caller_port", UINT16_MAX));
+        addresses.sourcePort = static_cast<uint16_t>(fields.shortNumber("source_port", UINT16_MAX));
+        addresses.cores = fields.real("cores");
+        return addresses;
+    }
+
     void encodeInto(Json::Value& value, const SubscribeMessage& message)
     {
         value["kind"] = "subscribe";
         value["instance"] = message.instance.value();
         value["incarnation"] = message.incarnation;
-        value["failure_domain"] = message.addresses.failureDomain.value();
-        value["host"] = message.addresses.host;
-        value["platform_port"] = message.addresses.platformProxyPort;
-        value["caller_port"] = message.addresses.callerPort;
-        value["source_port"] = message.addresses.sourcePort;
-        value["cores"] = message.addresses.cores;
+        encodeAddresses(value, message.addresses);
     }
 
     void encodeInto(Json::Value& value, const TableRequest& message)
@@ -123,9 +140,10 @@
         value["id"] = Json::UInt64(message.id);
     }
 
-    void encodeInto(Json::Value& value, const LeaveMessage&)
+    void encodeInto(Json::Value& value, const LeaveMessage& message)
     {
         value["kind"] = "leave";
+        value["holds_row"] = message.holdsRow;
     }
 
     Json::Value encodeRowList(const std::vector<StoredRow>& list)
@@ -168,6 +186,11 @@
         value["number"] = Json::UInt64(message.number);
         value["duration_ms"] = message.duration.count();
         value["platform_age_ms"] = message.platformAge.count();
+        if (!message.newHolder)
+            return;
+        Json::Value& holder = value["new_holder"];
+        holder["instance"] = message.newHolder->instance.value();
+        encodeAddresses(holder, message.newHolder->addresses);
     }
 
     void encodeInto(Json::Value& value, const StopMessage&)
@@ -181,12 +204,7 @@
         SubscribeMessage message;
         message.instance = InstanceId(fields.text("instance"));
         message.incarnation = fields.text("incarnation");
-        message.addresses.failureDomain = FailureDomainId(fields.text("failure_domain"));
-        message.addresses.host = fields.text("host");
-        message.addresses.platformProxyPort = static_cast<uint16_t>(fields.shortNumber("platform_port", UINT16_MAX));
-        message.addresses.callerPort = static_cast<uint16_t>(fields.shortNumber("caller_port", UINT16_MAX));
-        message.addresses.sourcePort = static_cast<uint16_t>(fields.shortNumber("source_port", UINT16_MAX));
-        message.addresses.cores = fields.real("cores");
+        message.addresses = decodeAddresses(fields);
         return checked(fields, std::move(message));
     }
 
@@ -257,12 +275,22 @@
         message.number = fields.number("number");
         message.duration = Milliseconds(fields.real("duration_ms"));
         message.platformAge = Milliseconds(fields.real("platform_age_ms"));
-        return checked(fields, message);
+        if (!value.isMember("new_holder"))
+            return checked(fields, message);
+        const Json::Value& holder = value["new_holder"];
+        if (!holder.isObject())
+            return makeError(ResultCode::MissingField, "message between daemons: field new_holder is not a JSON object");
+        FieldReader holderFields(holder);
+        message.newHolder = LeaseMember { InstanceId(holderFields.text("instance")), decodeAddresses(holderFields) };
+        if (const auto status = holderFields.status(); !status.ok())
+            return status;
+        return checked(fields, std::move(message));
     }
 
-    absl::StatusOr<SourceMessage> decodeLeave(const Json::Value&)
+    // Sources of the version before send and read the message without the field.
+    absl::StatusOr<SourceMessage> decodeLeave(const Json::Value& value)
     {
-        return SourceMessage(LeaveMessage {});
+        return SourceMessage(LeaveMessage { value["holds_row"].isBool() && value["holds_row"].asBool() });
     }
 
     absl::StatusOr<SourceMessage> decodeStop(const Json::Value&)
--- a/src/distribution/SourceMessages.h
+++ b/src/distribution/SourceMessages.h
@@ -4,6 +4,7 @@
 #include "platform_ports/PlatformPorts.h"
 
 #include <absl/status/statusor.h>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -47,6 +48,8 @@
 
 /// Subscriber: it no longer uses its grant. The last message on a channel.
 struct LeaveMessage {
+    /// Whether it holds a row itself now, and serves as a source.
+    bool holdsRow { false };
 };
 
 /// Source: answers a TableRequest.
@@ -66,6 +69,8 @@
     Milliseconds duration;
     /// Time since the platform last answered the source.
     Milliseconds platformAge;
+    /// A daemon that has recently left this source to hold a row itself.
+    std::optional<LeaseMember> newHolder {};
 };
 
 /// Source: it does not serve subscribers, or is about to stop.
--- a/src/distribution/SourceMessagesTests.cpp
+++ b/src/distribution/SourceMessagesTests.cpp
@@ -29,6 +29,8 @@
         encodeSourceMessage(RenewMessage { 8, RowVersion(9), 10 }),
         encodeSourceMessage(ReceivedMessage { 13 }),
         encodeSourceMessage(LeaveMessage {}),
+        encodeSourceMessage(LeaveMessage { true }),
+        encodeSourceMessage(GrantMessage { 15, Milliseconds(2500), Milliseconds(4000), LeaseMember { InstanceId("two"), { FailureDomainId("domain"), "10.0.0.2", 1, 2, 3, 0.25 } } }),
         encodeSourceMessage(TableReply { 11, rows, true }),
         encodeSourceMessage(TableReply { 14, largeTable(), false }),
         encodeSourceMessage(GrantMessage { 12, Milliseconds(2500), Milliseconds(3.5) }),
--- a/src/distribution/SourceRole.cpp
+++ b/src/distribution/SourceRole.cpp
@@ -26,7 +26,12 @@
     /// Delay per rank among the subscribers of a failure domain before one whose sources have lost the platform calls it itself, and its
     /// upper limit.
     constexpr Milliseconds fallbackDelayPerRank { 200 };
-    constexpr Milliseconds maxFallbackDelay { 10'000 };
+    constexpr Milliseconds maxFallbackDelay { 20'000 };
+    /// Time for each daemon of the failure domain, over which daemons that the platform has not answered try it again at random. All together
+    /// then make some three calls a second.
+    constexpr Milliseconds fallbackRetryPerDaemon { 400 };
+    /// How long a failed call makes the next one a retry.
+    constexpr Milliseconds fallbackMemory { 60'000 };
     /// Longer than the interval at which sources report since when they have not reached the platform.
     constexpr Milliseconds staleRecheckDelay { 1200 };
     /// Delay before the holders are tried again after all of them have refused. When all daemons restart, they listen again at about the
@@ -116,10 +121,23 @@
     }));
 }
 
-// Subscribers whose sources have lost the platform try it one after the other.
+// Subscribers whose sources have lost the platform try it one after the other, the first one at once: all others wait for the first that
+// the platform answers, which they hear of from their source.
 void SourceRole::checkOwnPath()
 {
-    readLeases(randomDelay(fallbackSpread) + std::min(fallbackDelayPerRank * ownRank(false), maxFallbackDelay));
+    if (isHolder() || m_isReading || m_nextRead)
+        return;
+    if (!m_ownPathFailedAt || m_context.loop.now() > *m_ownPathFailedAt + fallbackMemory)
+        return readLeases(std::min(fallbackDelayPerRank * ownRank(false), maxFallbackDelay));
+    const Milliseconds spread = std::max(fallbackRetryPerDaemon * domainSize(), fallbackSpread);
+    readLeases(spread * 0.5 + randomDelay(spread * 0.5));
+}
+
+size_t SourceRole::domainSize() const
+{
+    const auto& peers = m_context.leaseMonitor.peers();
+    const auto& domain = m_context.lease.addresses().failureDomain;
+    return 1 + static_cast<size_t>(std::count_if(peers.begin(), peers.end(), [&domain](const Peer& it) { return it.addresses.failureDomain == domain; }));
 }
 
 // No candidate serves this daemon.
@@ -161,6 +179,7 @@
         return;
     if (!table.ok()) {
         m_hasOwnPath = false;
+        m_ownPathFailedAt = m_context.loop.now();
         if (m_state == State::Searching) {
             const Milliseconds delay = std::min(minReadRetryDelay * std::exp2(std::min(m_failedReads++, 8U)), maxReadRetryDelay);
             readLeases(delay * 0.5 + randomDelay(delay * 0.5));
@@ -168,9 +187,14 @@
         return;
     }
     m_failedReads = 0;
+    m_ownPathFailedAt.reset();
     if (m_state == State::Searching)
         return search(*table);
     // This daemon is subscribed, and the platform answers it.
+    if (m_client.moveFromStale()) {
+        m_hasOwnPath = false;
+        return;
+    }
     const bool hadOwnPath = std::exchange(m_hasOwnPath, m_client.isStale());
     if (m_hasOwnPath && hadOwnPath)
         return hold("no source reaches the platform");
@@ -238,7 +262,7 @@
         return;
     }
     m_context.lease.dropGrant();
-    m_client.stop();
+    m_client.stop(true);
 }
 
 void SourceRole::attach()
--- a/src/distribution/SourceRole.h
+++ b/src/distribution/SourceRole.h
@@ -69,6 +69,8 @@
     std::vector<Peer> reachableHolders() const;
     /// Number of listed daemons in the own failure domain, of those with or without rows, that go before this one.
     size_t ownRank(bool amongHolders) const;
+    /// Number of listed daemons in the own failure domain, this one included.
+    size_t domainSize() const;
     Milliseconds searchDelay();
     Milliseconds randomDelay(Milliseconds limit);
 
@@ -86,6 +88,8 @@
     bool m_isReading { false };
     /// Whether the platform has answered this daemon while its sources had lost the platform.
     bool m_hasOwnPath { false };
+    /// When the platform last failed to answer this daemon while its sources had lost it, too.
+    std::optional<Instant> m_ownPathFailedAt;
     uint32_t m_failedReads { 0 };
     /// How often in a row no candidate served this daemon.
     uint32_t m_exhaustions { 0 };
--- a/src/distribution/SourceService.cpp
+++ b/src/distribution/SourceService.cpp
@@ -13,6 +13,8 @@
     /// A subscriber sends several messages in this time.
     constexpr Milliseconds silenceTimeout { 5000 };
     constexpr Milliseconds silenceCheckInterval { 2500 };
+    /// All subscribers report several times in this time.
+    constexpr Milliseconds newHolderTime { 3000 };
 
 }
 
@@ -125,7 +127,10 @@
     m_lease.addMember({ subscriber->instance, subscriber->addresses, message.sessions }, subscriber->incarnation);
     const Milliseconds duration = m_lease.grant(subscriber->instance, subscriber->incarnation, message.epoch, message.sessions);
     const Milliseconds age = std::min(m_rows.platformAge(), m_lease.platformAge().value_or(m_rows.platformAge()));
-    subscriber->send(GrantMessage { message.number, duration, age });
+    GrantMessage answer { message.number, duration, age };
+    if (m_loop.now() < m_newHolderUntil)
+        answer.newHolder = m_newHolder;
+    subscriber->send(answer);
 }
 
 void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const ReceivedMessage& message)
@@ -134,9 +139,13 @@
         continueTransfers();
 }
 
-void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const LeaveMessage&)
+void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const LeaveMessage& message)
 {
     m_lease.removeMember(subscriber->instance, subscriber->incarnation);
+    if (message.holdsRow) {
+        m_newHolder = LeaseMember { subscriber->instance, subscriber->addresses, 0 };
+        m_newHolderUntil = m_loop.now() + newHolderTime;
+    }
     drop(subscriber, "the subscriber has left");
 }
 
--- a/src/distribution/SourceService.h
+++ b/src/distribution/SourceService.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,6 +69,9 @@
 
     /// By table and whether the whole table is asked for. Most subscribers ask for the same rows at the same time.
     std::map<std::pair<std::string, bool>, SentRows> m_sentRows;
+    /// The subscriber that left last to hold a row itself, and until when the others are told.
+    std::optional<LeaseMember> m_newHolder;
+    Instant m_newHolderUntil;
     TransferBudget m_transfers;
     TimerId m_silenceTimer { TimerId::None };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
