Connections to targets belong to organisations

A target takes the name that a connection was opened with as the organisation whose statements run on it, so a pool must not lend a connection to another organisation. Connections to peers serve all organisations.

A pool serves a request by an idle connection of its organisation, a new one, the place of the least recently used idle one of another organisation, or lets it wait. RelayRun passes RelayJob::organisation, not the caller's name, and queues work by organisation where there is one. Daemons that are not homes send the statements of one organisation to the same home of a failure domain while it costs less than 1.5 times the best one. Without organisations nothing changes.

Counters: connections reused, opened and evicted, and waits for a connection.

--- a/src/acknowledgement/TargetChannel.cpp
+++ b/src/acknowledgement/TargetChannel.cpp
@@ -106,7 +106,7 @@
 {
     m_isConnecting = true;
     std::weak_ptr<int> alive = m_alive;
-    m_connector.connect(m_target, m_settings.connectTimeout, [this, alive](auto connection) {
+    m_connector.connect(m_target, OrganisationId(), m_settings.connectTimeout, [this, alive](auto connection) {
         if (!alive.expired())
             connected(std::move(connection));
     });
--- a/src/baseline/NaiveFleet.cpp
+++ b/src/baseline/NaiveFleet.cpp
@@ -33,7 +33,7 @@
     {
         if (request.transaction && request.transaction->step != TransactionStep::Begin)
             return proceed(request, done);
-        m_primaries.at(request.database).pool->acquire(request.deadline, [this, request, done](auto connection) {
+        m_primaries.at(request.database).pool->acquire(request.deadline, OrganisationId(), [this, request, done](auto connection) {
             if (!connection.ok())
                 return answer(request, connection.status(), done);
             run(request, std::move(*connection), done);
--- a/src/connections/ConnectionPool.cpp
+++ b/src/connections/ConnectionPool.cpp
@@ -18,7 +18,7 @@
         Pool(const Pool&) = delete;
         Pool& operator=(const Pool&) = delete;
 
-        void acquire(Instant deadline, AcquireCallback acquired) override { m_core->acquire(deadline, std::move(acquired)); }
+        void acquire(Instant deadline, const OrganisationId& organisation, AcquireCallback acquired) override { m_core->acquire(deadline, organisation, std::move(acquired)); }
         void setLimit(uint32_t limit) override { m_core->setLimit(limit); }
         bool isTargetSuspect() const override { return m_core->isTargetSuspect(); }
         uint32_t openConnections() const override { return m_core->openConnections(); }
--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -23,6 +23,18 @@
     virtual void discard() = 0;
 };
 
+/// Events of a pool that are counted.
+enum class PoolEvent : uint8_t {
+    /// A request got a connection that had served another request before.
+    Reused,
+    /// A request got a connection that had served no other request.
+    Opened,
+    /// An idle connection was closed to make room for one of another organisation, or a returned one for a waiting request of one.
+    Evicted,
+    /// A request found no idle connection, and none could be opened for it at once.
+    Waited,
+};
+
 /// Limits and time-outs of a pool.
 struct ConnectionPoolSettings {
     /// Maximum number of open connections.
@@ -32,19 +44,23 @@
     Milliseconds idleTimeout { 60'000 };
     /// Seed of the random reconnect delays. Different seeds keep daemons from reconnecting at the same time.
     uint64_t seed { 0 };
+    /// Receives the events of the pool; null if they are not counted. It must not call the pool.
+    std::function<void(PoolEvent)> onEvent {};
 };
 
-/// The pool of one daemon's connections to one target.
+/// The pool of one daemon's connections to one target. Each connection belongs to the organisation that it was opened for and
+/// serves no other; a pool of connections to a peer makes no difference between organisations.
 class ConnectionPool {
 public:
     using AcquireCallback = std::function<void(absl::StatusOr<std::unique_ptr<PooledConnection>>)>;
 
     virtual ~ConnectionPool() = default;
 
-    /// Passes an idle or new connection to the callback, which may run before this function returns. Requests are served
-    /// in order of arrival. Errors: DeadlinePassed, also when the pool is destroyed; TargetUnreachable; and Overloaded when
-    /// the target is full.
-    virtual void acquire(Instant deadline, AcquireCallback) = 0;
+    /// Passes an idle or new connection of the organisation (empty: none) to the callback, which may run before this function
+    /// returns. If the limit is reached, an idle connection of another organisation is closed for the new one. Requests of one
+    /// organisation are served in order of arrival; of several that wait, the one with the fewest connections in use is served
+    /// first. Errors: DeadlinePassed, also when the pool is destroyed; TargetUnreachable; and Overloaded when the target is full.
+    virtual void acquire(Instant deadline, const OrganisationId&, AcquireCallback) = 0;
 
     /// Changes the limit. Surplus idle connections are closed at once, surplus held ones when they are returned.
     virtual void setLimit(uint32_t) = 0;
--- a/src/connections/ConnectionPoolTests.cpp
+++ b/src/connections/ConnectionPoolTests.cpp
@@ -20,10 +20,10 @@
     {
     }
 
-    void connect(const TargetConfiguration& target, Milliseconds timeout, Done done) override
+    void connect(const TargetConfiguration& target, const OrganisationId& organisation, Milliseconds timeout, Done done) override
     {
         ++attempts;
-        m_inner->connect(target, timeout, std::move(done));
+        m_inner->connect(target, organisation, timeout, std::move(done));
     }
 
     uint32_t attempts { 0 };
@@ -62,7 +62,7 @@
         const size_t index = codes.size();
         codes.push_back(ResultCode::OutcomeUnknown);
         held.push_back(nullptr);
-        pool->acquire(loop.now() + timeToDeadline, [this, index](auto connection) {
+        pool->acquire(loop.now() + timeToDeadline, OrganisationId(), [this, index](auto connection) {
             codes[index] = resultCodeOf(connection.status());
             if (connection.ok())
                 held[index] = *std::move(connection);
--- a/src/connections/HeldConnection.cpp
+++ b/src/connections/HeldConnection.cpp
@@ -18,7 +18,7 @@
         return;
     }
     m_entry.connection.reset();
-    m_core->connectionClosed();
+    m_core->connectionClosed(m_entry.organisation);
 }
 
 void HeldConnection::run(const TargetBatch& batch, Milliseconds timeout, TargetConnection::Done done)
--- a/src/failover/TargetProbe.cpp
+++ b/src/failover/TargetProbe.cpp
@@ -19,7 +19,7 @@
 
     void runOnNewConnection(TargetConnector& connector, const TargetConfiguration& target, RelayStep step, ReplyHandler onReply)
     {
-        connector.connect(target, probeTimeout, [step = std::move(step), onReply = std::move(onReply)](absl::StatusOr<std::unique_ptr<TargetConnection>> opened) {
+        connector.connect(target, OrganisationId(), probeTimeout, [step = std::move(step), onReply = std::move(onReply)](absl::StatusOr<std::unique_ptr<TargetConnection>> opened) {
             if (!opened.ok())
                 return onReply(opened.status());
             std::shared_ptr<TargetConnection> connection = *std::move(opened);
--- a/src/fleet/FleetConnector.cpp
+++ b/src/fleet/FleetConnector.cpp
@@ -46,9 +46,9 @@
 
 FleetConnector::~FleetConnector() = default;
 
-void FleetConnector::connect(const TargetConfiguration& target, Milliseconds timeout, Done done)
+void FleetConnector::connect(const TargetConfiguration& target, const OrganisationId& organisation, Milliseconds timeout, Done done)
 {
-    m_connector->connect(target, timeout, [this, done = std::move(done)](absl::StatusOr<std::unique_ptr<TargetConnection>> connection) {
+    m_connector->connect(target, organisation, timeout, [this, done = std::move(done)](absl::StatusOr<std::unique_ptr<TargetConnection>> connection) {
         if (m_loop.isStopped())
             return;
         if (!connection.ok())
--- a/src/fleet/FleetConnector.h
+++ b/src/fleet/FleetConnector.h
@@ -14,7 +14,7 @@
     FleetConnector(NodeLoop&, std::unique_ptr<TargetConnector>);
     ~FleetConnector() override;
 
-    void connect(const TargetConfiguration&, Milliseconds timeout, Done) override;
+    void connect(const TargetConfiguration&, const OrganisationId&, Milliseconds timeout, Done) override;
 
     /// Closes every connection, as the end of a process does.
     void closeAll();
--- a/src/homes/TargetHome.cpp
+++ b/src/homes/TargetHome.cpp
@@ -212,7 +212,7 @@
 void TargetHome::runOnPooledConnection(const JobPointer& job)
 {
     std::weak_ptr<bool> alive = m_alive;
-    m_pool->acquire(job->call.request.deadline, [this, alive, job](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
+    m_pool->acquire(job->call.request.deadline, OrganisationId(), [this, alive, job](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
         if (alive.expired())
             return;
         if (!connection.ok())
--- a/src/pq/PqConnector.cpp
+++ b/src/pq/PqConnector.cpp
@@ -55,7 +55,7 @@
                 m_loop.cancel(it.second.timeout);
         }
 
-        void connect(const TargetConfiguration& target, Milliseconds timeout, Done done) override
+        void connect(const TargetConfiguration& target, const OrganisationId&, Milliseconds timeout, Done done) override
         {
             const uint64_t id = ++m_lastAttempt;
             Attempt& attempt = m_attempts[id];
--- a/src/pq/PqConnectorTests.cpp
+++ b/src/pq/PqConnectorTests.cpp
@@ -36,7 +36,7 @@
     absl::StatusOr<Connection> tryConnect(const std::string& target, Milliseconds timeout = batchTimeout)
     {
         absl::StatusOr<Connection> result;
-        m_connector->connect(configurationOf(target), timeout, [&](auto connection) {
+        m_connector->connect(configurationOf(target), OrganisationId(), timeout, [&](auto connection) {
             result = std::move(connection);
             m_loop->stop();
         });
@@ -360,7 +360,7 @@
     connection->run(wireWrite("r1"), batchTimeout, [&](auto) { isAnswered = true; });
     connection.reset();
     auto other = PqConnector::create(wire.loop(), {});
-    other->connect(wire.configurationOf("db-b"), batchTimeout, [&](auto) { isAnswered = true; });
+    other->connect(wire.configurationOf("db-b"), OrganisationId(), batchTimeout, [&](auto) { isAnswered = true; });
     other.reset();
     CHECK(wire.run(*wire.connect("db-a"), wireWrite("r2")).ok());
     CHECK_FALSE(isAnswered);
--- a/src/promotion/PromotionFixtureTests.cpp
+++ b/src/promotion/PromotionFixtureTests.cpp
@@ -56,7 +56,7 @@
         m_isConnecting = true;
         m_connection.reset();
         const auto it = std::find_if(m_group.targets.begin(), m_group.targets.end(), [&](const auto& target) { return target.id == primary; });
-        m_connector->connect(*it, connectTimeout, [this, alive, primary](absl::StatusOr<std::unique_ptr<TargetConnection>> connection) {
+        m_connector->connect(*it, OrganisationId(), connectTimeout, [this, alive, primary](absl::StatusOr<std::unique_ptr<TargetConnection>> connection) {
             if (alive.expired())
                 return;
             m_isConnecting = false;
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -7,9 +7,10 @@
 /// A connection to a simulated target, with its session.
 class SimulatedConnection final : public TargetConnection {
 public:
-    SimulatedConnection(SimulatedTargets& targets, TargetId id)
+    SimulatedConnection(SimulatedTargets& targets, TargetId id, OrganisationId organisation)
         : m_targets(targets)
         , m_id(std::move(id))
+        , m_organisation(std::move(organisation))
         , m_number(++targets.m_lastConnection)
     {
         auto& target = m_targets[m_id];
@@ -106,7 +107,7 @@
         }
         if (step.kind == RelayKind::Prepare)
             return;
-        const RecordedStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.requiredMark };
+        const RecordedStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.requiredMark, m_organisation };
         m_targets.executed.push_back(statement);
         answer.rows = { "row" };
         m_hasWritten = m_hasWritten || step.kind == RelayKind::Write;
@@ -122,6 +123,7 @@
 
     SimulatedTargets& m_targets;
     TargetId m_id;
+    OrganisationId m_organisation;
     uint64_t m_number;
     TransactionState m_state { TransactionState::Idle };
     bool m_hasWritten { false };
@@ -134,15 +136,15 @@
 {
 }
 
-void SimulatedTargets::connect(const TargetConfiguration& target, Milliseconds timeout, Done done)
+void SimulatedTargets::connect(const TargetConfiguration& target, const OrganisationId& organisation, Milliseconds timeout, Done done)
 {
     ++connectionAttempts;
     const Target& known = m_targets[target.id];
-    m_loop.after(known.isSilent ? timeout : known.delay, [this, id = target.id, done = std::move(done)] {
+    m_loop.after(known.isSilent ? timeout : known.delay, [this, id = target.id, organisation, done = std::move(done)] {
         const Target& present = m_targets[id];
         if (present.isDown || present.isSilent)
             return done(makeError(ResultCode::TargetUnreachable, "no answer"));
-        done(std::make_unique<SimulatedConnection>(*this, id));
+        done(std::make_unique<SimulatedConnection>(*this, id, organisation));
     });
 }
 
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -21,6 +21,8 @@
     bool wasInTransaction { false };
     std::map<std::string, std::string> values;
     std::optional<LogMark> requiredMark;
+    /// The organisation that the connection was opened for.
+    OrganisationId organisation;
 };
 
 /// Simulated targets for tests of the relay, with roles, log positions, sessions, transactions and faults.
@@ -52,7 +54,7 @@
     };
 
     Target& operator[](const TargetId& id) { return m_targets[id]; }
-    void connect(const TargetConfiguration&, Milliseconds timeout, Done) override;
+    void connect(const TargetConfiguration&, const OrganisationId&, Milliseconds timeout, Done) override;
 
     /// Connections that were requested, including those that failed.
     uint64_t connectionAttempts { 0 };
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -35,6 +35,24 @@
     constexpr Milliseconds crossDomainCost { 30 };
     /// Added to the expected duration of a read at the primary, to prefer replicas, because only the primary can run writes.
     constexpr Milliseconds primaryCost { 15 };
+    /// Homes whose costs differ by less than this factor count as equally good for the statements of an organisation. One more statement
+    /// that waits at a home raises its cost by an eighth, and opening a connection there costs 12 ms.
+    constexpr double aboutEqualCost = 1.5;
+
+    MetricCounter counterOf(PoolEvent event)
+    {
+        switch (event) {
+        case PoolEvent::Reused:
+            return MetricCounter::ConnectionsReused;
+        case PoolEvent::Opened:
+            return MetricCounter::ConnectionsOpened;
+        case PoolEvent::Evicted:
+            return MetricCounter::ConnectionsEvicted;
+        case PoolEvent::Waited:
+            break;
+        }
+        return MetricCounter::ConnectionWaits;
+    }
 
 }
 
@@ -64,7 +82,7 @@
     for (const auto& entry : m_entries) {
         auto known = m_targets.find(entry.target.id);
         const bool isSame = known != m_targets.end() && known->second->entry().target.address == entry.target.address;
-        auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()));
+        auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()), [this](PoolEvent event) { m_metrics.count(counterOf(event)); });
         target->setEntry(entry);
         target->setLimits(m_connectionLimit, statementLimit(entry));
         targets.emplace(entry.target.id, std::move(target));
@@ -232,20 +250,39 @@
 std::optional<StatementDestination> RelayGroup::homeDestination(const RelayJob& job, const std::set<TargetId>& tried)
 {
     const auto& homes = m_membership.rankedDaemonsFor(m_id);
-    std::optional<StatementDestination> best;
-    Milliseconds least;
+    std::vector<CostedHome> candidates;
     for (size_t n = 0; n < homes.size(); ++n) {
         // Each daemon starts at a different home, so that homes of equal cost receive equal shares of the statements.
         auto destination = destinationAt(homes[(m_homeOffset + n) % homes.size()], job, tried);
         if (!destination)
             continue;
         const Milliseconds cost = costOf(*destination->target, false);
-        if (best && least <= cost)
+        candidates.push_back({ std::move(*destination), cost });
+    }
+    const auto best = std::min_element(candidates.begin(), candidates.end(), [](const CostedHome& a, const CostedHome& b) { return a.cost < b.cost; });
+    if (best == candidates.end())
+        return std::nullopt;
+    if (job.organisation.isEmpty())
+        return std::move(best->destination);
+    return preferredHome(job.organisation, candidates, *best);
+}
+
+// A home reuses a connection only for statements of the same organisation, so the daemons of a failure domain send the statements of one
+// organisation to the same home. When that home is busy, its cost rises and further homes serve the organisation too.
+StatementDestination RelayGroup::preferredHome(const OrganisationId& organisation, const std::vector<CostedHome>& homes, const CostedHome& best)
+{
+    const CostedHome* preferred = &best;
+    size_t greatest = 0;
+    for (const auto& it : homes) {
+        const TargetConfiguration& home = it.destination.target->entry().target;
+        const bool isSameDomain = home.failureDomain == best.destination.target->entry().target.failureDomain;
+        const size_t weight = std::hash<std::string>()(organisation.value() + '\n' + home.id.value());
+        if (!isSameDomain || it.cost > best.cost * aboutEqualCost || weight < greatest)
             continue;
-        best = std::move(destination);
-        least = cost;
+        greatest = weight;
+        preferred = &it;
     }
-    return best;
+    return preferred->destination;
 }
 
 std::optional<StatementDestination> RelayGroup::destinationAt(const InstanceId& peer, const RelayJob& job, const std::set<TargetId>& tried)
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -116,6 +116,12 @@
     std::optional<StatementDestination> peerDestination(const RelayJob&, const TargetConfiguration& target, const std::set<TargetId>& tried);
     /// The best home of the group, for a daemon that does not connect to the group's targets itself.
     std::optional<StatementDestination> homeDestination(const RelayJob&, const std::set<TargetId>& tried);
+    struct CostedHome {
+        StatementDestination destination;
+        Milliseconds cost;
+    };
+    /// Of the homes that cost about as little as `best` in the same failure domain, the one that serves the organisation.
+    static StatementDestination preferredHome(const OrganisationId&, const std::vector<CostedHome>&, const CostedHome& best);
     std::optional<StatementDestination> destinationAt(const InstanceId& peer, const RelayJob&, const std::set<TargetId>& tried);
     std::shared_ptr<RelayTarget> peerTarget(const DatabaseId&, const InstanceEntry&);
     bool isHome() const;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -59,7 +59,7 @@
         m_primaryUse = std::make_unique<Use>(*this);
         m_primaryUse->setWaitingSince(m_group.loop().now());
     }
-    destination.target->acquire(work(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) {
+    destination.target->acquire(work(), m_job.organisation, [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::shared_ptr<RelaySlot>> slot) {
         if (self->isCurrent(attempt))
             self->connectionAcquired(std::move(slot));
     });
@@ -68,7 +68,7 @@
 WorkItem RelayRun::work() const
 {
     WorkItem work;
-    work.organisation = m_job.caller;
+    work.organisation = m_job.organisation.isEmpty() ? m_job.caller : m_job.organisation;
     work.workload = ClassName(m_job.route->database.value());
     work.urgency = m_job.route->urgency;
     // Among routes of equal urgency, those with a shorter objective receive a larger share of a busy target.
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -32,13 +32,14 @@
         return settings;
     }
 
-    ConnectionPoolSettings poolSettings(bool isPeer, uint64_t seed)
+    ConnectionPoolSettings poolSettings(bool isPeer, uint64_t seed, std::function<void(PoolEvent)> onEvent)
     {
         ConnectionPoolSettings settings;
         settings.maxConnections = 1;
         settings.connectTimeout = isPeer ? peerConnectTimeout : connectTimeout;
         settings.idleTimeout = idleLimit;
         settings.seed = seed;
+        settings.onEvent = std::move(onEvent);
         return settings;
     }
 
@@ -94,10 +95,10 @@
     });
 }
 
-RelayTarget::RelayTarget(EventLoop& loop, TargetConnector& connector, TargetEntry entry, uint64_t seed)
+RelayTarget::RelayTarget(EventLoop& loop, TargetConnector& connector, TargetEntry entry, uint64_t seed, std::function<void(PoolEvent)> onPoolEvent)
     : m_loop(loop)
     , m_entry(std::move(entry))
-    , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(m_entry.target.isPeer, seed)))
+    , m_pool(ConnectionPool::create(loop, connector, m_entry.target, poolSettings(m_entry.target.isPeer, seed, std::move(onPoolEvent))))
     , m_queue(WorkQueue::create(queueSettings(1, 1)))
 {
 }
@@ -113,13 +114,13 @@
     startQueuedWork();
 }
 
-void RelayTarget::acquire(WorkItem work, Acquired acquired)
+void RelayTarget::acquire(WorkItem work, const OrganisationId& organisation, Acquired acquired)
 {
     work.id = WorkId(++m_lastWork);
     const Admission admission = m_queue->offer(work, m_loop.now());
     if (!admission.status.ok())
         return acquired(admission.status);
-    m_waiting.emplace(work.id, std::make_pair(work, std::move(acquired)));
+    m_waiting.emplace(work.id, WaitingWork { work, organisation, std::move(acquired) });
     startQueuedWork();
 }
 
@@ -158,7 +159,7 @@
         if (!id)
             break;
         auto node = m_waiting.extract(*id);
-        connect(node.mapped().first, std::move(node.mapped().second));
+        connect(std::move(node.mapped()));
     }
     scheduleQueueCheck();
 }
@@ -168,7 +169,7 @@
     for (const WorkId id : m_queue->collectShed(m_loop.now())) {
         auto node = m_waiting.extract(id);
         if (!node.empty())
-            node.mapped().second(makeError(ResultCode::Overloaded, "the statement was dropped from the queue, because it could no longer meet its deadline or more urgent work took its place, at " + m_entry.target.id.value()));
+            node.mapped().acquired(makeError(ResultCode::Overloaded, "the statement was dropped from the queue, because it could no longer meet its deadline or more urgent work took its place, at " + m_entry.target.id.value()));
     }
 }
 
@@ -185,9 +186,9 @@
     });
 }
 
-void RelayTarget::connect(const WorkItem& work, Acquired acquired)
+void RelayTarget::connect(WaitingWork waiting)
 {
-    m_pool->acquire(work.deadline, [weak = weak_from_this(), id = work.id, acquired = std::move(acquired)](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
+    m_pool->acquire(waiting.work.deadline, waiting.organisation, [weak = weak_from_this(), id = waiting.work.id, acquired = std::move(waiting.acquired)](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
         if (connection.ok())
             return acquired(std::make_shared<RelaySlot>(weak, id, *std::move(connection)));
         if (auto self = weak.lock())
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -51,7 +51,8 @@
 public:
     using Acquired = std::function<void(absl::StatusOr<std::shared_ptr<RelaySlot>>)>;
 
-    RelayTarget(EventLoop&, TargetConnector&, TargetEntry, uint64_t seed);
+    /// `onPoolEvent` receives the events of the connection pool; null if they are not counted.
+    RelayTarget(EventLoop&, TargetConnector&, TargetEntry, uint64_t seed, std::function<void(PoolEvent)> onPoolEvent = nullptr);
 
     const TargetEntry& entry() const { return m_entry; }
     void setEntry(const TargetEntry& entry) { m_entry = entry; }
@@ -59,10 +60,10 @@
     /// Statements of open transactions are not counted.
     void setLimits(uint32_t connections, uint32_t statements);
 
-    /// Queues the work until a connection is free. Errors: Overloaded when the queue refuses or drops the work or the target
+    /// Queues the work until a connection of the organisation is free; an empty name stands for no organisation. Errors: Overloaded when the queue refuses or drops the work or the target
     /// accepts no more connections, DeadlinePassed when the pool has no connection before the deadline, TargetUnreachable when
     /// none can be opened.
-    void acquire(WorkItem, Acquired);
+    void acquire(WorkItem, const OrganisationId&, Acquired);
 
     /// Expected time until new work would complete at this target; `fallback`: assumed answer time without recent answers.
     Milliseconds expectedDelay(Milliseconds fallback) const;
@@ -75,13 +76,20 @@
 private:
     friend class RelaySlot;
 
+    /// Work in the queue and the organisation in whose name it runs at the target.
+    struct WaitingWork {
+        WorkItem work;
+        OrganisationId organisation;
+        Acquired acquired;
+    };
+
+    void connect(WaitingWork);
     void finish(WorkId);
     void holdForTransaction(WorkId);
     void endTransaction();
     void startQueuedWork();
     void rejectShedWork();
     void scheduleQueueCheck();
-    void connect(const WorkItem&, Acquired);
 
     EventLoop& m_loop;
     TargetEntry m_entry;
@@ -92,7 +100,7 @@
     std::unique_ptr<ConnectionPool> m_pool;
     std::unique_ptr<WorkQueue> m_queue;
     TargetHealth m_experience;
-    std::map<WorkId, std::pair<WorkItem, Acquired>> m_waiting;
+    std::map<WorkId, WaitingWork> m_waiting;
     uint64_t m_lastWork { 0 };
     TimerId m_queueTimer { TimerId::None };
 };
--- a/src/standins/FakeTargets.cpp
+++ b/src/standins/FakeTargets.cpp
@@ -92,7 +92,7 @@
     {
     }
 
-    void connect(const TargetConfiguration& configuration, Milliseconds timeout, Done done) override
+    void connect(const TargetConfiguration& configuration, const OrganisationId&, Milliseconds timeout, Done done) override
     {
         auto& target = m_targets.find(configuration.id);
         auto link = std::make_shared<FakeTargets::Link>();
--- a/src/targets/TargetConnection.h
+++ b/src/targets/TargetConnection.h
@@ -101,9 +101,10 @@
 
     virtual ~TargetConnector() = default;
 
-    /// Errors: TargetUnreachable when the connection is refused or not open within `timeout`, Overloaded when the target
-    /// accepts no more connections.
-    virtual void connect(const TargetConfiguration&, Milliseconds timeout, Done) = 0;
+    /// Opens a connection in the name of the organisation, on which statements of no other organisation may run. An empty name
+    /// stands for no organisation. Connections to peers serve all organisations. Errors: TargetUnreachable when the connection is
+    /// refused or not open within `timeout`, Overloaded when the target accepts no more connections.
+    virtual void connect(const TargetConfiguration&, const OrganisationId&, Milliseconds timeout, Done) = 0;
 };
 
 }
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 11> counterInfos { {
+    constexpr std::array<MetricInfo, 15> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -33,6 +33,10 @@
         { "parsleypaddle_platform_reads_total", "Reads of a table sent to the platform" },
         { "parsleypaddle_platform_watches_total", "Requests for the changes of a table sent to the platform" },
         { "parsleypaddle_platform_transactions_total", "Transactions sent to the platform" },
+        { "parsleypaddle_connections_reused_total", "Statements and transactions that got a connection to a target that was open" },
+        { "parsleypaddle_connections_opened_total", "Statements and transactions that got a new connection to a target" },
+        { "parsleypaddle_connections_evicted_total", "Connections to targets closed to make room for one of another organisation" },
+        { "parsleypaddle_connection_waits_total", "Statements and transactions for which no connection was idle and none could be opened at once" },
     } };
 
     constexpr std::array<MetricInfo, 8> gaugeInfos { {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -46,6 +46,10 @@
     PlatformReads,
     PlatformWatches,
     PlatformTransactions,
+    ConnectionsReused,
+    ConnectionsOpened,
+    ConnectionsEvicted,
+    ConnectionWaits,
 };
 
 /// The gauges.
