Late work, a highest urgency, and shares of organisations in the queues of homes

Cause: the platform's priorities 0 and 1 had one urgency. Statements that could not meet their objective were refused or dropped although an answer before the time-out has some value. An organisation with much urgent work took the slots of all others.

Change: Urgency::Critical for priority 0 only. Groups without homes keep the objective as deadline. OrganisationShares puts work of an organisation that overloads a queue behind the others'; it applies to statements that carry an organisation.

The reference model and the random test in WorkQueueTests now draw from four urgencies instead of three.

--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -40,6 +40,8 @@
 
 /// Priority of a workload class. Under overload, requests of the least urgent classes are shed first.
 enum class Urgency : uint8_t {
+    /// Only routes of the platform's priority 0 have it; configuration documents don't name it.
+    Critical,
     Urgent,
     Normal,
     Deferrable,
--- a/src/configuration/ConfigurationYamlWriter.cpp
+++ b/src/configuration/ConfigurationYamlWriter.cpp
@@ -12,6 +12,8 @@
     const char* nameOf(Urgency urgency)
     {
         switch (urgency) {
+        // A document has no name for Critical, and Urgent is the highest urgency that it can give.
+        case Urgency::Critical:
         case Urgency::Urgent:
             return "urgent";
         case Urgency::Normal:
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -6,6 +6,7 @@
 #include "relay/RelayJob.h"
 #include "relay/RelayTarget.h"
 #include "scheduling/RetryBudget.h"
+#include "scheduling/StatementTimes.h"
 #include "telemetry/DecisionLog.h"
 #include "telemetry/Metrics.h"
 
@@ -84,6 +85,9 @@
     PrimaryObserver& observer() { return m_observer; }
     DecisionLog& log() { return m_log; }
     Metrics& metrics() { return m_metrics; }
+    /// Statements are served late only if homes run them: where every daemon connects to every target, a caller's retry at another
+    /// daemon finds the same targets.
+    LateStatements lateStatements() const { return m_isFullMesh ? LateStatements::Refuse : LateStatements::Serve; }
     bool isLeaseValid() const { return m_lease.isValid(); }
     const GroupId& id() const { return m_id; }
     RetryBudget& retryBudget() { return m_retryBudget; }
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -68,7 +68,8 @@
 WorkItem RelayRun::work() const
 {
     WorkItem work;
-    work.organisation = m_job.caller;
+    work.isLimitedToShare = !m_job.organisation.isEmpty();
+    work.organisation = work.isLimitedToShare ? m_job.organisation : m_job.caller;
     work.workload = ClassName(m_job.route->database.value());
     work.urgency = m_job.route->urgency;
     // Among routes of equal urgency, those with a shorter objective receive a larger share of a busy target.
@@ -76,10 +77,19 @@
     work.classWeight = weightOfOneMillisecond / std::max(1.0, m_job.route->latencyObjective.count());
     work.statement = absl::HashOf(m_job.route->database, m_job.beginKind.has_value(), m_job.isWrite);
     work.arrived = m_job.arrived;
-    work.deadline = m_job.arrived + m_job.route->latencyObjective;
+    const StatementTimes until = times();
+    if (until.objective < until.deadline)
+        work.objective = until.objective;
+    work.deadline = until.deadline;
     return work;
 }
 
+StatementTimes RelayRun::times() const
+{
+    const Route& route = *m_job.route;
+    return statementTimes(m_job.arrived, route.latencyObjective, route.statementTimeout, m_group.lateStatements());
+}
+
 void RelayRun::connectionAcquired(absl::StatusOr<std::shared_ptr<RelaySlot>> slot)
 {
     if (m_job.requester.expired())
@@ -270,7 +280,7 @@
 
 bool RelayRun::mayRetry()
 {
-    return m_attempts < maxAttempts && m_group.loop().now() < m_job.arrived + m_job.route->latencyObjective;
+    return m_attempts < maxAttempts && m_group.loop().now() < times().deadline;
 }
 
 Milliseconds RelayRun::timeLeft() const
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -2,6 +2,7 @@
 
 #include "relay/RelayGroup.h"
 #include "relay/RelayTransaction.h"
+#include "scheduling/StatementTimes.h"
 
 #include <memory>
 #include <optional>
@@ -46,6 +47,7 @@
     bool mayRetry();
     Milliseconds timeLeft() const;
     WorkItem work() const;
+    StatementTimes times() const;
 
     RelayGroup& m_group;
     RelayJob m_job;
--- a/src/scheduling/ExecutionSlots.cpp
+++ b/src/scheduling/ExecutionSlots.cpp
@@ -26,7 +26,7 @@
         return std::nullopt;
     const RunningWork& running = it->second;
     m_runningLong -= running.scheduled.isLong ? 1 : 0;
-    FinishedWork ended { running.scheduled.work, running.scheduled.cost, now - running.startedAt };
+    FinishedWork ended { running.scheduled, now - running.startedAt };
     m_running.erase(it);
     return ended;
 }
--- a/src/scheduling/ExecutionSlots.h
+++ b/src/scheduling/ExecutionSlots.h
@@ -6,10 +6,9 @@
 
 namespace parsleypaddle {
 
-/// Work that has finished, with its estimated cost and the time that it ran.
+/// Work that has finished, with the estimates that it was scheduled by and the time that it ran.
 struct FinishedWork {
-    WorkItem work;
-    Milliseconds cost;
+    ScheduledWork scheduled;
     Milliseconds duration;
 };
 
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -26,7 +26,13 @@
     /// of the database, whether the work opens a transaction and whether it is a write.
     uint64_t statement { 0 };
     Instant arrived;
+    /// An answer by this time has its full value. Work that cannot meet it is late: it runs after all work that is in time.
+    /// Unset if work has no value after its objective; it is then the same as `deadline`.
+    std::optional<Instant> objective;
+    /// Work that cannot meet this time is refused or shed.
     Instant deadline;
+    /// Whether work beyond the organisation's share of an overloaded target runs behind that of others, of any urgency.
+    bool isLimitedToShare { false };
     /// A later step of an open transaction. It already holds a connection, so load is no reason to reject or shed it: it is
     /// rejected only after its deadline, and shed only when its latest start has passed. It starts before other work of its
     /// urgency.
@@ -60,6 +66,8 @@
     uint64_t shed { 0 };
     /// Started as short work, but ran for longer than the limit of short work.
     uint64_t overruns { 0 };
+    /// Started although it could no longer meet its objective. Also counted in `started`.
+    uint64_t startedLate { 0 };
 };
 
 /// Decides which waiting work gets a target's next free slot. Reads no clock and runs nothing itself: the caller reports
@@ -69,12 +77,13 @@
     virtual ~WorkQueue() = default;
 
     /// Admits work, or rejects it with Overloaded when it has missed or would probably miss its deadline, or when the queue
-    /// is full. A full queue sheds one waiting statement of a lower urgency to admit the new one, if there is any
-    /// besides steps of open transactions; collectShed() then returns it.
+    /// is full. Work that would probably miss only its objective is admitted as late work. A full queue sheds one waiting
+    /// statement that is late or of a lower urgency to admit the new one, if there is any besides steps of open transactions;
+    /// collectShed() then returns it.
     virtual Admission offer(const WorkItem&, Instant now) = 0;
 
-    /// Sheds waiting work whose latest start has passed, and returns all work that was shed since the last call. None of it
-    /// has run.
+    /// Sheds waiting work whose latest start has passed, and late work whose estimated wait exceeds the time that it has left.
+    /// Returns all work that was shed since the last call. None of it has run.
     virtual std::vector<WorkId> collectShed(Instant now) = 0;
 
     /// Selects the work to run next and occupies a slot for it; nullopt when no slot is free, no work waits, or only long
--- a/src/scheduling/WorkQueueTests.cpp
+++ b/src/scheduling/WorkQueueTests.cpp
@@ -1,7 +1,7 @@
 #include "base/ResultCode.h"
 #include "scheduling/RetryBudget.h"
 #include "scheduling/RunTimeEstimator.h"
-#include "scheduling/WorkQueue.h"
+#include "scheduling/WorkQueueFixture.h"
 
 #include <algorithm>
 #include <array>
@@ -13,66 +13,14 @@
 
 using namespace parsleypaddle;
 
-namespace {
-
-constexpr Instant start { 1'000'000.0 };
-constexpr uint64_t shortStatement = 1;
-constexpr uint64_t longStatement = 2;
-
-struct QueueFixture {
-    explicit QueueFixture(uint32_t slots, uint32_t capacity = 1000)
-    {
-        WorkQueueSettings settings;
-        settings.slots = slots;
-        settings.capacity = capacity;
-        queue = WorkQueue::create(settings);
-    }
-
-    WorkItem work(Urgency urgency, const std::string& organisation = "s", uint64_t statement = shortStatement, Milliseconds timeToDeadline = Milliseconds(5000))
-    {
-        WorkItem it;
-        it.id = WorkId(++lastId);
-        it.organisation = OrganisationId(organisation);
-        it.workload = ClassName(urgency == Urgency::Urgent ? "urgent" : "other");
-        it.urgency = urgency;
-        it.statement = statement;
-        it.arrived = now;
-        it.deadline = now + timeToDeadline;
-        return it;
-    }
-
-    WorkId offer(const WorkItem& it)
-    {
-        admission = queue->offer(it, now);
-        return it.id;
-    }
-
-    /// Runs a statement alone `times` times, so that the queue has an estimate of its run time.
-    void recordRuns(uint64_t statement, Milliseconds duration, int times = 5)
-    {
-        for (int n = 0; n < times; ++n) {
-            const WorkId id = offer(work(Urgency::Normal, "warmup", statement));
-            REQUIRE(queue->startNext(now) == id);
-            now = now + duration;
-            queue->finish(id, now);
-        }
-    }
-
-    uint64_t lastId { 0 };
-    Instant now { start };
-    Admission admission;
-    std::unique_ptr<WorkQueue> queue;
-};
-
-}
-
 TEST_CASE("urgent work starts before less urgent work that arrived earlier", "[scheduling]")
 {
     QueueFixture fixture(1);
     const WorkId deferrable = fixture.offer(fixture.work(Urgency::Deferrable));
     const WorkId normal = fixture.offer(fixture.work(Urgency::Normal));
     const WorkId urgent = fixture.offer(fixture.work(Urgency::Urgent));
-    for (const WorkId it : { urgent, normal, deferrable }) {
+    const WorkId critical = fixture.offer(fixture.work(Urgency::Critical));
+    for (const WorkId it : { critical, urgent, normal, deferrable }) {
         CHECK(fixture.queue->startNext(fixture.now) == it);
         CHECK_FALSE(fixture.queue->startNext(fixture.now).has_value());
         fixture.queue->finish(it, fixture.now);
@@ -255,14 +203,14 @@
 /// urgent list gets one start for every 20 starts from more urgent ones while it is not empty.
 struct ReferenceQueue {
     static constexpr double cost = 0.01;
-    std::deque<WorkId> levels[3];
-    double credit[3] = { 0, 0, 0 };
+    std::deque<WorkId> levels[4];
+    double credit[4] = { 0, 0, 0, 0 };
     std::set<WorkId> running;
 
     std::optional<size_t> next() const
     {
         std::optional<size_t> highest;
-        for (size_t n = 0; n < 3; ++n) {
+        for (size_t n = 0; n < 4; ++n) {
             if (!levels[n].empty() && (!highest || credit[n] >= cost)) {
                 if (highest)
                     return n;
@@ -278,7 +226,7 @@
         const WorkId id = levels[level].front();
         levels[level].pop_front();
         credit[level] = std::max(0.0, credit[level] - cost);
-        for (size_t n = level + 1; n < 3; ++n)
+        for (size_t n = level + 1; n < 4; ++n)
             credit[n] = levels[n].empty() ? 0 : credit[n] + 0.05 * cost;
         running.insert(id);
         return id;
@@ -293,12 +241,12 @@
 {
     const bool isSame = rc::check("same order of starts", [] {
         const auto slots = *rc::gen::inRange<uint32_t>(1, 5);
-        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
         QueueFixture fixture(slots);
         fixture.recordRuns(shortStatement, Milliseconds(0));
         ReferenceQueue reference;
         for (const int step : steps) {
-            if (step < 3) {
+            if (step < 4) {
                 reference.levels[step].push_back(fixture.offer(fixture.work(static_cast<Urgency>(step))));
                 RC_ASSERT(fixture.admission.status.ok());
             } else if (!reference.running.empty()) {
@@ -328,7 +276,7 @@
         std::set<WorkId> running;
         for (const uint32_t step : steps) {
             fixture.now = fixture.now + Milliseconds(step % 7);
-            const WorkItem work = fixture.work(static_cast<Urgency>(step % 3), std::to_string(step % 5), step % 4, Milliseconds(1 + step % 90));
+            const WorkItem work = fixture.work(static_cast<Urgency>(step % 4), std::to_string(step % 5), step % 4, Milliseconds(1 + step % 90));
             fixture.offer(work);
             if (fixture.admission.status.ok()) {
                 waiting.insert(work.id);
