--- a/src/directory/OrganisationDirectory.h
+++ b/src/directory/OrganisationDirectory.h
@@ -37,9 +37,13 @@
 public:
     /// Longest accepted key, in bytes.
     static constexpr size_t maxKeyBytes = 200;
+    /// Longest accepted name of an organisation, in bytes.
+    static constexpr size_t maxNameBytes = 200;
+    /// Highest accepted rate, in operations a second, and highest accepted burst, in operations.
+    static constexpr double maxLimit = 1e9;
 
-    /// Errors: ValueOutOfRange for an organisation without a name or listed twice, for a key that is empty, too long or listed for two
-    /// organisations, and for a limit that is negative or not finite.
+    /// Errors: ValueOutOfRange for an organisation listed twice, for a name that is empty, too long, reserved or not a single word, for
+    /// a key that is empty, too long, reserved or listed for two organisations, and for a limit that is negative, not finite or too high.
     static absl::StatusOr<std::shared_ptr<const OrganisationDirectory>> create(const std::vector<OrganisationEntry>&);
 
     /// The organisation that holds the key; null if none does.
