Line protocol: a forwarded statement says for whom it runs and how long it has waited

A home did not know whose statement it ran, and counted the statement's objective from its own arrival.

New error NOAUTH (RelayError::Unauthorized), counted under the result code key_refused.

--- a/src/relay/StatementLog.cpp
+++ b/src/relay/StatementLog.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<const char*, 13> errorNames { "none", "busy", "aborted", "lagging", "read_only", "misrouted", "too_many_connections", "unknown_database", "malformed", "unknown_statement", "failed", "in_doubt", "timed_out" };
+    constexpr std::array<const char*, 14> errorNames { "none", "busy", "aborted", "lagging", "read_only", "misrouted", "too_many_connections", "unknown_database", "malformed", "unknown_statement", "unauthorized", "failed", "in_doubt", "timed_out" };
 
     struct ErrorCode {
         RelayError error;
@@ -16,7 +16,7 @@
     };
 
     /// Result codes under which the metrics count errors; errors not listed count as OutcomeUnknown.
-    constexpr std::array<ErrorCode, 9> errorCodes { {
+    constexpr std::array<ErrorCode, 10> errorCodes { {
         { RelayError::None, ResultCode::Done },
         { RelayError::Busy, ResultCode::Overloaded },
         { RelayError::Aborted, ResultCode::TransactionEnded },
@@ -24,6 +24,7 @@
         { RelayError::ReadOnly, ResultCode::NoPrimary },
         { RelayError::UnknownDatabase, ResultCode::UnknownDatabase },
         { RelayError::UnknownStatement, ResultCode::UnknownResource },
+        { RelayError::Unauthorized, ResultCode::KeyRefused },
         { RelayError::Failed, ResultCode::StatementFailed },
         { RelayError::TimedOut, ResultCode::TargetSilent },
     } };
--- a/src/targets/RelayStep.h
+++ b/src/targets/RelayStep.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Time.h"
 #include "groups/LogMark.h"
 
 #include <cstdint>
@@ -41,6 +42,14 @@
     Demote,
 };
 
+/// For whom another daemon forwards a statement.
+struct ForwardedFor {
+    /// Empty for a public route.
+    OrganisationId organisation;
+    /// How long the statement has waited since the caller sent it.
+    Milliseconds waited;
+};
+
 /// One statement of the relay protocol, as sent by a caller or to a target or peer daemon.
 struct RelayStep {
     RelayKind kind { RelayKind::Unknown };
@@ -56,6 +65,8 @@
     bool isWrite { false };
     /// Log position that the target must have applied before it runs a read or opens a transaction; unset for none.
     std::optional<LogMark> requiredMark;
+    /// Set between daemons only, where the configuration has organisations.
+    std::optional<ForwardedFor> forwardedFor;
     /// Demote: a primary in a term below this one becomes a replica.
     Term term;
 };
@@ -75,6 +86,8 @@
     UnknownDatabase,
     Malformed,
     UnknownStatement,
+    /// The caller's key is not known or was withdrawn.
+    Unauthorized,
 
     // The statement ran or may have run, except for a TimedOut that was returned before the statement was sent.
     Failed,
