Identify callers by their keys, and end sessions whose key is withdrawn

Where the configuration has organisations, what a caller gives for its name is a secret key. Sessions took it as a name for logs and metrics, and never checked it.

CallerIdentification decides in whose name a statement runs; CallerKey can be looked up but not read. Relay::checkSession() refuses a session with an unknown key. A session resolves its key again for each statement outside a transaction, and the statements of a transaction run in the name for which it began. When a configuration withdraws a key, its sessions roll back, answer queued statements with NOAUTH and close once their running statement is answered. Forwarded statements say for whom they run; the home takes the organisation and the arrival from that, the waiting time bounded by the route's time-out. OperationQuota is asked once for each operation of an identified caller. WorkItem::runsAs carries the organisation to the connection.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/RelayTransaction.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -15,17 +16,17 @@
 
 }
 
-std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, OrganisationId caller, CallerKind kind, CallerPort& port)
+std::shared_ptr<CallerSession> CallerSession::create(Relay& relay, DatabaseId database, CallerKey key, CallerKind kind, CallerPort& port)
 {
-    std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(caller), kind, port));
+    std::shared_ptr<CallerSession> session(new CallerSession(relay, std::move(database), std::move(key), kind, port));
     relay.addSession(session);
     return session;
 }
 
-CallerSession::CallerSession(Relay& relay, DatabaseId database, OrganisationId caller, CallerKind kind, CallerPort& port)
+CallerSession::CallerSession(Relay& relay, DatabaseId database, CallerKey key, CallerKind kind, CallerPort& port)
     : m_relay(relay)
     , m_database(std::move(database))
-    , m_caller(std::move(caller))
+    , m_key(std::move(key))
     , m_kind(kind)
     , m_port(&port)
     , m_lastUsed(relay.now())
@@ -91,6 +92,17 @@
     m_transactionRoute = currentRoute();
     if (!m_transactionRoute)
         return reject(RelayError::UnknownDatabase, m_database.value());
+    // A forwarded transaction is identified with its first statement.
+    if (m_kind == CallerKind::Caller) {
+        RelayJob job;
+        job.step = step;
+        job.route = m_transactionRoute;
+        job.arrived = m_relay.now();
+        job.sessionState = m_sessionState;
+        job.beginKind = step.kind;
+        if (const StatementIdentity identity = identify(std::nullopt, *job.route); identity.error != RelayError::None)
+            return refuseIdentity(job, identity);
+    }
     m_pendingBegin = step.kind;
     m_state = TransactionState::Open;
     replySuccess();
@@ -193,17 +205,38 @@
     job.route = m_state == TransactionState::Open ? m_transactionRoute : currentRoute();
     if (!job.route)
         return reject(RelayError::UnknownDatabase, m_database.value());
-    const bool endsTransaction = job.step.kind == RelayKind::Commit;
-    job.caller = m_caller;
     job.sessionState = m_sessionState;
     job.lastCommit = m_lastCommit;
     job.isForwarded = m_kind == CallerKind::Peer;
+    if (m_state == TransactionState::Open && !m_transaction)
+        job.beginKind = m_pendingBegin;
     job.step.requiredMark.reset();
     if (const auto requiredMark = std::exchange(m_requiredMark, std::nullopt); requiredMark && job.isForwarded)
         job.lastCommit = { m_relay.primaryTermOf(job.route->group), *requiredMark };
     job.arrived = m_relay.now();
+    const auto forwardedFor = std::exchange(job.step.forwardedFor, std::nullopt);
+    // Waiting beyond the time-out makes no difference, and bounds what a wrong value can do.
+    if (forwardedFor && job.isForwarded)
+        job.arrived = job.arrived - std::max(Milliseconds(0), std::min(forwardedFor->waited, job.route->statementTimeout));
+    StatementIdentity identity = identify(forwardedFor, *job.route);
+    job.caller = identity.caller;
+    job.organisation = identity.organisation;
+    job.hasOrganisations = identity.hasOrganisations;
+    if (identity.error != RelayError::None)
+        return refuseIdentity(job, identity);
+    if (m_transaction)
+        return sendAdmitted(std::move(job));
+    m_transactionIdentity = std::move(identity);
+    const bool isOperation = m_kind == CallerKind::Caller && !job.organisation.isEmpty();
+    if (m_relay.quota() && isOperation)
+        return askQuota(std::move(job));
+    sendAdmitted(std::move(job));
+}
+
+void CallerSession::sendAdmitted(RelayJob job)
+{
     job.requester = weak_from_this();
-    job.done = [weak = weak_from_this(), endsTransaction](RelayResult result) {
+    job.done = [weak = weak_from_this(), endsTransaction = job.step.kind == RelayKind::Commit](RelayResult result) {
         auto self = weak.lock();
         if (self)
             self->statementFinished(std::move(result), endsTransaction);
@@ -212,7 +245,7 @@
     };
     if (m_transaction)
         return m_transaction->run(std::move(job));
-    job.beginKind = m_state == TransactionState::Open ? std::exchange(m_pendingBegin, std::nullopt) : std::nullopt;
+    m_pendingBegin.reset();
     m_relay.run(std::move(job));
 }
 
@@ -257,6 +290,8 @@
     answer.state = m_state;
     if (m_port)
         m_port->answer(answer);
+    if (m_isKeyWithdrawn)
+        return endUnauthorized();
     dispatchNextWaiting();
 }
 
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -29,7 +29,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
     /// `port` must remain valid until detach() is called.
-    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort& port);
+    static std::shared_ptr<CallerSession> create(Relay&, DatabaseId, CallerKey, CallerKind, CallerPort& port);
 
     /// Runs the statement, or queues it while an earlier one is running. Closes the caller's connection when the queue is
     /// full.
@@ -51,13 +51,16 @@
     /// Rolls back the open transaction unless one of its statements is running. The next statement other than
     /// ROLLBACK is answered with Aborted and `why`.
     void endTransaction(std::string_view why);
+    /// Ends the session if its key is not in the routes in force, unless its route is public: rolls back the open transaction, answers
+    /// queued statements with Unauthorized and closes the caller's connection, in each case once the running statement is answered.
+    void checkKey();
     /// Closes the caller's connection.
     void close();
 
 private:
     using Handler = void (CallerSession::*)(const RelayStep&);
 
-    CallerSession(Relay&, DatabaseId, OrganisationId caller, CallerKind, CallerPort&);
+    CallerSession(Relay&, DatabaseId, CallerKey, CallerKind, CallerPort&);
 
     void dispatch(const RelayStep&);
     void dispatchNextWaiting();
@@ -74,6 +77,13 @@
     void rejectUnknown(const RelayStep&);
 
     void send(RelayJob);
+    StatementIdentity identify(const std::optional<ForwardedFor>&, const Route&) const;
+    void askQuota(RelayJob);
+    void sendAdmitted(RelayJob);
+    void refuseQuota(const RelayJob&, Milliseconds retryAfter);
+    void refuseIdentity(const RelayJob&, const StatementIdentity&);
+    void rejectStatement(const RelayJob&, RelayError, std::string_view why);
+    void endUnauthorized();
     void statementFinished(RelayResult, bool endsTransaction);
     void dropTransaction();
     void replySuccess();
@@ -84,7 +94,7 @@
 
     Relay& m_relay;
     DatabaseId m_database;
-    OrganisationId m_caller;
+    CallerKey m_key;
     CallerKind m_kind;
     CallerPort* m_port;
     std::shared_ptr<const CallerSessionState> m_sessionState { std::make_shared<CallerSessionState>() };
@@ -97,10 +107,15 @@
     std::optional<LogMark> m_requiredMark;
     std::shared_ptr<const Route> m_transactionRoute;
     std::shared_ptr<RelayTransaction> m_transaction;
+    /// In whose name the open transaction runs; set with its first statement. Its connection belongs to that organisation, so a key that
+    /// moves to another one acts for it from the next transaction on.
+    StatementIdentity m_transactionIdentity;
     /// Why the transaction was rolled back between two statements; empty when it was not or the caller has received the reason.
     std::string m_abortReason;
     std::deque<RelayStep> m_waiting;
     bool m_isRunning { false };
+    /// Whether the routes in force do not have the session's key.
+    bool m_isKeyWithdrawn { false };
     Instant m_lastUsed;
 };
 
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -38,13 +38,35 @@
     if (m_routes && routes->version <= m_routes->version)
         return;
     m_routes = std::move(routes);
+    m_identification.setOrganisations(m_routes->organisations);
     for (const auto& [group, limits] : m_routes->groups)
         findOrCreateGroup(group);
     setTargets(m_targets);
     applyConnectionShare();
+    for (const auto& it : allSessions())
+        it->checkKey();
     endRouteWaits(true);
 }
 
+RelayAnswer Relay::checkSession(const DatabaseId& database, const CallerKey& key, CallerKind kind) const
+{
+    RelayAnswer answer;
+    const auto route = routeOf(database);
+    if (!route) {
+        answer.error = RelayError::UnknownDatabase;
+        answer.errorText = database.value();
+        return answer;
+    }
+    if (kind == CallerKind::Peer)
+        return answer;
+    const StatementIdentity identity = m_identification.identify(key, *route);
+    if (identity.error != RelayError::None)
+        m_log.write("session_refused", { { "database", database.value() }, { "why", identity.why } });
+    answer.error = identity.error;
+    answer.errorText = identity.why;
+    return answer;
+}
+
 void Relay::awaitRoutes(std::function<void(bool areKnown)> done)
 {
     if (m_routes)
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -2,6 +2,7 @@
 
 #include "directory/RouteTable.h"
 #include "directory/TargetEntry.h"
+#include "relay/CallerIdentification.h"
 #include "relay/RelayGroup.h"
 
 #include <functional>
@@ -13,6 +14,8 @@
 namespace parsleypaddle {
 
 class CallerSession;
+class OperationQuota;
+enum class CallerKind : uint8_t;
 
 /// Routes the statements of one daemon's callers to database groups, according to the route table in force.
 class Relay {
@@ -20,7 +23,8 @@
     Relay(EventLoop&, TargetConnector&, const PrimaryLease&, PrimaryObserver&, DecisionLog&, Metrics&, Membership&);
     ~Relay();
 
-    /// Applies the routes if their version is higher than that of the routes in force; ignores them otherwise.
+    /// Applies the routes if their version is higher than that of the routes in force; ignores them otherwise. Ends the sessions whose
+    /// keys are not in them.
     void setRoutes(std::shared_ptr<const RouteTable>);
     void setTargets(std::vector<TargetEntry>);
     void setPrimary(const GroupId&, const PrimaryView&);
@@ -39,6 +43,14 @@
     /// The term of the group's primary as known to this daemon.
     Term primaryTermOf(const GroupId& group) { return findOrCreateGroup(group).primary().term; }
 
+    /// Decides in whose name statements run.
+    CallerIdentification& identification() { return m_identification; }
+    /// Sets the limits of organisations' operations; null, the default, admits every operation. The object must outlive this one.
+    void setQuota(OperationQuota* quota) { m_quota = quota; }
+    OperationQuota* quota() const { return m_quota; }
+    /// Checks whether a caller or a daemon may open a session, and logs a refusal of its key. None if it may.
+    RelayAnswer checkSession(const DatabaseId&, const CallerKey&, CallerKind) const;
+
     void run(RelayJob);
     RelayGroup& findOrCreateGroup(const GroupId&);
 
@@ -48,6 +60,7 @@
     std::vector<std::shared_ptr<CallerSession>> allSessions() const;
 
     Instant now() const { return m_loop.now(); }
+    DecisionLog& log() { return m_log; }
 
 private:
     void applyConnectionShare();
@@ -62,6 +75,8 @@
     Metrics& m_metrics;
     Membership& m_membership;
     std::shared_ptr<const RouteTable> m_routes;
+    CallerIdentification m_identification;
+    OperationQuota* m_quota { nullptr };
     std::vector<TargetEntry> m_targets;
     double m_share { 1 };
     std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -106,7 +106,7 @@
         }
         if (step.kind == RelayKind::Prepare)
             return;
-        const RecordedStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.requiredMark };
+        const RecordedStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.requiredMark, step.forwardedFor };
         m_targets.executed.push_back(statement);
         answer.rows = { "row" };
         m_hasWritten = m_hasWritten || step.kind == RelayKind::Write;
@@ -147,7 +147,7 @@
 }
 
 TestCaller::TestCaller(Relay& relay, const std::string& database, const std::string& name, CallerKind kind)
-    : m_session(CallerSession::create(relay, DatabaseId(database), OrganisationId(name), kind, *this))
+    : m_session(CallerSession::create(relay, DatabaseId(database), CallerKey(name), kind, *this))
 {
 }
 
@@ -168,6 +168,16 @@
     m_session->runOrQueue(std::move(step));
 }
 
+void TestCaller::sendFor(const ForwardedFor& forwardedFor, RelayKind kind, const std::string& text)
+{
+    RelayStep step;
+    step.kind = kind;
+    step.id = StatementId("s" + std::to_string(++m_lastStatement));
+    step.text = text;
+    step.forwardedFor = forwardedFor;
+    m_session->runOrQueue(std::move(step));
+}
+
 void TestCaller::disconnect()
 {
     if (auto session = std::exchange(m_session, nullptr))
@@ -204,6 +214,19 @@
     setPrimary("one", 1);
 }
 
+void RelayFixture::setOrganisations(uint64_t version, const std::vector<OrganisationEntry>& entries)
+{
+    auto table = std::make_shared<RouteTable>(*relay.routes());
+    table->version = ConfigurationVersion(version);
+    table->organisations = *OrganisationDirectory::create(entries);
+    for (auto& [database, route] : table->routes) {
+        auto changed = std::make_shared<Route>(*route);
+        changed->isPublic = database == m_publicDatabase;
+        route = std::move(changed);
+    }
+    relay.setRoutes(std::move(table));
+}
+
 void RelayFixture::setPrimary(const std::string& target, uint64_t term, bool isOpen)
 {
     relay.setPrimary(GroupId("group"), { TargetId(target), Term(term), isOpen });
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -21,6 +21,7 @@
     bool wasInTransaction { false };
     std::map<std::string, std::string> values;
     std::optional<LogMark> requiredMark;
+    std::optional<ForwardedFor> forwardedFor;
 };
 
 /// Simulated targets for tests of the relay, with roles, log positions, sessions, transactions and faults.
@@ -78,6 +79,8 @@
     void close() override { isClosed = true; }
 
     void send(RelayKind, const std::string& text = "", const std::string& name = "", const std::string& argument = "");
+    /// Sends a statement as another daemon does that forwards it.
+    void sendFor(const ForwardedFor&, RelayKind, const std::string& text = "");
     /// Detaches the session, as when the caller's connection closes.
     void disconnect();
     CallerSession& session() { return *m_session; }
@@ -103,6 +106,10 @@
     void primaryAnswered(const GroupId&) override { ++primaryAnswers; }
     void primaryFailed(const GroupId&) override { ++primaryFailures; }
 
+    /// Puts a configuration in force that has these organisations, and the same routes.
+    void setOrganisations(uint64_t version, const std::vector<OrganisationEntry>&);
+    /// The next configuration of setOrganisations() has this public route.
+    void setPublic(const std::string& database) { m_publicDatabase = DatabaseId(database); }
     void setPrimary(const std::string& target, uint64_t term, bool isOpen = true);
     void setLeaving(const std::string& target);
     void run(double milliseconds) { loop.advance(Milliseconds(milliseconds)); }
@@ -123,6 +130,7 @@
 
 private:
     std::vector<TargetEntry> m_entries;
+    DatabaseId m_publicDatabase;
 };
 
 }
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -33,10 +33,12 @@
     using Done = std::function<void(RelayResult)>;
 
     std::shared_ptr<const Route> route;
-    /// The name that the caller gives for itself, for logs and metrics.
+    /// For logs, metrics and queues; see StatementIdentity::caller.
     OrganisationId caller;
     /// The organisation in whose name the statement runs at a target; empty where callers are not identified.
     OrganisationId organisation;
+    /// Whether another daemon is told for whom it runs the statement.
+    bool hasOrganisations { false };
     RelayStep step;
     /// Definition of the prepared statement that the step executes; empty for other steps.
     std::string definition;
@@ -52,6 +54,14 @@
     std::weak_ptr<const void> requester;
     Done done;
 
+    /// What another daemon is told when the statement is forwarded at `now`.
+    std::optional<ForwardedFor> forwardedFor(Instant now) const
+    {
+        if (!hasOrganisations)
+            return std::nullopt;
+        return ForwardedFor { organisation, now - arrived };
+    }
+
     /// Whether only the primary may run the statement.
     bool needsPrimary() const
     {
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -69,6 +69,7 @@
 {
     WorkItem work;
     work.organisation = m_job.caller;
+    work.runsAs = m_job.organisation;
     work.workload = ClassName(m_job.route->database.value());
     work.urgency = m_job.route->urgency;
     // Among routes of equal urgency, those with a shorter objective receive a larger share of a busy target.
@@ -145,6 +146,8 @@
     if (!m_job.beginKind && !m_job.isWrite)
         step.requiredMark = m_destination.requiredMark;
     m_sentAt = m_group.loop().now();
+    if (!m_destination.peer.isEmpty())
+        step.forwardedFor = m_job.forwardedFor(m_sentAt);
     m_isAwaitingAnswer = true;
     m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
         if (self->isCurrent(attempt))
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -49,8 +49,10 @@
     , m_work(work)
     , m_connection(std::move(connection))
 {
-    if (auto locked = m_target.lock())
+    if (auto locked = m_target.lock()) {
         m_targetId = locked->entry().target.id;
+        m_isAtPeer = locked->entry().target.isPeer;
+    }
 }
 
 RelaySlot::~RelaySlot()
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -30,6 +30,8 @@
     /// Closes the connection when the slot is destroyed, instead of returning it to the pool.
     void discard() { m_connection->discard(); }
     const TargetId& target() const { return m_targetId; }
+    /// Whether the connection leads to a peer daemon.
+    bool isAtPeer() const { return m_isAtPeer; }
 
     /// Keeps the connection for an open transaction and lets other work run meanwhile: a transaction pauses between its statements.
     void holdForTransaction();
@@ -40,6 +42,7 @@
 private:
     std::weak_ptr<RelayTarget> m_target;
     TargetId m_targetId;
+    bool m_isAtPeer { false };
     WorkId m_work;
     bool m_isHeldForTransaction { false };
     std::unique_ptr<PooledConnection> m_connection;
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -76,8 +76,10 @@
 void RelayTransaction::sendStatement()
 {
     std::vector<RelayStep> steps = std::exchange(m_setupSteps, {});
-    steps.push_back(m_step);
     m_sentAt = m_group.loop().now();
+    if (m_slot->isAtPeer())
+        m_step.forwardedFor = m_job.forwardedFor(m_sentAt);
+    steps.push_back(m_step);
     if (m_primaryUse)
         m_primaryUse->setWaitingSince(m_sentAt);
     const Milliseconds left = std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_sentAt);
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -17,7 +17,10 @@
 /// Work to be run in a slot of a target, as its caller submits it.
 struct WorkItem {
     WorkId id;
+    /// Whose share of the slots the work uses.
     OrganisationId organisation;
+    /// In whose name the work runs at the target, which decides whose connections it may use; empty where callers are not identified.
+    OrganisationId runsAs;
     ClassName workload;
     Urgency urgency { Urgency::Normal };
     double classWeight { 1 };
