--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -5,6 +5,7 @@
 #include "distribution/TableCopy.h"
 #include "telemetry/DecisionLog.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,6 +49,11 @@
     /// Time since the platform last answered this daemon.
     Milliseconds platformAge() const { return m_loop.now() - m_platformAnsweredAt; }
 
+    /// Notes that the source reached the platform at the given time.
+    void confirmThroughSource(Instant platformAnsweredAt) { m_sourceConfirmedAt = std::max(m_sourceConfirmedAt, platformAnsweredAt); }
+    /// Time since the platform last answered this daemon or its source: changes made before are known here, or on their way.
+    Milliseconds confirmationAge() const { return m_loop.now() - std::max(m_platformAnsweredAt, m_sourceConfirmedAt); }
+
 private:
     enum class Way {
         None,
@@ -87,6 +93,7 @@
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastId { 0 };
     Instant m_platformAnsweredAt;
+    Instant m_sourceConfirmedAt;
     std::function<void(const std::string&)> m_copyChanged { [](const std::string&) {} };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -204,6 +204,7 @@
         m_lease.extendByGrant(sentAt + std::min(message.duration, InstanceLease::grantDuration));
     else
         renewAfter(shortRenewInterval);
+    m_rows.confirmThroughSource(sentAt - message.platformAge);
     m_link->isStale = message.platformAge > maxPlatformAge;
     if (m_link->isStale && nextCandidate())
         return lose("the source has not reached the platform for " + std::to_string(static_cast<int64_t>(message.platformAge.count())) + " ms", Loss::Stale);
