--- a/scripts/lib/platform-fleet.sh
+++ b/scripts/lib/platform-fleet.sh
@@ -55,12 +55,12 @@
 
 platform_trouble() { curl -s -m 2 -X POST "http://127.0.0.1:$platform_port/standin/$1" >/dev/null; }
 
-# caller_open DAEMON DATABASE: a session on descriptor 7.
+# caller_open DAEMON DATABASE: a session on descriptor 7. The caller gives caller_name for its name.
 caller_open() {
     local line
     exec 7<>"/dev/tcp/127.0.0.1/${caller_ports[$1]}" || return 1
-    printf 'STARTUP %s shop\r\n' "$2" >&7
-    read -r -t 3 -u 7 line && [[ $line == READY* ]]
+    printf 'STARTUP %s %s\r\n' "$2" "${caller_name:-shop}" >&7
+    read -r -t 3 -u 7 line && caller_greeting=${line%$'\r'} && [[ $line == READY* ]]
 }
 
 caller_close() { exec 7>&-; }
