An unknown key is denied only while the configuration is confirmed

A daemon in a failure domain that is cut off may lack the version that adds a key or a route. It answered NOAUTH or NODB although both were in force.

Where the configuration has organisations, such a session is refused with BUSY once nothing has confirmed the configuration for revoke-ms. Known keys are served as before unless revoke-fail-closed is set.

--- a/src/relay/CallerIdentification.cpp
+++ b/src/relay/CallerIdentification.cpp
@@ -8,6 +8,8 @@
 
     /// The name of callers without an organisation in logs and metrics.
     constexpr const char* publicCaller = "-";
+    /// Told to callers that are refused because the configuration is not confirmed. Outages last seconds.
+    constexpr int unconfirmedRetryMilliseconds = 1000;
 
     StatementIdentity makeRefusal(RelayError error, std::string why)
     {
@@ -19,6 +21,11 @@
         return identity;
     }
 
+    StatementIdentity makeUnconfirmedRefusal()
+    {
+        return makeRefusal(RelayError::Busy, "this daemon cannot confirm which keys are valid now; come back in " + std::to_string(unconfirmedRetryMilliseconds) + " ms");
+    }
+
 }
 
 void CallerIdentification::setOrganisations(std::shared_ptr<const OrganisationDirectory> organisations)
@@ -33,11 +40,6 @@
     m_configurationAge = std::move(configurationAge);
 }
 
-bool CallerIdentification::isClosed() const
-{
-    return m_revocation.isFailClosed && m_organisations && m_configurationAge && m_configurationAge() > m_revocation.limit;
-}
-
 OrganisationId CallerIdentification::nameOf(const CallerKey& key) const
 {
     return OrganisationId(m_hadOrganisations ? publicCaller : key.m_text);
@@ -51,10 +53,10 @@
     if (isOpenToAll(route))
         return identity;
     if (isClosed())
-        return makeRefusal(RelayError::Busy, "this daemon cannot confirm that the caller's key is still valid; come back in " + std::to_string(static_cast<int64_t>(m_revocation.limit.count())) + " ms");
+        return makeUnconfirmedRefusal();
     const Organisation* organisation = m_organisations->findByKey(key.m_text);
     if (!organisation)
-        return makeRefusal(RelayError::Unauthorized, "the key is not known");
+        return mayDeny() ? makeRefusal(RelayError::Unauthorized, "the key is not known") : makeUnconfirmedRefusal();
     identity.caller = organisation->id;
     identity.organisation = organisation->id;
     identity.limit = organisation->limit;
--- a/src/relay/CallerIdentification.h
+++ b/src/relay/CallerIdentification.h
@@ -32,7 +32,7 @@
 struct RevocationRule {
     /// Whether they are refused. Otherwise they are served under the configuration that is held.
     bool isFailClosed { false };
-    /// How long the configuration counts as confirmed.
+    /// How long the configuration counts as confirmed. Also without isFailClosed, nothing is denied as unknown after that.
     Milliseconds limit { 5000 };
 };
 
@@ -60,7 +60,8 @@
     /// `configurationAge`: time since a source or the platform last confirmed the configuration.
     void setRevocation(RevocationRule, std::function<Milliseconds()> configurationAge);
 
-    /// Identifies the caller of a statement that arrived at this daemon.
+    /// Identifies the caller of a statement that arrived at this daemon. An unknown key is Unauthorized only while the configuration is
+    /// confirmed, and Busy otherwise.
     StatementIdentity identify(const CallerKey&, const Route&) const;
     /// Identifies the caller of a statement that another daemon forwarded, by what that daemon says. Busy if it does not say for whom it
     /// forwards a statement that runs for an organisation, which it does not before it has received a configuration with organisations.
@@ -68,11 +69,14 @@
     /// Whether the configuration in force lets a caller with this key use the route.
     bool accepts(const CallerKey& key, const Route& route) const { return isOpenToAll(route) || m_organisations->findByKey(key.m_text); }
     /// Whether statements of organisations are refused now, because the configuration is not confirmed.
-    bool isClosed() const;
+    bool isClosed() const { return m_revocation.isFailClosed && m_organisations && !isConfirmed(); }
+    /// Whether what the configuration lacks may be denied. A version that adds it may be in force while this daemon cannot receive it.
+    bool mayDeny() const { return !m_organisations || isConfirmed(); }
     /// Whether statements on the route run without an organisation's key.
     bool isOpenToAll(const Route& route) const { return !m_organisations || route.isPublic; }
 
 private:
+    bool isConfirmed() const { return !m_configurationAge || m_configurationAge() <= m_revocation.limit; }
     OrganisationId nameOf(const CallerKey&) const;
 
     std::shared_ptr<const OrganisationDirectory> m_organisations;
--- a/src/relay/CallerIdentificationTests.cpp
+++ b/src/relay/CallerIdentificationTests.cpp
@@ -113,3 +113,21 @@
     identification.setOrganisations(nullptr);
     CHECK(identification.identify(CallerKey("k1"), route).error == RelayError::None);
 }
+
+// A daemon in a failure domain that is cut off may lack a version that adds the key, and the key's caller must not be denied then.
+TEST_CASE("an unknown key is denied only while the configuration is confirmed", "[relay]")
+{
+    Milliseconds age(5000);
+    CallerIdentification identification;
+    identification.setOrganisations(acmeWith("k1"));
+    identification.setRevocation({}, [&age] { return age; });
+    const Route route = routeThatIsPublic(false);
+    CHECK(identification.identify(CallerKey("k2"), route).error == RelayError::Unauthorized);
+    CHECK(identification.mayDeny());
+    age = Milliseconds(5001);
+    CHECK(identification.identify(CallerKey("k2"), route).error == RelayError::Busy);
+    CHECK(identification.identify(CallerKey("k1"), route).error == RelayError::None);
+    CHECK_FALSE(identification.mayDeny());
+    identification.setOrganisations(nullptr);
+    CHECK(identification.mayDeny());
+}
--- a/src/relay/CallerSessionIdentity.cpp
+++ b/src/relay/CallerSessionIdentity.cpp
@@ -23,7 +23,7 @@
         identity.why = "the statement was forwarded for another organisation than its transaction";
     } else if (m_kind == CallerKind::Caller && !identity.organisation.isEmpty() && identification.isClosed()) {
         identity.error = RelayError::Aborted;
-        identity.why = "this daemon cannot confirm that the caller's key is still valid";
+        identity.why = "this daemon cannot confirm which keys are valid now";
     }
     return identity;
 }
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -53,8 +53,9 @@
     RelayAnswer answer;
     const auto route = routeOf(database);
     if (!route) {
-        answer.error = RelayError::UnknownDatabase;
-        answer.errorText = database.value();
+        const bool mayDeny = m_identification.mayDeny();
+        answer.error = mayDeny ? RelayError::UnknownDatabase : RelayError::Busy;
+        answer.errorText = mayDeny ? database.value() : "this daemon cannot confirm which databases exist now";
         return answer;
     }
     if (kind == CallerKind::Peer)
