--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -38,13 +38,36 @@
     if (m_routes && routes->version <= m_routes->version)
         return;
     m_routes = std::move(routes);
+    m_identification.setOrganisations(m_routes->organisations);
     for (const auto& [group, limits] : m_routes->groups)
         findOrCreateGroup(group);
     setTargets(m_targets);
     applyConnectionShare();
+    for (const auto& it : allSessions())
+        it->checkKey();
     endRouteWaits(true);
 }
 
+RelayAnswer Relay::checkSession(const DatabaseId& database, const CallerKey& key, CallerKind kind) const
+{
+    RelayAnswer answer;
+    const auto route = routeOf(database);
+    if (!route) {
+        const bool mayDeny = m_identification.mayDeny();
+        answer.error = mayDeny ? RelayError::UnknownDatabase : RelayError::Busy;
+        answer.errorText = mayDeny ? database.value() : "this daemon cannot confirm which databases exist now";
+        return answer;
+    }
+    if (kind == CallerKind::Peer)
+        return answer;
+    const StatementIdentity identity = m_identification.identify(key, *route);
+    if (identity.error != RelayError::None)
+        m_log.write("session_refused", { { "database", database.value() }, { "why", identity.why } });
+    answer.error = identity.error;
+    answer.errorText = identity.why;
+    return answer;
+}
+
 void Relay::awaitRoutes(std::function<void(bool areKnown)> done)
 {
     if (m_routes)
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -155,6 +155,8 @@
     if (!m_job.beginKind && !m_job.isWrite)
         step.requiredMark = m_destination.requiredMark;
     m_sentAt = m_group.loop().now();
+    if (!m_destination.peer.isEmpty())
+        step.forwardedFor = m_job.forwardedFor(m_sentAt);
     m_isAwaitingAnswer = true;
     m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
         if (self->isCurrent(attempt))
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -17,6 +17,7 @@
 /// Work to be run in a slot of a target, as its caller submits it.
 struct WorkItem {
     WorkId id;
+    /// Whose share of the slots the work uses.
     OrganisationId organisation;
     ClassName workload;
     Urgency urgency { Urgency::Normal };
