Quotas: spare units move between failure domains; unused units of shares return

A limit that is split over domains refused 1 to 2% of the operations of small organisations within their limits, because one part was empty while another was full. A coordinator that lacks units asks the others, which take them out of their buckets. Shares are less deep, since what they do not keep returns to the bucket.

--- a/src/quotas/DomainShares.cpp
+++ b/src/quotas/DomainShares.cpp
@@ -182,6 +182,12 @@
     return update;
 }
 
+uint64_t DomainShares::termOf(const FailureDomainId& domain) const
+{
+    auto it = m_remotes.find(domain);
+    return it == m_remotes.end() ? 0 : it->second.term;
+}
+
 bool DomainShares::isConnected(const FailureDomainId& domain) const
 {
     auto it = m_remotes.find(domain);
--- a/src/quotas/DomainShares.h
+++ b/src/quotas/DomainShares.h
@@ -60,6 +60,8 @@
     bool apply(const FailureDomainId&, const ClaimUpdate&);
     /// What that domain lacks; `claims` is sorted by version.
     ClaimUpdate updateFor(const FailureDomainId&) const;
+    /// The period of acting of the domain's coordinator; 0 if nothing was received from it.
+    uint64_t termOf(const FailureDomainId&) const;
     /// Whether the domain has confirmed this period of acting.
     bool isConnected(const FailureDomainId&) const;
 
--- a/src/quotas/QuotaClient.cpp
+++ b/src/quotas/QuotaClient.cpp
@@ -18,7 +18,8 @@
     constexpr Milliseconds confirmationDelay { 20 };
     /// A coordinator that answers nothing for this long is avoided.
     constexpr Milliseconds maxSilence { 300 };
-    constexpr Milliseconds avoidanceAfterSilence { 1000 };
+    /// A lost holder stays listed until its row has expired. One that returns is named by those that are asked meanwhile.
+    constexpr Milliseconds avoidanceAfterSilence { 5000 };
     constexpr Milliseconds avoidanceAfterRefusal { 100 };
     constexpr Milliseconds hintValidity { 2000 };
     constexpr size_t maxSentReports = 32;
--- a/src/quotas/QuotaCoordinator.cpp
+++ b/src/quotas/QuotaCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "quotas/QuotaCoordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleypaddle {
 
@@ -11,6 +12,7 @@
     /// A longer gap between ticks means that this process was suspended, and others may act meanwhile.
     constexpr Milliseconds maxTickGap { 1000 };
     constexpr Milliseconds sendInterval { 500 };
+    constexpr Milliseconds lentListInterval { 900 };
     /// Changes that become due within this time are sent together.
     constexpr Milliseconds exchangeDelay { 20 };
     /// A holder that is silent for this long does not act: two of its messages were lost, or it is gone.
@@ -30,6 +32,14 @@
     /// Least units that a domain may save up, so that the first operation of an organisation is served wherever it arrives.
     constexpr double minDepth = 1.5;
     constexpr double minDemand = 0.05;
+    /// Requests to other domains that become due within this time are sent together.
+    constexpr Milliseconds askDelay { 2 };
+    /// Delay between requests for units of one organisation, doubled while none are given: it is over its limit everywhere.
+    constexpr Milliseconds minAskInterval { 40 };
+    constexpr Milliseconds maxAskInterval { 640 };
+    constexpr double maxMissing = 64;
+    /// Part of a bucket that other domains may get at a time.
+    constexpr double sparePart = 0.5;
 
 }
 
@@ -47,6 +57,7 @@
 {
     m_context.loop.cancel(m_timer);
     m_context.loop.cancel(m_exchangeTimer);
+    m_context.loop.cancel(m_askTimer);
 }
 
 void QuotaCoordinator::start()
@@ -165,6 +176,8 @@
     const Instant now = m_context.loop.now();
     m_isActing = true;
     m_actingSince = now;
+    // Later than the numbers of an earlier process.
+    m_transferNumber = std::max(m_transferNumber, static_cast<uint64_t>(now.sinceEpoch()));
     m_term = std::max(m_term + 1, static_cast<uint64_t>(now.sinceEpoch()));
     m_isValid = true;
     renewDomainShares(m_shares ? m_shares->term() : 0);
@@ -323,8 +336,12 @@
     if (report.number <= last)
         return answer;
     last = report.number;
-    for (const auto& it : report.entries)
-        answer.entries.push_back(answerEntry(report, it));
+    for (const auto& it : report.entries) {
+        const auto entry = answerEntry(report, it);
+        // Nothing changes for a daemon that reported only its demand.
+        if (entry.share.amount > 0 || it.held.amount > 0 || it.waiting > 0)
+            answer.entries.push_back(entry);
+    }
     return answer;
 }
 
@@ -359,6 +376,9 @@
     if (given.isShort) {
         lender->wasShort = true;
         lender->demand = std::max(lender->demand, lender->lender.demand());
+        lender->missing = std::max(lender->missing, request.wanted - given.units);
+        if (m_askTimer == TimerId::None)
+            m_askTimer = m_context.loop.after(askDelay, [this] { askOthers(); });
         exchangeSoon();
     }
     return answer;
@@ -423,6 +443,80 @@
         m_context.port.send(to, it);
 }
 
+// A part of a limit that is not used where it is may be needed elsewhere before the parts have changed. Units are taken out of one bucket
+// before they are put into another, so a lost transfer loses units and never makes any.
+void QuotaCoordinator::askOthers()
+{
+    m_askTimer = TimerId::None;
+    const Instant now = m_context.loop.now();
+    std::vector<QuotaTransfer::Entry> entries;
+    for (auto& [id, it] : m_lenders) {
+        if (it.missing < 1 || now < it.nextAskAt || !m_isActing)
+            continue;
+        entries.push_back({ id, std::min(maxMissing, std::ceil(it.missing)), 0 });
+        it.missing = 0;
+        it.askDelay = std::clamp(it.askDelay * 2, minAskInterval, maxAskInterval);
+        it.nextAskAt = now + it.askDelay;
+    }
+    if (entries.empty())
+        return;
+    for (const auto& [domain, it] : m_remotes) {
+        if (now - it.heardAt < maxRemoteSilence)
+            send(domain, entries);
+    }
+}
+
+void QuotaCoordinator::send(const FailureDomainId& domain, std::vector<QuotaTransfer::Entry> entries)
+{
+    std::vector<QuotaTransfer> transfers;
+    size_t bytes = quotaEntriesBytes;
+    for (auto& it : entries) {
+        const size_t added = quotaEntryBytes(it.organisation);
+        if (bytes + added > quotaEntriesBytes) {
+            transfers.push_back({ m_context.domain, m_shares->termOf(domain), ++m_transferNumber, {} });
+            bytes = 0;
+        }
+        bytes += added;
+        transfers.back().entries.push_back(std::move(it));
+    }
+    for (const auto& transfer : transfers) {
+        for (const auto& it : encodeQuotaMessage(transfer))
+            m_context.port.send(m_remotes[domain].address, it);
+    }
+}
+
+double QuotaCoordinator::spareUnits(Lender& lender, double wanted, Instant now)
+{
+    lender.lender.expire(now);
+    return lender.lender.takeUnits(std::min(wanted, std::ceil(lender.lender.level() * sparePart)), now);
+}
+
+void QuotaCoordinator::handle(const TargetAddress&, const QuotaTransfer& transfer)
+{
+    auto remote = m_remotes.find(transfer.domain);
+    if (!m_isActing || remote == m_remotes.end() || transfer.receiver != m_shares->term() || transfer.number <= remote->second.lastTransfer)
+        return;
+    remote->second.lastTransfer = transfer.number;
+    const Instant now = m_context.loop.now();
+    std::vector<QuotaTransfer::Entry> answers;
+    for (const auto& it : transfer.entries) {
+        auto lender = m_lenders.find(it.organisation);
+        if (it.given > 0 && lender != m_lenders.end()) {
+            lender->second.lender.addUnits(it.given);
+            lender->second.askDelay = {};
+            lender->second.nextAskAt = {};
+        }
+        if (it.wanted <= 0)
+            continue;
+        Lender* giver = lenderOf(it.organisation);
+        const double given = giver ? spareUnits(*giver, it.wanted, now) : 0;
+        if (given > 0)
+            answers.push_back({ it.organisation, 0, given });
+    }
+    if (!answers.empty())
+        send(transfer.domain, std::move(answers));
+}
+
 QuotaBeat QuotaCoordinator::beat(bool needsReply) const
 {
     QuotaBeat beat;
@@ -440,16 +534,21 @@
 // What is lent is sent to the holder that acts next.
 void QuotaCoordinator::sendBeats(bool needsReply)
 {
-    QuotaBeat full = beat(needsReply);
+    const Instant now = m_context.loop.now();
+    const QuotaBeat full = beat(needsReply);
     QuotaBeat brief = full;
     brief.entries.clear();
     bool isNext = true;
+    // The lists are long with many organisations, and shares last longer than this.
+    const bool isListDue = now - m_listedLentAt >= lentListInterval;
+    if (isListDue)
+        m_listedLentAt = now;
     for (const auto& it : m_ranked) {
         if (it.instance == m_context.instance)
             continue;
         const Neighbour& neighbour = m_neighbours.at(it.instance);
-        const bool isHeard = m_context.loop.now() - neighbour.heardAt < maxSilence;
-        for (const auto& datagram : encodeQuotaMessage(isNext && isHeard ? full : brief))
+        const bool isHeard = now - neighbour.heardAt < maxSilence;
+        for (const auto& datagram : encodeQuotaMessage(isListDue && isNext && isHeard ? full : brief))
             m_context.port.send(it.address, datagram);
         isNext = isNext && !isHeard;
     }
@@ -465,9 +564,10 @@
         it->second.isActing = message.isActing;
     }
     if (message.isActing) {
-        if (now - m_predecessorHeardAt > sendInterval * 0.5)
+        if (!message.entries.empty() && now - m_predecessorHeardAt > sendInterval * 0.5)
             m_predecessorLent.clear();
-        m_predecessorHeardAt = now;
+        if (!message.entries.empty())
+            m_predecessorHeardAt = now;
         for (const auto& entry : message.entries)
             m_predecessorLent[entry.organisation] = entry;
     }
--- a/src/quotas/QuotaCoordinator.h
+++ b/src/quotas/QuotaCoordinator.h
@@ -56,6 +56,7 @@
     /// Answers a report; the answer names another daemon when this one does not act.
     QuotaAnswer answer(const QuotaReport&);
     void handle(const TargetAddress& from, const QuotaExchange&);
+    void handle(const TargetAddress& from, const QuotaTransfer&);
     void handle(const TargetAddress& from, const QuotaBeat&);
 
     bool isActing() const { return m_isActing; }
@@ -75,6 +76,8 @@
         Instant heardAt;
         TargetAddress address;
         uint64_t sentVersion { 0 };
+        /// Number of the last transfer of the domain.
+        uint64_t lastTransfer { 0 };
         size_t nextHolder { 0 };
     };
 
@@ -89,6 +92,10 @@
         /// Units of the earlier coordinator's bucket that did not fit yet.
         double earlierUnits { 0 };
         bool wasShort { false };
+        /// Units that waiting operations lack, and when other domains may be asked for them again.
+        double missing { 0 };
+        Instant nextAskAt {};
+        Milliseconds askDelay {};
     };
 
     void tick();
@@ -112,6 +119,9 @@
     void exchangeSoon();
     void sendExchanges(bool isRegular);
     void sendExchange(const FailureDomainId&, RemoteDomain&);
+    void askOthers();
+    void send(const FailureDomainId&, std::vector<QuotaTransfer::Entry>);
+    static double spareUnits(Lender&, double wanted, Instant now);
     std::set<FailureDomainId> presentDomains() const;
 
     Context m_context;
@@ -136,11 +146,14 @@
     bool m_isSettled { false };
     Instant m_tickedAt;
     Instant m_sentAt;
+    Instant m_listedLentAt;
     Instant m_refreshedAt;
     uint32_t m_refreshes { 0 };
     /// Whether other domains' claims have not been confirmed yet.
     bool m_mustConfirm { false };
     TimerId m_timer { TimerId::None };
+    uint64_t m_transferNumber { 0 };
+    TimerId m_askTimer { TimerId::None };
     TimerId m_exchangeTimer { TimerId::None };
 };
 
--- a/src/quotas/QuotaMessages.cpp
+++ b/src/quotas/QuotaMessages.cpp
@@ -269,6 +269,33 @@
         return it;
     }
 
+    std::vector<std::string> encode(const QuotaTransfer& it)
+    {
+        DatagramWriter writer("T1");
+        writer.name(it.domain.value());
+        for (const uint64_t n : { it.receiver, it.number })
+            writer.number(n);
+        for (const auto& entry : it.entries)
+            writer.entry(entry.organisation, { entry.wanted, entry.given });
+        return writer.take();
+    }
+
+    QuotaMessage decodeTransfer(DatagramReader& reader)
+    {
+        QuotaTransfer it;
+        it.domain = FailureDomainId(reader.name());
+        for (uint64_t* n : { &it.receiver, &it.number })
+            *n = reader.number();
+        while (reader.hasMore()) {
+            QuotaTransfer::Entry entry;
+            entry.organisation = OrganisationId(reader.name());
+            entry.wanted = reader.real();
+            entry.given = reader.real();
+            it.entries.push_back(std::move(entry));
+        }
+        return it;
+    }
+
     std::vector<std::string> encode(const QuotaBeat& it)
     {
         DatagramWriter writer("B1");
@@ -299,7 +326,7 @@
     }
 
     using Decoder = QuotaMessage (*)(DatagramReader&);
-    constexpr std::array<std::pair<absl::string_view, Decoder>, 4> decoders { { { "R1", decodeReport }, { "A1", decodeAnswer }, { "X1", decodeExchange }, { "B1", decodeBeat } } };
+    constexpr std::array<std::pair<absl::string_view, Decoder>, 5> decoders { { { "R1", decodeReport }, { "A1", decodeAnswer }, { "X1", decodeExchange }, { "T1", decodeTransfer }, { "B1", decodeBeat } } };
 
 }
 
--- a/src/quotas/QuotaMessages.h
+++ b/src/quotas/QuotaMessages.h
@@ -66,6 +66,22 @@
     ClaimUpdate update;
 };
 
+/// A coordinator to that of another failure domain: units that it needs, or has taken out of its bucket for the other one.
+struct QuotaTransfer {
+    struct Entry {
+        OrganisationId organisation;
+        double wanted { 0 };
+        double given { 0 };
+    };
+
+    FailureDomainId domain;
+    /// The receiver's period of acting, as known to the sender. Units are for that period only.
+    uint64_t receiver { 0 };
+    /// Increases with each transfer of the sender, so that repeated ones are recognised.
+    uint64_t number { 0 };
+    std::vector<Entry> entries;
+};
+
 /// A holder to the other holders of its failure domain.
 struct QuotaBeat {
     struct Entry {
@@ -84,7 +100,7 @@
     std::vector<Entry> entries;
 };
 
-using QuotaMessage = std::variant<QuotaReport, QuotaAnswer, QuotaExchange, QuotaBeat>;
+using QuotaMessage = std::variant<QuotaReport, QuotaAnswer, QuotaExchange, QuotaTransfer, QuotaBeat>;
 
 /// Longest encoded name of an organisation, in bytes. Organisations with longer names cannot be reported.
 inline constexpr size_t maxQuotaNameBytes = 400;
--- a/src/quotas/QuotaMessagesTests.cpp
+++ b/src/quotas/QuotaMessagesTests.cpp
@@ -56,7 +56,7 @@
     CHECK(it.entries[1].demand == 0.05);
 }
 
-TEST_CASE("an answer and a beat arrive as they were sent", "[quotas]")
+TEST_CASE("an answer, a transfer and a beat arrive as they were sent", "[quotas]")
 {
     QuotaAnswer answer { 9, 8, { "10.0.0.1", 4711 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } };
     const auto decoded = roundTrip(answer);
@@ -66,6 +66,10 @@
     CHECK(it.coordinatorAddress.port == 4711);
     CHECK(it.entries.at(0).isOverLimit);
     CHECK(it.entries.at(0).number == 12);
+    const auto transfer = roundTrip(QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } });
+    REQUIRE(transfer);
+    CHECK(std::get<QuotaTransfer>(*transfer).receiver == 5);
+    CHECK(std::get<QuotaTransfer>(*transfer).entries.at(0).given == 2);
     const auto beat = roundTrip(QuotaBeat { InstanceId("n"), false, true, true, { { OrganisationId("a"), { 7, 1 }, 3 } } });
     REQUIRE(beat);
     CHECK_FALSE(std::get<QuotaBeat>(*beat).isHolder);
@@ -118,6 +122,7 @@
     CAPTURE(seed);
     std::mt19937_64 random(seed);
     const std::vector<QuotaMessage> messages { exampleReport(), exampleExchange(5), QuotaAnswer { 9, 8, { "h", 1 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } },
+        QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } },
         QuotaBeat { InstanceId("n"), true, true, true, { { OrganisationId("a"), { 7, 1 }, 3 } } } };
     for (int n = 0; n < 4000; ++n) {
         std::string text = encodeQuotaMessage(messages[random() % messages.size()]).front().substr(prefixBytes);
--- a/src/quotas/ShareLender.cpp
+++ b/src/quotas/ShareLender.cpp
@@ -128,8 +128,7 @@
         return share;
     share.amount = std::min(wanted, borrower.reserved.amount + freeAmount());
     const double depthToLend = std::max(0.0, m_capacity.depth * m_rules.lentDepth - reserved().depth);
-    const double depthInProportion = m_capacity.amount > 0 ? m_capacity.depth * m_rules.lentDepth * share.amount / m_capacity.amount : 0;
-    share.depth = std::min(std::max(depthInProportion, 1 + share.amount * m_rules.depthTime.count() / msPerSecond), borrower.reserved.depth + depthToLend);
+    share.depth = std::min(1 + share.amount * m_rules.depthTime.count() / msPerSecond, borrower.reserved.depth + depthToLend);
     // A bucket that cannot hold one unit never yields one.
     if (share.depth < 1 || share.amount <= 0)
         return {};
@@ -159,6 +158,15 @@
     }
 }
 
+double ShareLender::takeUnits(double units, Instant now)
+{
+    expire(now);
+    refill(now);
+    const double taken = std::floor(std::clamp(units, 0.0, m_level));
+    m_level -= taken;
+    return taken;
+}
+
 void ShareLender::release(const std::string& name, Instant now)
 {
     refill(now);
--- a/src/quotas/ShareLender.h
+++ b/src/quotas/ShareLender.h
@@ -31,9 +31,9 @@
         double headroom { 1.3 };
         /// Borrowers that need less than this amount get single units only.
         double minAmount { 2 };
-        /// Least depth of a share: one unit, and what its amount yields in this time.
+        /// Depth of a share: one unit, and what its amount yields in this time.
         Milliseconds depthTime { 200 };
-        /// Part of the capacity's depth that may be lent. A share has a part of it that is in proportion to its amount.
+        /// Part of the capacity's depth that may be lent.
         double lentDepth { 0.7 };
     };
 
@@ -78,6 +78,8 @@
     /// Takes units out of a bucket that holds more than this.
     void limitLevel(double units) { m_level = std::min(m_level, units); }
 
+    /// Takes at most so many whole units out of the bucket, and returns how many.
+    double takeUnits(double units, Instant now);
     /// Puts units into the bucket, as far as they fit.
     void addUnits(double units) { m_level = std::min(m_level + units, std::max(m_level, depthLimit())); }
 
