--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -2,6 +2,7 @@
 
 #include "directory/RouteTable.h"
 #include "directory/TargetEntry.h"
+#include "quotas/OperationQuota.h"
 #include "relay/CallerIdentification.h"
 #include "relay/RelayGroup.h"
 
@@ -14,7 +15,6 @@
 namespace parsleypaddle {
 
 class CallerSession;
-class OperationQuota;
 enum class CallerKind : uint8_t;
 
 /// Routes the statements of one daemon's callers to database groups, according to the route table in force.
@@ -76,8 +76,8 @@
     Membership& m_membership;
     std::shared_ptr<const RouteTable> m_routes;
     CallerIdentification m_identification;
-    OperationQuota* m_quota { nullptr };
     std::vector<TargetEntry> m_targets;
+    OperationQuota* m_quota { nullptr };
     double m_share { 1 };
     std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
     std::unordered_map<CallerSession*, std::weak_ptr<CallerSession>> m_sessions;
