Targets whose entries disappear without notice stay in use while they may run

Cause: a target of a failure domain that is cut off cannot report itself, so its entry disappears up to 3.6 s after the cut begins.

Change: such a target stays in use for drain-ms less 3 s, in which statements that wait and lists that are late are covered. Targets that were leaving keep 2.5 s.

--- a/src/directory/TargetList.cpp
+++ b/src/directory/TargetList.cpp
@@ -6,12 +6,18 @@
 
 namespace {
 
-    /// After an outage of the platform, running targets are listed again within two seconds. The other 500 ms are for
-    /// receiving the new list.
-    constexpr Milliseconds missingGracePeriod { 2500 };
+    /// The list arrives up to a second late, and a statement may wait for two seconds before it is sent.
+    constexpr Milliseconds useMargin { 3000 };
 
 }
 
+// A target in a failure domain that is cut off cannot report itself. Its entry disappears after three intervals, though the target runs,
+// and is back only some seconds after the cut has ended. Statements that reach another server at its address are rejected there.
+Milliseconds TargetList::gracePeriodFor(Milliseconds maxUse)
+{
+    return std::max(defaultGracePeriod, maxUse - useMargin);
+}
+
 void TargetList::setListed(std::vector<TargetEntry> listed, Instant now)
 {
     for (auto& [id, known] : m_known) {
@@ -47,14 +53,14 @@
     std::vector<TargetEntry> targets;
     for (auto it = m_known.begin(); it != m_known.end();) {
         const auto& missingSince = it->second.missingSince;
-        if (missingSince && *missingSince + missingGracePeriod <= now) {
+        if (missingSince && *missingSince + gracePeriodOf(it->second) <= now) {
             it = m_known.erase(it);
             continue;
         }
         targets.push_back(it->second.entry);
         // A target that has restarted counts from the beginning, too, so this is not for long.
         const auto& outdatedSince = it->second.outdatedSince;
-        if (outdatedSince && now < *outdatedSince + missingGracePeriod)
+        if (outdatedSince && now < *outdatedSince + defaultGracePeriod)
             targets.back().isLeaving = true;
         ++it;
     }
@@ -64,11 +70,13 @@
 std::optional<Instant> TargetList::nextExpiry(Instant now) const
 {
     std::optional<Instant> next;
+    const auto add = [&](std::optional<Instant> since, Milliseconds period) {
+        if (since && *since + period > now)
+            next = std::min(next.value_or(*since + period), *since + period);
+    };
     for (const auto& [id, known] : m_known) {
-        for (const auto& since : { known.missingSince, known.outdatedSince }) {
-            if (since && *since + missingGracePeriod > now)
-                next = std::min(next.value_or(*since + missingGracePeriod), *since + missingGracePeriod);
-        }
+        add(known.missingSince, gracePeriodOf(known));
+        add(known.outdatedSince, defaultGracePeriod);
     }
     return next;
 }
--- a/src/directory/TargetList.h
+++ b/src/directory/TargetList.h
@@ -14,6 +14,19 @@
 /// copy, a leaving target may be listed as it was before its report, so it is taken for leaving for the same period. Does no I/O.
 class TargetList {
 public:
+    /// Grace period of targets that were leaving, and of all targets by default. After an outage of the platform, running targets are
+    /// listed again within two seconds. The other 500 ms are for receiving the new list.
+    static constexpr Milliseconds defaultGracePeriod { 2500 };
+
+    /// `gracePeriod` of targets that disappear without having reported that they leave.
+    explicit TargetList(Milliseconds gracePeriod = defaultGracePeriod)
+        : m_gracePeriod(gracePeriod)
+    {
+    }
+
+    /// The grace period where targets may get new work for `maxUse` after the platform has listed them as leaving or gone.
+    static Milliseconds gracePeriodFor(Milliseconds maxUse);
+
     /// Replaces the list. Targets missing from the new one stay in use until their grace period ends.
     void setListed(std::vector<TargetEntry> listed, Instant now);
 
@@ -33,7 +46,9 @@
     };
 
     static void update(Known&, TargetEntry, bool isNew, Instant now);
+    Milliseconds gracePeriodOf(const Known& known) const { return known.entry.isLeaving ? defaultGracePeriod : m_gracePeriod; }
 
+    Milliseconds m_gracePeriod;
     std::map<TargetId, Known> m_known;
 };
 
--- a/src/directory/TargetListTests.cpp
+++ b/src/directory/TargetListTests.cpp
@@ -46,6 +46,36 @@
     CHECK(roster.targets(Instant(3500)).size() == 1);
 }
 
+// Guards against failovers after a cut of a failure domain has ended: an entry disappears up to 3.6 s after the beginning of a cut of 6.4 s,
+// and is back two seconds after its end.
+TEST_CASE("a target that runs in a failure domain that was cut off stays in use until it is listed again", "[directory]")
+{
+    TargetList roster(TargetList::gracePeriodFor(Milliseconds(10'000)));
+    roster.setListed({ entryOf("one"), entryOf("two") }, Instant(0));
+    roster.setListed({ entryOf("two") }, Instant(2400));
+    CHECK(roster.targets(Instant(8400)).size() == 2);
+    SECTION("and is no longer used when it may be gone")
+    {
+        CHECK(roster.nextExpiry(Instant(8400)) == Instant(9400));
+        CHECK(roster.targets(Instant(9400)).size() == 1);
+    }
+    SECTION("but one that was leaving is gone")
+    {
+        TargetEntry leaving = entryOf("two");
+        leaving.isLeaving = true;
+        roster.setListed({ entryOf("one"), leaving }, Instant(8500));
+        roster.setListed({ entryOf("one") }, Instant(9000));
+        CHECK(roster.targets(Instant(11'400)).size() == 2);
+        CHECK(roster.targets(Instant(11'500)).size() == 1);
+    }
+}
+
+TEST_CASE("the grace period leaves time for lists that arrive late and for statements that wait", "[directory]")
+{
+    CHECK(TargetList::gracePeriodFor(Milliseconds(7000)) == Milliseconds(4000));
+    CHECK(TargetList::gracePeriodFor(Milliseconds(0)) == TargetList::defaultGracePeriod);
+}
+
 // The platform returns from a copy that was made before the target reported that it would shut down. It is listed again within two
 // seconds; until then it must not be given new work.
 TEST_CASE("a target that was leaving is not used because of an older entry", "[directory]")
