--- a/src/directory/PlatformPathSelector.h
+++ b/src/directory/PlatformPathSelector.h
@@ -38,6 +38,10 @@
     /// direct calls and once for calls through peers. It shows that the platform is reachable on that path again.
     bool report(const Path&, bool wasAnswered, Instant now);
 
+    /// When a call on the direct path last failed. Watches that were sent before may hang, even if a call that was sent still earlier is the
+    /// first to be answered.
+    Instant lastFailureAt() const { return m_lastFailureAt; }
+
 private:
     TargetAddress m_direct;
     std::vector<TargetAddress> m_peers;
--- a/src/directory/PlatformPathSelectorTests.cpp
+++ b/src/directory/PlatformPathSelectorTests.cpp
@@ -113,3 +113,14 @@
     }
     CHECK(asked.size() == 4);
 }
+
+// A watch that was sent before the failure hangs, and a call that was sent still earlier is the first to be answered.
+TEST_CASE("the time of the last failure is known when an earlier call is answered after it", "[directory]")
+{
+    PlatformPathSelector selector({ "platform", 1 }, 7);
+    const auto early = selector.choose(Instant(0));
+    const auto watch = selector.choose(Instant(500));
+    selector.report(selector.choose(Instant(400)), false, Instant(1300));
+    CHECK(selector.report(early, true, Instant(6000)));
+    CHECK(selector.lastFailureAt() > watch.chosenAt);
+}
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -133,11 +133,16 @@
     return [this, done = std::move(done), sent = m_loop.now(), alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<Answer>& answer) {
         if (alive.expired())
             return;
-        const bool wasLost = std::exchange(m_isLost, !answer.ok());
+        // The answer to a call that was sent before the last failure, such as a watch, does not show that later ones arrive.
+        const bool wasLost = m_lostAt && answer.ok() && sent >= *m_lostAt;
+        if (!answer.ok())
+            m_lostAt = m_loop.now();
+        else if (wasLost)
+            m_lostAt.reset();
         if (answer.ok() && std::exchange(m_era, std::max(m_era, answer->version.era())) < answer->version.era())
             tellEraChanged(m_era);
         done(answer);
-        if (wasLost && answer.ok())
+        if (wasLost)
             tellReachedAgain(sent);
     };
 }
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace parsleypaddle {
@@ -103,7 +104,8 @@
 
     EventLoop& m_loop;
     FakeTables& m_tables;
-    bool m_isLost { false };
+    /// When a call last failed, until one that was sent later is answered.
+    std::optional<Instant> m_lostAt;
     PlatformEra m_era { firstEra };
     Instant m_linkFreeAt;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
