Leases: a renewed row ends no earlier than the lease before

The duration of a lease falls from 6.6 s to 6 s when holders leave. A renewal soon after another one, as after a change's epoch or in place of answers, then wrote a row that ended up to 0.5 s before the lease that the holder still used: the owner of the next change took it for expired, and its answers gave other holders contact beyond what the table showed. The row's duration now reaches at least to the end of the lease in use, also when the answer to that renewal is lost.

The test failed before (the lease was valid when its row had expired), with and without a lost answer, and passes now.

--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -255,7 +255,8 @@
     m_isRenewing = true;
     const Instant sentAt = m_loop.now();
     const Instant requestedAt = *m_platformTime + (sentAt - m_platformTimeRequestedAt);
-    const Milliseconds duration = this->duration();
+    // The row that is read may be this one, although its answer is lost, so it must not end before the lease that it renews.
+    const Milliseconds duration = std::max(this->duration(), m_validUntil - sentAt);
     LeaseRow row { m_incarnation, requestedAt, duration, m_addresses, sessionCount() };
     row.members = m_grants.members();
     row.hasGrants = !m_grants.isEmpty();
--- a/src/leases/InstanceLeaseTests.cpp
+++ b/src/leases/InstanceLeaseTests.cpp
@@ -56,6 +56,26 @@
     CHECK(fixture.row().duration <= Milliseconds(17'000));
 }
 
+// Otherwise a change of primary takes the lease for expired while the daemon still uses it.
+TEST_CASE("a lease that was given while there were many holders ends no later than its row", "[leases]")
+{
+    LeaseFixture fixture;
+    fixture.lease.setHolderCount(21);
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(100));
+    REQUIRE(fixture.row().duration == InstanceLease::maxDuration);
+    fixture.lease.setHolderCount(18);
+    fixture.tables.put(controlTable, epochKey, "next");
+    const bool isAnswerLost = GENERATE(false, true);
+    fixture.rows.losesAnswers = isAnswerLost;
+    fixture.lease.confirmEpoch(fixture.tables.version());
+    fixture.loop.advance(Milliseconds(100));
+    fixture.rows.isCut = true;
+    while (!isExpired(fixture.row(), fixture.tables.time()))
+        fixture.loop.advance(Milliseconds(10));
+    CHECK_FALSE(fixture.lease.isValid());
+}
+
 TEST_CASE("a released lease is invalid and its row is deleted", "[leases]")
 {
     LeaseFixture fixture;
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -26,6 +26,9 @@
     /// The newest version of all rows.
     RowVersion version() const { return m_version; }
 
+    /// The platform's clock.
+    Instant time() const { return Instant(m_loop.now().sinceEpoch() - clockOffset); }
+
     /// The rows as of one moment.
     struct Copy;
     Copy copy() const;
@@ -54,7 +57,6 @@
     TransactionAnswer apply(const RowsTransaction&);
     RowsAnswer readAll(const std::string& table) const;
     RowsAnswer changes(const std::string& table, RowVersion after) const;
-    Instant time() const { return Instant(m_loop.now().sinceEpoch() - clockOffset); }
     void notify();
 
     /// The platform's clock has a zero of its own.
