Leases: rows are not dated back after a long outage of the platform

A holder extrapolates the platform's time by its own clock. With clocks that differ by 3 in a thousand, 33 s without an answer used up the drift of 100 ms that readers of the lease table allow for; after two minutes a row was dated back by 360 ms. Others then took the lease for expired while it was in use, and a change could disregard rows before the answers given to their holders had lost their effect. The extrapolated time now includes the drift (5 in a thousand, so 10 ms at the usual renewal interval).

--- a/src/fleet/NodeLoop.cpp
+++ b/src/fleet/NodeLoop.cpp
@@ -4,15 +4,16 @@
 
 namespace parsleypaddle {
 
-NodeLoop::NodeLoop(EventLoop& shared)
+NodeLoop::NodeLoop(EventLoop& shared, double clockRate)
     : m_shared(shared)
+    , m_clockRate(clockRate)
 {
 }
 
 TimerId NodeLoop::after(Milliseconds delay, std::function<void()> task)
 {
     auto timer = std::make_shared<TimerId>(TimerId::None);
-    *timer = m_shared.after(delay, [this, timer, task = std::move(task)] { run(*timer, task); });
+    *timer = m_shared.after(delay * (1 / m_clockRate), [this, timer, task = std::move(task)] { run(*timer, task); });
     return *timer;
 }
 
--- a/src/fleet/NodeLoop.h
+++ b/src/fleet/NodeLoop.h
@@ -11,9 +11,10 @@
 /// a stopped one never runs anything again.
 class NodeLoop final : public EventLoop {
 public:
-    explicit NodeLoop(EventLoop& shared);
+    /// The daemon's clock runs `clockRate` times as fast as the shared one.
+    explicit NodeLoop(EventLoop& shared, double clockRate = 1);
 
-    Instant now() const override { return m_shared.now(); }
+    Instant now() const override { return Instant(m_shared.now().sinceEpoch() * m_clockRate); }
     TimerId after(Milliseconds delay, std::function<void()> task) override;
     void cancel(TimerId) override;
 
@@ -34,6 +35,7 @@
     void run(TimerId, std::function<void()> task);
 
     EventLoop& m_shared;
+    double m_clockRate;
     bool m_isPaused { false };
     bool m_isStopped { false };
     std::deque<Held> m_held;
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -27,6 +27,8 @@
     constexpr Milliseconds retryDelay { 250 };
     /// The clocks of two instances run at the same rate within a few parts per thousand.
     constexpr Milliseconds grantClockDrift { 50 };
+    /// Added to the platform's time for each unit of time since the platform last told it.
+    constexpr double platformClockDrift = 0.005;
 
 }
 
@@ -254,7 +256,8 @@
     m_isRenewalPending = false;
     m_isRenewing = true;
     const Instant sentAt = m_loop.now();
-    const Instant requestedAt = *m_platformTime + (sentAt - m_platformTimeRequestedAt);
+    // Must not be early, even if the platform was last heard from minutes ago and this daemon's clock is slow.
+    const Instant requestedAt = *m_platformTime + (sentAt - m_platformTimeRequestedAt) * (1 + platformClockDrift);
     // The row that is read may be this one, although its answer is lost, so it must not end before the lease that it renews.
     const Milliseconds duration = std::max(this->duration(), m_validUntil - sentAt);
     LeaseRow row { m_incarnation, requestedAt, duration, m_addresses, sessionCount() };
