Failover: a release counts only for the owner that has seen it

A daemon kept its conclusion that all leases were released while the record it saw stayed closed. A watch may skip versions of a row: an owner that missed that its change had ended, the primary was used again, and another daemon had begun the next change took that one over later without a look at the leases, and had a replica promoted while others used the old primary. The conclusion now ends when the owner of the record changes.

--- a/src/failover/FailoverFaultTests.cpp
+++ b/src/failover/FailoverFaultTests.cpp
@@ -1,4 +1,5 @@
 #include "failover/FailoverFixture.h"
+#include "leases/Epoch.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -112,3 +113,54 @@
     fixture.runWithTraffic(12'000);
     CHECK(fixture.write(0) == RelayError::None);
 }
+
+// The daemon has not seen that the change which it owned has ended, and that the primary was used again before the next change began.
+TEST_CASE("a daemon that takes over a later change waits for the leases again", "[failover]")
+{
+    FailoverFixture fixture(2);
+    fixture.runWithTraffic(1000);
+    FailoverDaemon& owner = *fixture.daemons[0];
+    FailoverDaemon& user = *fixture.daemons[1];
+    FakeRows rows(fixture.loop, fixture.tables);
+    const std::string key = groupKey(GroupId("group"));
+    const auto write = [&](GroupPhase phase, const InstanceId& instance, const std::string& incarnation) {
+        GroupRecord record = *decodeGroupRecord(*fixture.tables.find(controlTable, key));
+        record.phase = phase;
+        record.isPlanned = true;
+        record.owner = instance;
+        record.ownerIncarnation = incarnation;
+        RowsTransaction transaction;
+        transaction.writes.push_back({ controlTable, key, encodeGroupRecord(record) });
+        if (phase == GroupPhase::Closing)
+            transaction.writes.push_back({ controlTable, epochKey, "next" });
+        rows.transact(transaction, [](const absl::StatusOr<TransactionAnswer>&) {});
+        fixture.run(50);
+    };
+    const auto hasLogged = [&owner](const std::string& text) {
+        return std::any_of(owner.logLines.begin(), owner.logLines.end(), [&text](const std::string& it) { return it.find(text) != std::string::npos; });
+    };
+    const auto setReplicasSilent = [&fixture](bool areSilent) {
+        for (const char* it : { "two", "three" })
+            fixture.targets[TargetId(it)].isSilent = areSilent;
+    };
+    setReplicasSilent(true);
+    write(GroupPhase::Closing, owner.lease.instance(), owner.lease.incarnation());
+    fixture.run(1000);
+    REQUIRE(hasLogged("primary_released_everywhere"));
+    owner.rows.isCut = true;
+    write(GroupPhase::Open, user.lease.instance(), user.lease.incarnation());
+    REQUIRE(fixture.write(1) == RelayError::None);
+    user.rows.isCut = true;
+    write(GroupPhase::Closing, InstanceId("ended"), "ended");
+    owner.rows.isCut = false;
+    while (!hasLogged("\"ended\"") && user.lease.isValid())
+        fixture.run(20);
+    REQUIRE(user.lease.isValid());
+    setReplicasSilent(false);
+    while (user.lease.isValid()) {
+        REQUIRE(fixture.promotions.requests.empty());
+        fixture.run(20);
+    }
+    fixture.run(5000);
+    CHECK(fixture.promotions.requests.size() == 1);
+}
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -47,6 +47,9 @@
         endFirstRecord();
     if (record.isReinstated)
         keepEarlierRecord();
+    // The record between two changes may be missed, so a release that this daemon has seen counts only while the owner is the same.
+    const bool isOwnerNew = !m_record || m_record->owner != record.owner || m_record->ownerIncarnation != record.ownerIncarnation;
+    m_isReleasedEverywhere = m_isReleasedEverywhere && !isOwnerNew;
     m_record = record;
     m_version = version;
     m_rowVersion = version;
