Homes of a group: from all failure domains in turn, weighted by what instances carry

The homes were the first eight of a plain rendezvous hash: over 600 groups, a failure domain had between 0 and 8 of a group's homes at 29 daemons (56 groups had a domain without one), and 534 of 600 groups had none in one of six domains at 295. Instances with 0.12 of a core were chosen as often as those with 0.5.

In fleets of more than eight daemons homes are now taken from the domains in turn, by weighted rendezvous hashing in each. The weight is the smaller of what processor and link carry. Instances announce their bandwidth (link_mbps) beside their cores; a row without it is weighted by its cores, one without either like a typical instance. Unknown values are left out of lease rows.

--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -95,6 +95,8 @@
         value["caller_port"] = addresses.callerPort;
         value["source_port"] = addresses.sourcePort;
         value["cores"] = addresses.cores;
+        if (addresses.linkMbps > 0)
+            value["link_mbps"] = addresses.linkMbps;
     }
 
     PeerEndpoint decodeAddresses(FieldReader& fields)
@@ -106,6 +108,9 @@
         addresses.callerPort = static_cast<uint16_t>(fields.shortNumber("caller_port", UINT16_MAX));
         addresses.sourcePort = static_cast<uint16_t>(fields.shortNumber("source_port", UINT16_MAX));
         addresses.cores = fields.real("cores");
+        // Daemons of the version before do not send it.
+        if (fields.has("link_mbps"))
+            addresses.linkMbps = fields.real("link_mbps");
         return addresses;
     }
 
--- a/src/leases/LeaseRow.cpp
+++ b/src/leases/LeaseRow.cpp
@@ -28,6 +28,7 @@
         addresses.sourcePort = decodePort(value["source_port"]);
         addresses.datagramPort = decodePort(value["datagram_port"]);
         addresses.cores = value["cores"].isNumeric() ? value["cores"].asDouble() : 0;
+        addresses.linkMbps = value["link_mbps"].isNumeric() ? value["link_mbps"].asDouble() : 0;
         return addresses;
     }
 
@@ -42,7 +43,11 @@
         value["platform_port"] = addresses.platformProxyPort;
         value["caller_port"] = addresses.callerPort;
         value["source_port"] = addresses.sourcePort;
-        value["cores"] = addresses.cores;
+        // Every daemon reads all rows, so what is unknown is left out.
+        if (addresses.cores > 0)
+            value["cores"] = addresses.cores;
+        if (addresses.linkMbps > 0)
+            value["link_mbps"] = addresses.linkMbps;
         // Only holders have one that others know.
         if (addresses.datagramPort != 0)
             value["datagram_port"] = addresses.datagramPort;
--- a/src/leases/LeaseRow.h
+++ b/src/leases/LeaseRow.h
@@ -26,10 +26,12 @@
     uint16_t callerPort { 0 };
     /// Where the daemon accepts subscribers, to which it distributes the platform's tables.
     uint16_t sourcePort { 0 };
-    /// Processor cores that the daemon may use.
+    /// Processor cores that the daemon may use; 0 if unknown.
     double cores { 0 };
     /// Where the daemon receives datagrams of other daemons.
     uint16_t datagramPort { 0 };
+    /// Bandwidth of the daemon's link in Mbit/s; 0 if unknown, as of a daemon of an earlier version.
+    double linkMbps { 0 };
 };
 
 /// A daemon that receives the platform's tables and its lease from another daemon, the holder of a lease row.
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -1,8 +1,6 @@
 #include "membership/Membership.h"
 
 #include <algorithm>
-#include <tuple>
-#include <xxhash.h>
 
 namespace parsleypaddle {
 
@@ -15,12 +13,7 @@
     bool isSameEntry(const InstanceEntry& a, const InstanceEntry& b)
     {
         return a.instance == b.instance && a.failureDomain == b.failureDomain && a.host == b.host && a.port == b.port
-            && a.controlPort == b.controlPort && a.isLeaving == b.isLeaving;
-    }
-
-    uint64_t hashOf(const std::string& text, uint64_t seed)
-    {
-        return XXH64(text.data(), text.size(), seed);
+            && a.controlPort == b.controlPort && a.isLeaving == b.isLeaving && a.cores == b.cores && a.linkMbps == b.linkMbps;
     }
 
 }
@@ -122,7 +115,13 @@
 
 const std::vector<InstanceId>& Membership::rankedDaemonsFor(const GroupId& group) const
 {
-    return rankingFor(group.value(), FailureDomainId());
+    if (!isLargeFleet())
+        return rankingFor(group.value(), FailureDomainId());
+    expireUnresponsive();
+    auto& ranking = m_groupRankings[group];
+    if (ranking.empty())
+        ranking = rankByDomain(candidates(), group.value(), rankingLength);
+    return ranking;
 }
 
 std::optional<uint32_t> Membership::rankFor(const TargetConfiguration& target) const
@@ -174,6 +173,7 @@
 void Membership::invalidateRankings() const
 {
     m_rankings.clear();
+    m_groupRankings.clear();
     ++m_generation;
     m_nextExpiry.reset();
     for (const auto& [id, member] : m_members) {
@@ -195,30 +195,17 @@
     expireUnresponsive();
     auto& ranking = m_rankings[key + '\n' + preferred.value()];
     if (ranking.empty())
-        ranking = computeRanking(key, preferred);
+        ranking = rankByCapacity(candidates(), key, preferred, rankingLength);
     return ranking;
 }
 
-std::vector<InstanceId> Membership::computeRanking(const std::string& key, const FailureDomainId& preferred) const
+std::vector<RankingCandidate> Membership::candidates() const
 {
-    struct Candidate {
-        std::tuple<bool, bool, bool, uint64_t> order;
-        const InstanceId* instance;
-    };
-    const uint64_t seed = hashOf(key, 0);
-    std::vector<Candidate> candidates;
-    candidates.reserve(m_members.size());
-    for (const auto& [id, member] : m_members) {
-        const bool isOtherDomain = member.entry.failureDomain != preferred;
-        candidates.push_back({ { member.entry.isLeaving, isSilent(member), isOtherDomain, hashOf(id.value(), seed) }, &id });
-    }
-    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(rankingLength, candidates.size()));
-    std::partial_sort(candidates.begin(), end, candidates.end(), [](const Candidate& a, const Candidate& b) { return a.order < b.order; });
-    std::vector<InstanceId> instances;
-    instances.reserve(rankingLength);
-    for (auto it = candidates.begin(); it != end; ++it)
-        instances.push_back(*it->instance);
-    return instances;
+    std::vector<RankingCandidate> result;
+    result.reserve(m_members.size());
+    for (const auto& [id, member] : m_members)
+        result.push_back({ &member.entry, isSilent(member), isLargeFleet() ? capacityOf(member.entry) : 1 });
+    return result;
 }
 
 }
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -2,6 +2,7 @@
 
 #include "base/EventLoop.h"
 #include "configuration/Configuration.h"
+#include "membership/HomeRanking.h"
 #include "platform_ports/PlatformPorts.h"
 
 #include <map>
@@ -56,10 +57,12 @@
 
     /// The highest-ranked daemons for the target, at most rankingLength, of which the first is its home. The order is:
     /// responsive before unresponsive before leaving daemons, then those of the target's failure domain before the others,
-    /// then by rendezvous hash.
+    /// then by rendezvous hash. In a fleet of more than rankingLength daemons the hash is weighted by what the instances can carry.
     const std::vector<InstanceId>& rankedDaemonsFor(const TargetConfiguration&) const;
 
-    /// The highest-ranked daemons for a whole group, in the same order but without preference for a failure domain.
+    /// The highest-ranked daemons for a whole group. A fleet of more than rankingLength daemons takes them from the failure domains
+    /// in turn, responsive before unresponsive before leaving ones. In a smaller one the order is the same as for a target, without
+    /// preference for a failure domain.
     const std::vector<InstanceId>& rankedDaemonsFor(const GroupId&) const;
 
     /// This daemon's position in rankedDaemonsFor(), from 0; nullopt when rankedDaemonsFor() does not include it.
@@ -83,8 +86,9 @@
     std::optional<uint32_t> ownRankIn(const std::vector<InstanceId>& ranking) const;
     void invalidateRankings() const;
     void expireUnresponsive() const;
+    bool isLargeFleet() const { return m_members.size() > rankingLength; }
     const std::vector<InstanceId>& rankingFor(const std::string& key, const FailureDomainId& preferred) const;
-    std::vector<InstanceId> computeRanking(const std::string& key, const FailureDomainId& preferred) const;
+    std::vector<RankingCandidate> candidates() const;
 
     const EventLoop& m_loop;
     InstanceEntry m_self;
@@ -92,6 +96,7 @@
     std::vector<TargetId> m_leavingTargets;
     /// Cached rankings, cleared at each change: with hundreds of daemons they are too expensive to compute for every request.
     mutable std::map<std::string, std::vector<InstanceId>> m_rankings;
+    mutable std::map<GroupId, std::vector<InstanceId>> m_groupRankings;
     mutable uint64_t m_generation { 1 };
     /// When the next unresponsive instance ranks normally again; nullopt while there is none.
     mutable std::optional<Instant> m_nextExpiry;
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -56,6 +56,10 @@
     /// Port of its control interface (JSON-RPC).
     uint16_t controlPort { 0 };
     bool isLeaving { false };
+    /// Processor cores that it may use; 0 if it does not announce them.
+    double cores { 0 };
+    /// Bandwidth of its link in Mbit/s; 0 if it does not announce it.
+    double linkMbps { 0 };
 };
 
 /// The platform's list of live and leaving instances and of leaving targets. It lags.
