--- a/src/distribution/SourceMessagesTests.cpp
+++ b/src/distribution/SourceMessagesTests.cpp
@@ -25,6 +25,7 @@
     rows.rows = { { "control", "group/a", "{\"text\":\"\\u00e9\"}", RowVersion(70), false }, { "control", "gone", "", RowVersion(71), true } };
     return {
         encodeSourceMessage(SubscribeMessage { InstanceId("one"), "first", { FailureDomainId("domain"), "10.0.0.1", 1, 2, 3, 0.25 } }),
+        encodeSourceMessage(SubscribeMessage { InstanceId("one"), "first", { FailureDomainId("domain"), "10.0.0.1", 1, 2, 3, 0.25, 4, 10 } }),
         encodeSourceMessage(TableRequest { 7, "control", RowVersion(UINT64_MAX), true }),
         encodeSourceMessage(RenewMessage { 8, RowVersion(9), 10 }),
         encodeSourceMessage(ReceivedMessage { 13 }),
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -256,7 +256,7 @@
         auto destination = destinationAt(homes[(m_homeOffset + n) % homes.size()], job, tried);
         if (!destination)
             continue;
-        const Milliseconds cost = costOf(*destination->target, false);
+        const Milliseconds cost = costOfHome(job, *destination);
         candidates.push_back({ std::move(*destination), cost });
     }
     const auto best = std::min_element(candidates.begin(), candidates.end(), [](const CostedHome& a, const CostedHome& b) { return a.cost < b.cost; });
@@ -331,6 +331,14 @@
     return m_isFullMesh || m_membership.rankFor(m_id).has_value();
 }
 
+Milliseconds RelayGroup::costOfHome(const RelayJob& job, const StatementDestination& home) const
+{
+    const RelayTarget& target = *home.target;
+    const double turns = 1 + static_cast<double>(target.waiting() + target.running()) / connectionsPerPeer;
+    const Milliseconds cost = m_homeDelays.expectedDelay(job.kind(), home.peer, defaultDelay, m_loop.now()) * turns;
+    return target.entry().target.failureDomain == m_membership.self().failureDomain ? cost : cost + crossDomainCost;
+}
+
 Milliseconds RelayGroup::costOf(RelayTarget& target, bool isPrimary) const
 {
     Milliseconds cost = target.expectedDelay(defaultDelay);
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/Membership.h"
+#include "relay/HomeDelays.h"
 #include "relay/PrimaryLease.h"
 #include "relay/PrimaryLogHistory.h"
 #include "relay/RelayJob.h"
@@ -92,6 +93,7 @@
     const GroupId& id() const { return m_id; }
     RetryBudget& retryBudget() { return m_retryBudget; }
     PrimaryLogHistory& logHistory() { return m_logHistory; }
+    HomeDelays& homeDelays() { return m_homeDelays; }
     bool mayUsePrimary() const { return m_primary.isAvailable && m_lease.isValid(); }
     /// Whether an answer from the primary of `term` may still be used: the lease is valid and the term has not changed.
     bool mayAcceptAnswer(Term term) const { return m_primary.term == term && m_lease.isValid(); }
@@ -130,6 +132,7 @@
     std::shared_ptr<RelayTarget> peerTarget(const DatabaseId&, const InstanceEntry&);
     bool isHome() const;
     Milliseconds costOf(RelayTarget&, bool isPrimary) const;
+    Milliseconds costOfHome(const RelayJob&, const StatementDestination&) const;
 
     EventLoop& m_loop;
     TargetConnector& m_connector;
@@ -154,6 +157,7 @@
     bool m_areTargetsUsed { false };
     /// Other daemons to which statements are forwarded, by database and instance.
     std::map<std::pair<DatabaseId, InstanceId>, std::shared_ptr<RelayTarget>> m_peers;
+    HomeDelays m_homeDelays;
     PrimaryLogHistory m_logHistory;
     RetryBudget m_retryBudget;
     std::set<PrimaryUse*> m_primaryUses;
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -2,6 +2,7 @@
 
 #include "directory/RouteTable.h"
 #include "relay/CallerSessionState.h"
+#include "relay/HomeDelays.h"
 #include "targets/RelayStep.h"
 
 #include <functional>
@@ -68,6 +69,8 @@
         const bool mayWrite = beginKind ? *beginKind == RelayKind::Begin : isWrite;
         return mayWrite || route->readConsistency == ReadConsistency::Primary;
     }
+
+    StatementKind kind() const { return { route->database, needsPrimary() }; }
 };
 
 }
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -157,6 +157,8 @@
     m_sentAt = m_group.loop().now();
     if (!m_destination.peer.isEmpty())
         step.forwardedFor = m_job.forwardedFor(m_sentAt);
+    if (!m_destination.peer.isEmpty())
+        m_outstanding = m_group.homeDelays().recordSent(m_destination.peer, m_sentAt);
     m_isAwaitingAnswer = true;
     m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
         if (self->isCurrent(attempt))
@@ -187,6 +189,7 @@
 {
     const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
     m_isTransactionOpen = false;
+    m_outstanding.reset();
     m_slot.reset();
     reportUnreachable();
     logStatement(m_group, "statement_broken", m_job, m_destination.target->entry().target.id, RelayError::None, std::string(status.message()));
@@ -246,6 +249,8 @@
     m_destination.target->experience().recordAnswer(now - m_sentAt, now);
     if (!m_destination.peer.isEmpty())
         m_group.reportPeer(m_destination.peer, true);
+    if (!m_destination.peer.isEmpty())
+        m_group.homeDelays().recordAnswer(m_job.kind(), m_destination.peer, now - m_sentAt, now);
     // A peer daemon checks its own lease before it acknowledges an answer from the primary.
     const bool isFromPrimary = m_destination.isPrimary || (!m_destination.peer.isEmpty() && m_job.needsPrimary());
     if (!isFromPrimary || !answer.mark)
@@ -317,6 +322,7 @@
 
 void RelayRun::releaseSlot()
 {
+    m_outstanding.reset();
     if (m_slot && m_isTransactionOpen)
         RelaySlot::rollBack(std::move(m_slot));
     m_isTransactionOpen = false;
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -55,6 +55,8 @@
     uint32_t m_attempts { 0 };
     StatementDestination m_destination;
     std::shared_ptr<RelaySlot> m_slot;
+    /// While a home has the statement and has not answered it.
+    std::unique_ptr<HomeDelays::Outstanding> m_outstanding;
     std::unique_ptr<Use> m_primaryUse;
     std::string m_preparedName;
     Instant m_sentAt;
