--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -26,6 +26,8 @@
         {
         }
 
+        bool has(const char* name) const { return m_value.isMember(name); }
+
         std::string text(const char* name)
         {
             const Json::Value& field = m_value[name];
