--- a/src/quotas/OperationAllowance.cpp
+++ b/src/quotas/OperationAllowance.cpp
@@ -137,6 +137,17 @@
     return isSmaller;
 }
 
+void OperationAllowance::keep(uint64_t number, uint64_t coordinator, Instant sentAt, Instant now)
+{
+    refill(now);
+    if (coordinator != m_coordinator || number != m_number || now >= m_shareUntil)
+        return;
+    m_shareUntil = std::max(m_shareUntil, sentAt + ShareLender::Rules().validity);
+    m_appliedAt = now;
+    m_shortSince = {};
+    m_shortUntil = {};
+}
+
 QuotaReport::Entry OperationAllowance::report(const OrganisationId& organisation, uint64_t coordinator, Instant now) const
 {
     QuotaReport::Entry entry;
--- a/src/quotas/OperationAllowance.h
+++ b/src/quotas/OperationAllowance.h
@@ -32,6 +32,8 @@
 
     /// Applies what a coordinator has answered to a report that was sent at `sentAt`. Returns whether the share has become smaller.
     bool apply(const QuotaAnswer::Entry&, uint64_t coordinator, Instant sentAt, Instant now);
+    /// Makes the share last longer, if it is still the one that a report sent at `sentAt` confirmed.
+    void keep(uint64_t number, uint64_t coordinator, Instant sentAt, Instant now);
     QuotaReport::Entry report(const OrganisationId&, uint64_t coordinator, Instant now) const;
 
     /// Whether the organisation is known to be over its limit.
--- a/src/quotas/QuotaClient.cpp
+++ b/src/quotas/QuotaClient.cpp
@@ -220,7 +220,10 @@
     const Instant now = m_context.loop.now();
     if (m_sent.size() >= maxSentReports)
         m_sent.erase(m_sent.begin());
-    m_sent.push_back({ report.number, now });
+    SentReport sent { report.number, now, {} };
+    for (const auto& it : report.entries)
+        sent.confirmed.emplace_back(it.organisation, it.confirmed);
+    m_sent.push_back(std::move(sent));
     if (to->instance == m_context.instance)
         return handle(m_context.answerHere(report));
     if (m_unansweredSince == Instant())
@@ -234,7 +237,7 @@
     const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&answer](const SentReport& it) { return it.number == answer.report; });
     if (sent == m_sent.end())
         return;
-    const Instant sentAt = sent->sentAt;
+    const SentReport answered = std::move(*sent);
     m_sent.erase(sent);
     m_unansweredSince = {};
     const Instant now = m_context.loop.now();
@@ -247,11 +250,13 @@
         return;
     }
     m_coordinator = answer.coordinator;
+    if (answer.keepsOthers)
+        keepShares(answered, answer);
     for (const auto& it : answer.entries) {
         auto found = m_allowances.find(it.organisation);
         if (found == m_allowances.end() || found->second.isIdle())
             continue;
-        if (found->second.apply(it, answer.coordinator, sentAt, now))
+        if (found->second.apply(it, answer.coordinator, answered.sentAt, now))
             scheduleConfirmation(*found);
         serve(*found);
         if (it.isOverLimit && !found->second.waiters.empty() && !found->second.mayWait(now)) {
@@ -261,6 +266,18 @@
     }
 }
 
+void QuotaClient::keepShares(const SentReport& sent, const QuotaAnswer& answer)
+{
+    for (const auto& [id, number] : sent.confirmed) {
+        const auto isListed = [&id = id](const QuotaAnswer::Entry& it) { return it.organisation == id; };
+        if (number == 0 || std::any_of(answer.entries.begin(), answer.entries.end(), isListed))
+            continue;
+        auto found = m_allowances.find(id);
+        if (found != m_allowances.end())
+            found->second.keep(number, answer.coordinator, sent.sentAt, m_context.loop.now());
+    }
+}
+
 // What a smaller share frees can be lent to others only when it is confirmed.
 void QuotaClient::scheduleConfirmation(Entry& entry)
 {
--- a/src/quotas/QuotaClient.h
+++ b/src/quotas/QuotaClient.h
@@ -53,11 +53,13 @@
     std::vector<Use> uses() const;
 
 private:
+    using Entry = std::pair<const OrganisationId, OperationAllowance>;
     struct SentReport {
         uint64_t number { 0 };
         Instant sentAt;
+        /// Confirmed numbers of answers by organisation.
+        std::vector<std::pair<OrganisationId, uint64_t>> confirmed;
     };
-    using Entry = std::pair<const OrganisationId, OperationAllowance>;
 
     OperationAllowance& allowanceOf(const OrganisationId&);
     double limitOf(const OrganisationId&) const;
@@ -68,6 +70,7 @@
     void endWaiters(Entry&, Instant arrivedBy);
     void report(const std::vector<Entry*>&);
     void send(const QuotaReport&);
+    void keepShares(const SentReport&, const QuotaAnswer&);
     void askFor(Entry&);
     void scheduleConfirmation(Entry&);
     void checkSilence();
--- a/src/quotas/QuotaCoordinator.cpp
+++ b/src/quotas/QuotaCoordinator.cpp
@@ -336,10 +336,12 @@
     if (report.number <= last)
         return answer;
     last = report.number;
+    answer.keepsOthers = true;
     for (const auto& it : report.entries) {
         const auto entry = answerEntry(report, it);
-        // Nothing changes for a daemon that reported only its demand.
-        if (entry.share.amount > 0 || it.held.amount > 0 || it.waiting > 0)
+        // Nothing changes for a daemon that keeps its share or reported only its demand.
+        const bool isKept = entry.number != 0 && report.coordinator == m_term && entry.number == it.confirmed;
+        if (!isKept && (entry.share.amount > 0 || it.held.amount > 0 || it.waiting > 0))
             answer.entries.push_back(entry);
     }
     return answer;
--- a/src/quotas/QuotaMessages.cpp
+++ b/src/quotas/QuotaMessages.cpp
@@ -186,7 +186,7 @@
     {
         DatagramWriter writer("A1");
         writer.name(it.coordinatorAddress.host);
-        for (const uint64_t n : { static_cast<uint64_t>(it.coordinatorAddress.port), it.coordinator, it.report })
+        for (const uint64_t n : { static_cast<uint64_t>(it.coordinatorAddress.port), it.coordinator, it.report, static_cast<uint64_t>(it.keepsOthers ? 1 : 0) })
             writer.number(n);
         for (const auto& entry : it.entries)
             writer.entry(entry.organisation, { entry.share.amount, entry.share.depth, entry.units, entry.freeRate, entry.isOverLimit ? 1.0 : 0.0, static_cast<double>(entry.number) });
@@ -203,6 +203,7 @@
         it.coordinatorAddress.port = static_cast<uint16_t>(port);
         for (uint64_t* n : { &it.coordinator, &it.report })
             *n = reader.number();
+        it.keepsOthers = reader.flag();
         while (reader.hasMore()) {
             QuotaAnswer::Entry entry;
             entry.organisation = OrganisationId(reader.name());
--- a/src/quotas/QuotaMessages.h
+++ b/src/quotas/QuotaMessages.h
@@ -55,6 +55,8 @@
     uint64_t coordinator { 0 };
     /// The number of the report.
     uint64_t report { 0 };
+    /// Whether shares that the report confirmed and that are not among the entries last longer. Keeps answers short.
+    bool keepsOthers { false };
     /// Where the acting coordinator is, if another daemon answers and knows it.
     TargetAddress coordinatorAddress {};
     std::vector<Entry> entries;
--- a/src/quotas/QuotaMessagesTests.cpp
+++ b/src/quotas/QuotaMessagesTests.cpp
@@ -58,12 +58,13 @@
 
 TEST_CASE("an answer, a transfer and a beat arrive as they were sent", "[quotas]")
 {
-    QuotaAnswer answer { 9, 8, { "10.0.0.1", 4711 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } };
+    QuotaAnswer answer { 9, 8, true, { "10.0.0.1", 4711 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } };
     const auto decoded = roundTrip(answer);
     REQUIRE(decoded);
     const auto& it = std::get<QuotaAnswer>(*decoded);
     CHECK(it.coordinatorAddress.host == "10.0.0.1");
     CHECK(it.coordinatorAddress.port == 4711);
+    CHECK(it.keepsOthers);
     CHECK(it.entries.at(0).isOverLimit);
     CHECK(it.entries.at(0).number == 12);
     const auto transfer = roundTrip(QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } });
@@ -110,7 +111,7 @@
     CHECK_FALSE(decodeQuotaMessage("R1 n 1 2 a -1 0 0 0 0 0 0 ."));
     CHECK_FALSE(decodeQuotaMessage("R1 n 1 2 a 1e300 0 0 0 0 0 0 ."));
     CHECK_FALSE(decodeQuotaMessage("R1 n 1 2 a%2 1 0 0 0 0 0 0 ."));
-    CHECK_FALSE(decodeQuotaMessage("A1 h 70000 1 1 ."));
+    CHECK_FALSE(decodeQuotaMessage("A1 h 70000 1 1 0 ."));
     CHECK_FALSE(decodeQuotaMessage("B1 n 2 0 0 ."));
     CHECK_FALSE(decodeQuotaMessage("R1 n 1 2 " + std::string(DatagramPort::maxPayloadBytes, 'a') + " 1 0 0 0 0 0 0 ."));
 }
@@ -121,7 +122,7 @@
     const uint64_t seed = GENERATE(range<uint64_t>(1, 9));
     CAPTURE(seed);
     std::mt19937_64 random(seed);
-    const std::vector<QuotaMessage> messages { exampleReport(), exampleExchange(5), QuotaAnswer { 9, 8, { "h", 1 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } },
+    const std::vector<QuotaMessage> messages { exampleReport(), exampleExchange(5), QuotaAnswer { 9, 8, false, { "h", 1 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } },
         QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } },
         QuotaBeat { InstanceId("n"), true, true, true, { { OrganisationId("a"), { 7, 1 }, 3 } } } };
     for (int n = 0; n < 4000; ++n) {
--- a/src/quotas/ShareLender.cpp
+++ b/src/quotas/ShareLender.cpp
@@ -100,8 +100,16 @@
     borrower.demand = request.demand;
     updateFairAmount(now);
     Answer answer;
-    answer.number = ++m_lastNumber;
     answer.share = nextShare(borrower);
+    answer.isOverloaded = demand() > m_capacity.amount;
+    if (mayKeep(borrower, request, answer.share)) {
+        answer.isKept = true;
+        answer.number = borrower.latestNumber;
+        answer.share = borrower.latest;
+        borrower.expiresAt = now + m_rules.validity;
+        return answer;
+    }
+    answer.number = ++m_lastNumber;
     const double levelBefore = m_level;
     const LentShare reservedBefore = borrower.reserved;
     reserve(borrower, larger(borrower.reserved, answer.share));
@@ -116,10 +124,20 @@
     m_level -= given;
     answer.units = moved + given;
     answer.isShort = answer.units < request.wanted;
-    answer.isOverloaded = demand() > m_capacity.amount;
     return answer;
 }
 
+// Answers that change nothing are short, and shares that follow every fluctuation of the demand would cost more than they serve.
+bool ShareLender::mayKeep(const Borrower& borrower, const Request& request, const LentShare& next) const
+{
+    if (request.wanted > 0 || borrower.latestNumber == 0 || request.confirmed != borrower.latestNumber)
+        return false;
+    if (reserved().amount > m_capacity.amount || reserved().depth > m_capacity.depth)
+        return false;
+    const auto isClose = [this](double present, double wanted) { return std::abs(present - wanted) <= m_rules.keptDifference * present; };
+    return isClose(borrower.latest.amount, next.amount) && isClose(borrower.latest.depth, next.depth);
+}
+
 LentShare ShareLender::nextShare(const Borrower& borrower) const
 {
     const double wanted = std::min(borrower.demand * m_rules.headroom, m_fairAmount);
@@ -128,7 +146,7 @@
         return share;
     share.amount = std::min(wanted, borrower.reserved.amount + freeAmount());
     const double depthToLend = std::max(0.0, m_capacity.depth * m_rules.lentDepth - reserved().depth);
-    share.depth = std::min(1 + share.amount * m_rules.depthTime.count() / msPerSecond, borrower.reserved.depth + depthToLend);
+    share.depth = std::min(1 + share.amount * m_depthSeconds, borrower.reserved.depth + depthToLend);
     // A bucket that cannot hold one unit never yields one.
     if (share.depth < 1 || share.amount <= 0)
         return {};
@@ -145,6 +163,7 @@
     needs.reserve(m_borrowers.size());
     for (const auto& [name, it] : m_borrowers)
         needs.push_back(it.demand * m_rules.headroom);
+    updateDepthTime();
     std::sort(needs.begin(), needs.end());
     double left = m_capacity.amount;
     m_fairAmount = m_capacity.amount;
@@ -158,6 +177,15 @@
     }
 }
 
+// Few borrowers hold deep shares and rarely need single units; many leave enough depth to each other.
+void ShareLender::updateDepthTime()
+{
+    const double amount = std::min(m_capacity.amount, demand() * m_rules.headroom);
+    const double depth = m_capacity.depth * m_rules.lentDepth - static_cast<double>(m_borrowers.size());
+    const double maxSeconds = m_rules.maxDepthTime.count() / msPerSecond;
+    m_depthSeconds = amount > 0 ? std::clamp(depth / amount, 0.0, maxSeconds) : maxSeconds;
+}
+
 double ShareLender::takeUnits(double units, Instant now)
 {
     expire(now);
--- a/src/quotas/ShareLender.h
+++ b/src/quotas/ShareLender.h
@@ -30,11 +30,13 @@
         /// A share is at most this multiple of its borrower's demand.
         double headroom { 1.3 };
         /// Borrowers that need less than this amount get single units only.
-        double minAmount { 2 };
-        /// Depth of a share: one unit, and what its amount yields in this time.
-        Milliseconds depthTime { 200 };
+        double minAmount { 0.4 };
+        /// Depth of a share: one unit, and what its amount yields in at most this time.
+        Milliseconds maxDepthTime { 1000 };
         /// Part of the capacity's depth that may be lent.
-        double lentDepth { 0.7 };
+        double lentDepth { 0.6 };
+        /// A share that a borrower has confirmed is kept while it differs from the share that would replace it by less than this part.
+        double keptDifference { 0.15 };
     };
 
     /// What a borrower reports.
@@ -59,6 +61,8 @@
         uint64_t number { 0 };
         /// Replaces what the borrower held.
         LentShare share;
+        /// Whether the share is the one that the borrower has confirmed, so that it only lasts longer.
+        bool isKept { false };
         /// Single units.
         double units { 0 };
         /// Whether fewer units were given than wanted, and whether all borrowers together need more than the capacity.
@@ -123,8 +127,11 @@
     void confirm(Borrower&, const Request&, Instant now);
     void takeBack(Borrower&, const Request&, Instant now);
     LentShare nextShare(const Borrower&) const;
+    /// Whether the borrower may keep the share that it has confirmed.
+    bool mayKeep(const Borrower&, const Request&, const LentShare& next) const;
     /// The greatest amount that a borrower gets, so that all that need less get what they need.
     void updateFairAmount(Instant now);
+    void updateDepthTime();
 
     Rules m_rules;
     LentShare m_capacity;
@@ -136,6 +143,8 @@
     Instant m_refilledAt;
     uint64_t m_lastNumber { 0 };
     double m_fairAmount { 0 };
+    /// Time for which the amounts of all borrowers fit into the depth that may be lent, in s.
+    double m_depthSeconds { 0 };
     Instant m_fairAt;
     Instant m_nextExpiry;
     std::map<std::string, Borrower> m_borrowers;
