Quotas: organisations within their limits are served; small control traffic

Lists of what is lent hold the demand, so that other domains do not take the part of a domain whose coordinator is replaced. - Answers repeated shares that had not changed: shares within 30% are kept, which one short message confirms. Header numbers are in base 36.

--- a/src/quotas/DomainShares.cpp
+++ b/src/quotas/DomainShares.cpp
@@ -126,6 +126,8 @@
         remote.received = 0;
         remote.isComplete = false;
         remote.claims.clear();
+        // What the earlier coordinator had received says nothing about the new one, which may have got a part of the claims.
+        remote.confirmed = 0;
     }
     noteConfirmation(domain, remote, update);
     // Claims that lack others before them are sent again.
--- a/src/quotas/DomainSharesTests.cpp
+++ b/src/quotas/DomainSharesTests.cpp
@@ -144,3 +144,21 @@
         CHECK(domains.sum() <= 1 + 1e-9);
     }
 }
+
+// Guards against a new coordinator that has received a part of the claims and never gets the rest, so that it keeps its small share.
+TEST_CASE("a new coordinator that missed claims gets them again", "[quotas]")
+{
+    Domains domains(2);
+    for (int n = 0; n < 5; ++n)
+        domains.shares[0]->setOwn(OrganisationId("o" + std::to_string(n)), 10 + n, 0);
+    domains.exchange();
+    domains.shares[1] = std::make_unique<DomainShares>(domains.names[1], domains.all, ++domains.lastTerm);
+    ClaimUpdate part = domains.shares[0]->updateFor(domains.names[1]);
+    part.from = 0;
+    part.to = 1;
+    domains.shares[1]->apply(domains.names[0], part);
+    domains.exchange();
+    domains.shares[1]->setOwn(acme, 10, 0);
+    domains.exchange();
+    CHECK(domains.shares[1]->share(acme) > 0.9);
+}
--- a/src/quotas/OperationAllowance.cpp
+++ b/src/quotas/OperationAllowance.cpp
@@ -128,11 +128,13 @@
     m_returned += m_level - kept;
     m_level = kept + entry.units;
     m_unitsUntil = now + unitValidity;
-    if (!entry.isOverLimit) {
+    if (entry.isOverLimit) {
+        if (m_shortSince == Instant() || now - m_shortAt > shortageEnd)
+            m_shortSince = now;
+        m_shortAt = now;
+    } else if (entry.units > 0) {
         m_shortSince = {};
         m_shortUntil = {};
-    } else if (m_shortSince == Instant()) {
-        m_shortSince = now;
     }
     return isSmaller;
 }
@@ -144,8 +146,6 @@
         return;
     m_shareUntil = std::max(m_shareUntil, sentAt + ShareLender::Rules().validity);
     m_appliedAt = now;
-    m_shortSince = {};
-    m_shortUntil = {};
 }
 
 QuotaReport::Entry OperationAllowance::report(const OrganisationId& organisation, uint64_t coordinator, Instant now) const
--- a/src/quotas/OperationAllowance.h
+++ b/src/quotas/OperationAllowance.h
@@ -63,6 +63,8 @@
 
 private:
     static constexpr Milliseconds shortagePatience { 300 };
+    /// A shortage has ended when the coordinator has not told of it for this long.
+    static constexpr Milliseconds shortageEnd { 1500 };
 
     void refill(Instant now);
 
@@ -87,6 +89,7 @@
     bool m_isIdle { true };
 
     Instant m_shortSince;
+    Instant m_shortAt;
     Instant m_shortUntil;
     Instant m_retrySlot;
 };
--- a/src/quotas/QuotaClient.cpp
+++ b/src/quotas/QuotaClient.cpp
@@ -220,7 +220,7 @@
     const Instant now = m_context.loop.now();
     if (m_sent.size() >= maxSentReports)
         m_sent.erase(m_sent.begin());
-    SentReport sent { report.number, now, {} };
+    SentReport sent { report.number, now, report.coordinator, {} };
     for (const auto& it : report.entries)
         sent.confirmed.emplace_back(it.organisation, it.confirmed);
     m_sent.push_back(std::move(sent));
@@ -266,6 +266,18 @@
     }
 }
 
+void QuotaClient::handle(const QuotaConfirmation& confirmation)
+{
+    const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&confirmation](const SentReport& it) { return it.number == confirmation.report; });
+    if (sent == m_sent.end())
+        return;
+    QuotaAnswer answer;
+    answer.coordinator = sent->coordinator;
+    answer.report = confirmation.report;
+    answer.keepsOthers = true;
+    handle(answer);
+}
+
 void QuotaClient::keepShares(const SentReport& sent, const QuotaAnswer& answer)
 {
     for (const auto& [id, number] : sent.confirmed) {
--- a/src/quotas/QuotaClient.h
+++ b/src/quotas/QuotaClient.h
@@ -49,6 +49,7 @@
     /// Sets all holders, this daemon included if it is one.
     void setHolders(const std::vector<QuotaHolder>&);
     void handle(const QuotaAnswer&);
+    void handle(const QuotaConfirmation&);
 
     std::vector<Use> uses() const;
 
@@ -57,6 +58,8 @@
     struct SentReport {
         uint64_t number { 0 };
         Instant sentAt;
+        /// The coordinator whose answers were confirmed.
+        uint64_t coordinator { 0 };
         /// Confirmed numbers of answers by organisation.
         std::vector<std::pair<OrganisationId, uint64_t>> confirmed;
     };
--- a/src/quotas/QuotaCoordinator.h
+++ b/src/quotas/QuotaCoordinator.h
@@ -4,6 +4,7 @@
 #include "directory/OrganisationDirectory.h"
 #include "net/DatagramPort.h"
 #include "quotas/DomainShares.h"
+#include "quotas/OrganisationLender.h"
 #include "quotas/QuotaHolders.h"
 #include "quotas/QuotaMessages.h"
 #include "telemetry/DecisionLog.h"
@@ -63,6 +64,13 @@
     std::vector<Lending> lendings() const;
 
 private:
+    /// A holder that is silent for this long does not act: two of its messages were lost, or it is gone.
+    static constexpr Milliseconds maxSilence { 1100 };
+    static constexpr Milliseconds maxRemoteSilence { 1600 };
+    static constexpr Milliseconds lentListInterval { 900 };
+    /// A list of what was lent that is older than this says nothing about the present.
+    static constexpr Milliseconds predecessorAge { 4000 };
+
     /// What is known of another holder of the own domain.
     struct Neighbour {
         Instant listedAt;
@@ -81,47 +89,31 @@
         size_t nextHolder { 0 };
     };
 
-    struct Lender {
-        ShareLender lender { ShareLender::Rules {} };
-        OperationLimit limit;
-        /// Demand without short fluctuations, which would move parts of the limit between domains for nothing.
-        double demand { 0 };
-        /// The greatest share so far, and whether units were given for it.
-        double creditedShare { 0 };
-        bool hasCredit { false };
-        /// Units of the earlier coordinator's bucket that did not fit yet.
-        double earlierUnits { 0 };
-        bool wasShort { false };
-        /// Units that waiting operations lack, and when other domains may be asked for them again.
-        double missing { 0 };
-        Instant nextAskAt {};
-        Milliseconds askDelay {};
-    };
-
     void tick();
     void beginAnew();
     void decideActing();
     void updateSettled();
     bool isFirst(Instant now) const;
+    /// How long this coordinator has been acting.
+    Milliseconds acting() const { return m_context.loop.now() - m_actingSince; }
     void beginActing();
+    void takeOver();
     void stopActing();
     void renewDomainShares(uint64_t earlierTerm);
     void updateValidity();
     void updateShares();
-    void applyShare(const OrganisationId&, Lender&);
-    void addFirstUnits(Lender&, double share);
-    static void smoothDemand(Lender&);
     QuotaAnswer::Entry answerEntry(const QuotaReport&, const QuotaReport::Entry&);
     void refreshHolders();
-    Lender* lenderOf(const OrganisationId&);
+    OrganisationLender* lenderOf(const OrganisationId&);
+    void begin(const OrganisationId&, OrganisationLender&);
     void sendBeats(bool needsReply);
     QuotaBeat beat(bool needsReply) const;
     void exchangeSoon();
     void sendExchanges(bool isRegular);
     void sendExchange(const FailureDomainId&, RemoteDomain&);
+    void askOthersSoon();
     void askOthers();
     void send(const FailureDomainId&, std::vector<QuotaTransfer::Entry>);
-    static double spareUnits(Lender&, double wanted, Instant now);
     std::set<FailureDomainId> presentDomains() const;
 
     Context m_context;
@@ -137,7 +129,7 @@
     bool m_isValid { true };
     uint64_t m_term { 0 };
     std::unique_ptr<DomainShares> m_shares;
-    std::map<OrganisationId, Lender> m_lenders;
+    std::map<OrganisationId, OrganisationLender> m_lenders;
     /// By daemon, the number of its last report.
     std::map<InstanceId, uint64_t> m_reports;
     Instant m_begunAt;
--- a/src/quotas/QuotaFleetFixture.cpp
+++ b/src/quotas/QuotaFleetFixture.cpp
@@ -276,10 +276,6 @@
     const double count = static_cast<double>(size()) * seconds;
     std::printf("%s: %zu daemons, fleet %.0f datagrams/s %.1f KB/s; per daemon %.2f datagrams/s %.3f KB/s; busiest %.2f KB/s\n", title.c_str(), size(), datagrams / seconds, bytes / seconds / 1000,
         datagrams / count, bytes / count / 1000, most / seconds / 1000);
-    size_t busy=0; uint64_t mb=0;
-    for (size_t n = 0; n < size(); ++n) if (isAlive(n) && m_daemons[n]->port->bytes>mb) { mb=m_daemons[n]->port->bytes; busy=n; }
-    for (auto& [k,b] : m_daemons[busy]->port->bytesByKind)
-        std::printf("  busiest %s: %.2f KB/s %.1f/s\n", k.c_str(), b/1000.0/((loop.now()-Instant(1'700'000'000'000.0)).count()/1000), m_daemons[busy]->port->datagramsByKind[k]/((loop.now()-Instant(1'700'000'000'000.0)).count()/1000));
     return most / seconds;
 }
 
--- a/src/quotas/QuotaFleetFixture.h
+++ b/src/quotas/QuotaFleetFixture.h
@@ -86,8 +86,6 @@
         ++datagrams;
         bytes += payload.size();
         largest = std::max(largest, payload.size());
-        bytesByKind[std::string(payload.substr(payload.find(' ') + 1, 2))] += payload.size();
-        ++datagramsByKind[std::string(payload.substr(payload.find(' ') + 1, 2))];
         m_port->send(to, payload);
         if (m_repetition > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < m_repetition)
             m_port->send(to, payload);
@@ -107,7 +105,6 @@
     uint64_t datagrams { 0 };
     uint64_t bytes { 0 };
     size_t largest { 0 };
-    std::map<std::string,uint64_t> bytesByKind, datagramsByKind;
 
 private:
     std::unique_ptr<DatagramPort> m_port;
--- a/src/quotas/QuotaFleetTests.cpp
+++ b/src/quotas/QuotaFleetTests.cpp
@@ -73,7 +73,7 @@
 
 // Guards against organisations that are refused below their limit because it is split over daemons and domains, and against control
 // traffic that grows with daemons times organisations.
-TEST_CASE("in a quiet fleet organisations within their limits are served", "[quotas][known-red]")
+TEST_CASE("in a quiet fleet organisations within their limits are served", "[quotas]")
 {
     const FleetSize size = GENERATE(FleetSize { 79, 3, 82, 20 }, FleetSize { 295, 6, 60, 10 }, FleetSize { 460, 6, 60, 8 });
     QuotaFleet fleet(size.daemons, size.domains, 7);
@@ -89,7 +89,7 @@
 }
 
 // Guards against a start that waits for leases or shares of earlier processes to expire.
-TEST_CASE("service begins soon after the first start", "[quotas][known-red]")
+TEST_CASE("service begins soon after the first start", "[quotas]")
 {
     QuotaFleet fleet(79, domainCount, 3);
     fleet.setLoads(skewedLoads(20, 79, 0.5, 3));
@@ -122,7 +122,7 @@
 }
 
 // Guards against one organisation at 7.5 times its load taking what others need, or more than its limit.
-TEST_CASE("an organisation far over its limit gets its limit, and others are not affected", "[quotas][known-red]")
+TEST_CASE("an organisation far over its limit gets its limit, and others are not affected", "[quotas]")
 {
     QuotaFleet fleet(79, domainCount, 11);
     fleet.setLoads(skewedLoads(82, 79, 0.8, 11));
@@ -226,8 +226,54 @@
     CHECK(fleet.worst() <= 1);
 }
 
+// Guards against full buckets of which a part is given out twice, when the coordinators that hold them are lost during a burst.
+TEST_CASE("a burst after a quiet period does not exceed the limits while coordinators are lost", "[quotas]")
+{
+    const size_t domains = GENERATE(size_t { 3 }, size_t { 6 });
+    const uint64_t seed = GENERATE(range<uint64_t>(1, 4));
+    CAPTURE(domains, seed);
+    std::mt19937_64 random(seed);
+    QuotaFleet fleet(42, domains, seed);
+    constexpr size_t organisations = 20;
+    auto loads = skewedLoads(organisations, 42, 0.1, seed);
+    // Sessions of small organisations in several domains, to which the burst moves one after another.
+    for (auto& it : loads) {
+        while (it.daemons.size() < 5)
+            it.daemons.push_back(random() % fleet.size());
+    }
+    fleet.setLoads(loads);
+    fleet.start();
+    for (int burst = 0; burst < 2; ++burst) {
+        fleet.run(Milliseconds(9000));
+        for (size_t step = 0; step < 12; ++step) {
+            for (size_t n = 0; n < fleet.loads.size(); ++n) {
+                fleet.loads[n].offered = std::max(30.0, loads[n].organisation.limit.perSecond * 1.5);
+                fleet.loads[n].daemons = burst == 1 ? std::vector<size_t> { loads[n].daemons[(step / 2) % 5] } : loads[n].daemons;
+            }
+            const size_t domain = random() % domains;
+            const size_t victim = fleet.coordinatorOf(domain).value_or(fleet.holdersOf(domain)[0]);
+            const bool isLost = random() % 2 == 0;
+            if (isLost)
+                fleet.kill(victim);
+            fleet.run(Milliseconds(static_cast<double>(100 + random() % 1200)));
+            if (isLost)
+                fleet.restart(victim);
+        }
+        for (size_t n = 0; n < fleet.loads.size(); ++n) {
+            fleet.loads[n].offered = loads[n].offered;
+            fleet.loads[n].daemons = loads[n].daemons;
+        }
+    }
+    std::printf("bursts, %zu domains, seed %llu: worst window %.3f of what is allowed\n", domains, static_cast<unsigned long long>(seed), fleet.worst());
+    for (size_t n = 0; n < fleet.loads.size(); ++n) {
+        if (fleet.count(n).worst > 0.9)
+            std::printf("organisation %zu: limit %.0f/s, worst window %.3f of what is allowed\n", n, fleet.loads[n].organisation.limit.perSecond, fleet.count(n).worst);
+    }
+    CHECK(fleet.worst() <= 1);
+}
+
 // Guards against all daemons that restart at once waiting for rows and shares of the processes before.
-TEST_CASE("all daemons may restart at once", "[quotas][known-red]")
+TEST_CASE("all daemons may restart at once", "[quotas]")
 {
     QuotaFleet fleet(79, domainCount, 19);
     fleet.setLoads(skewedLoads(30, 79, 0.6, 19));
@@ -247,7 +293,7 @@
 }
 
 // Guards against a domain without allowances after its coordinator was lost.
-TEST_CASE("the next holder acts when the coordinator is lost", "[quotas][known-red]")
+TEST_CASE("the next holder acts when the coordinator is lost", "[quotas]")
 {
     QuotaFleet fleet(79, domainCount, 23);
     fleet.setLoads(skewedLoads(30, 79, 0.6, 23));
--- a/src/quotas/QuotaMessages.cpp
+++ b/src/quotas/QuotaMessages.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_split.h>
 #include <array>
+#include <charconv>
 #include <cmath>
 
 namespace parsleypaddle {
@@ -16,6 +17,8 @@
     constexpr absl::string_view protocolPrefix = "quota ";
     constexpr absl::string_view endMark = ".";
     constexpr double maxNumber = 9e15;
+    /// Base of the numbers before the entries, which begin at the time of a process's start in ms and would be long in decimal.
+    constexpr int headerBase = 36;
 
     bool isPlain(char c)
     {
@@ -43,7 +46,13 @@
         }
 
         void name(const std::string& value) { absl::StrAppend(&m_header, " ", encodeName(value)); }
-        void number(uint64_t value) { absl::StrAppend(&m_header, " ", value); }
+        void number(uint64_t value)
+        {
+            constexpr size_t maxDigits = 13;
+            std::array<char, maxDigits> digits {};
+            const auto end = std::to_chars(digits.begin(), digits.end(), value, headerBase).ptr;
+            absl::StrAppend(&m_header, " ", absl::string_view(digits.data(), static_cast<size_t>(end - digits.data())));
+        }
 
         void entry(const OrganisationId& organisation, std::initializer_list<double> numbers)
         {
@@ -54,7 +63,7 @@
                 if (it == std::floor(it) && std::abs(it) < maxNumber)
                     absl::StrAppend(&text, " ", static_cast<int64_t>(it));
                 else
-                    absl::StrAppendFormat(&text, " %.5g", it);
+                    absl::StrAppendFormat(&text, " %.4g", it);
             }
             if (!m_entries.empty() && m_header.size() + m_entries.size() + text.size() + endMark.size() + 1 > DatagramPort::maxPayloadBytes)
                 finish();
@@ -125,8 +134,10 @@
         uint64_t number()
         {
             uint64_t value = 0;
-            m_isValid = m_isValid && absl::SimpleAtoi(part(), &value) && m_isValid;
-            return value;
+            const absl::string_view text = part();
+            const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, headerBase);
+            m_isValid = m_isValid && error == std::errc() && end == text.data() + text.size();
+            return m_isValid ? value : 0;
         }
 
         double real()
@@ -218,6 +229,21 @@
         return it;
     }
 
+    std::vector<std::string> encode(const QuotaConfirmation& it)
+    {
+        DatagramWriter writer("C1");
+        writer.number(it.report);
+        return writer.take();
+    }
+
+    QuotaMessage decodeConfirmation(DatagramReader& reader)
+    {
+        const QuotaConfirmation it { reader.number() };
+        if (reader.hasMore())
+            reader.fail();
+        return it;
+    }
+
     std::vector<std::string> encodeClaims(const QuotaExchange& it, uint64_t from, uint64_t to, const std::vector<DomainClaim>& claims)
     {
         DatagramWriter writer("X1");
@@ -304,7 +330,7 @@
         for (const bool flag : { it.isHolder, it.isActing, it.needsReply })
             writer.number(flag ? 1 : 0);
         for (const auto& entry : it.entries)
-            writer.entry(entry.organisation, { entry.lent.amount, entry.lent.depth, std::floor(entry.level) });
+            writer.entry(entry.organisation, { entry.lent.amount, entry.lent.depth, std::floor(entry.level), entry.demand });
         return writer.take();
     }
 
@@ -321,13 +347,14 @@
             entry.lent.amount = reader.real();
             entry.lent.depth = reader.real();
             entry.level = reader.real();
+            entry.demand = reader.real();
             it.entries.push_back(std::move(entry));
         }
         return it;
     }
 
     using Decoder = QuotaMessage (*)(DatagramReader&);
-    constexpr std::array<std::pair<absl::string_view, Decoder>, 5> decoders { { { "R1", decodeReport }, { "A1", decodeAnswer }, { "X1", decodeExchange }, { "T1", decodeTransfer }, { "B1", decodeBeat } } };
+    constexpr std::array<std::pair<absl::string_view, Decoder>, 6> decoders { { { "R1", decodeReport }, { "A1", decodeAnswer }, { "C1", decodeConfirmation }, { "X1", decodeExchange }, { "T1", decodeTransfer }, { "B1", decodeBeat } } };
 
 }
 
--- a/src/quotas/QuotaMessages.h
+++ b/src/quotas/QuotaMessages.h
@@ -62,6 +62,12 @@
     std::vector<Entry> entries;
 };
 
+/// Answers a QuotaReport of which all confirmed shares last longer and nothing else changes.
+struct QuotaConfirmation {
+    /// The number of the report.
+    uint64_t report { 0 };
+};
+
 /// A coordinator to that of another failure domain.
 struct QuotaExchange {
     FailureDomainId domain;
@@ -91,6 +97,8 @@
         LentShare lent;
         /// Units in the bucket.
         double level { 0 };
+        /// Operations a second that are asked for in the domain.
+        double demand { 0 };
     };
 
     InstanceId instance;
@@ -102,7 +110,7 @@
     std::vector<Entry> entries;
 };
 
-using QuotaMessage = std::variant<QuotaReport, QuotaAnswer, QuotaExchange, QuotaTransfer, QuotaBeat>;
+using QuotaMessage = std::variant<QuotaReport, QuotaAnswer, QuotaConfirmation, QuotaExchange, QuotaTransfer, QuotaBeat>;
 
 /// Longest encoded name of an organisation, in bytes. Organisations with longer names cannot be reported.
 inline constexpr size_t maxQuotaNameBytes = 400;
--- a/src/quotas/QuotaMessagesTests.cpp
+++ b/src/quotas/QuotaMessagesTests.cpp
@@ -67,15 +67,20 @@
     CHECK(it.keepsOthers);
     CHECK(it.entries.at(0).isOverLimit);
     CHECK(it.entries.at(0).number == 12);
+    const auto confirmation = roundTrip(QuotaConfirmation { 1'700'000'000'123 });
+    REQUIRE(confirmation);
+    CHECK(std::get<QuotaConfirmation>(*confirmation).report == 1'700'000'000'123);
+    CHECK_FALSE(decodeQuotaMessage("C1 5 a 1 ."));
     const auto transfer = roundTrip(QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } });
     REQUIRE(transfer);
     CHECK(std::get<QuotaTransfer>(*transfer).receiver == 5);
     CHECK(std::get<QuotaTransfer>(*transfer).entries.at(0).given == 2);
-    const auto beat = roundTrip(QuotaBeat { InstanceId("n"), false, true, true, { { OrganisationId("a"), { 7, 1 }, 3 } } });
+    const auto beat = roundTrip(QuotaBeat { InstanceId("n"), false, true, true, { { OrganisationId("a"), { 7, 1 }, 3, 4.5 } } });
     REQUIRE(beat);
     CHECK_FALSE(std::get<QuotaBeat>(*beat).isHolder);
     CHECK(std::get<QuotaBeat>(*beat).isActing);
     CHECK(std::get<QuotaBeat>(*beat).entries.at(0).lent.amount == 7);
+    CHECK(std::get<QuotaBeat>(*beat).entries.at(0).demand == 4.5);
 }
 
 // Guards against a datagram that the network would fragment, and against a part that confirms claims of a lost one.
@@ -123,8 +128,8 @@
     CAPTURE(seed);
     std::mt19937_64 random(seed);
     const std::vector<QuotaMessage> messages { exampleReport(), exampleExchange(5), QuotaAnswer { 9, 8, false, { "h", 1 }, { { OrganisationId("a"), { 1.5, 2 }, 3, 0.25, true, 12 } } },
-        QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } },
-        QuotaBeat { InstanceId("n"), true, true, true, { { OrganisationId("a"), { 7, 1 }, 3 } } } };
+        QuotaConfirmation { 77 }, QuotaTransfer { FailureDomainId("z"), 5, 6, { { OrganisationId("a"), 3, 2 } } },
+        QuotaBeat { InstanceId("n"), true, true, true, { { OrganisationId("a"), { 7, 1 }, 3, 4.5 } } } };
     for (int n = 0; n < 4000; ++n) {
         std::string text = encodeQuotaMessage(messages[random() % messages.size()]).front().substr(prefixBytes);
         for (uint64_t change = 1 + random() % 4; change > 0; --change) {
--- a/src/quotas/QuotaService.cpp
+++ b/src/quotas/QuotaService.cpp
@@ -50,10 +50,12 @@
     if (!message)
         return;
     const auto answer = [&](const QuotaReport& it) {
-        for (const auto& datagram : encodeQuotaMessage(m_coordinator.answer(it)))
+        const QuotaAnswer full = m_coordinator.answer(it);
+        const bool isConfirmation = full.keepsOthers && full.entries.empty() && full.coordinator == it.coordinator;
+        for (const auto& datagram : encodeQuotaMessage(isConfirmation ? QuotaMessage(QuotaConfirmation { full.report }) : QuotaMessage(full)))
             m_context.port.send(from, datagram);
     };
-    std::visit(Overloaded { answer, [&](const QuotaAnswer& it) { m_client.handle(it); }, [&](const auto& it) { m_coordinator.handle(from, it); } }, *message);
+    std::visit(Overloaded { answer, [&](const QuotaAnswer& it) { m_client.handle(it); }, [&](const QuotaConfirmation& it) { m_client.handle(it); }, [&](const auto& it) { m_coordinator.handle(from, it); } }, *message);
 }
 
 std::string QuotaService::page() const
--- a/src/quotas/ShareLender.cpp
+++ b/src/quotas/ShareLender.cpp
@@ -100,7 +100,7 @@
     borrower.demand = request.demand;
     updateFairAmount(now);
     Answer answer;
-    answer.share = nextShare(borrower);
+    answer.share = request.unitsOnly ? LentShare {} : nextShare(borrower);
     answer.isOverloaded = demand() > m_capacity.amount;
     if (mayKeep(borrower, request, answer.share)) {
         answer.isKept = true;
@@ -134,6 +134,10 @@
         return false;
     if (reserved().amount > m_capacity.amount || reserved().depth > m_capacity.depth)
         return false;
+    // What exceeds the fair amount is lacking elsewhere.
+    constexpr double tolerance = 1.05;
+    if (borrower.demand * m_rules.headroom > m_fairAmount && borrower.latest.amount > next.amount * tolerance)
+        return false;
     const auto isClose = [this](double present, double wanted) { return std::abs(present - wanted) <= m_rules.keptDifference * present; };
     return isClose(borrower.latest.amount, next.amount) && isClose(borrower.latest.depth, next.depth);
 }
--- a/src/quotas/ShareLender.h
+++ b/src/quotas/ShareLender.h
@@ -30,13 +30,13 @@
         /// A share is at most this multiple of its borrower's demand.
         double headroom { 1.3 };
         /// Borrowers that need less than this amount get single units only.
-        double minAmount { 0.4 };
+        double minAmount { 1 };
         /// Depth of a share: one unit, and what its amount yields in at most this time.
         Milliseconds maxDepthTime { 1000 };
         /// Part of the capacity's depth that may be lent.
         double lentDepth { 0.6 };
         /// A share that a borrower has confirmed is kept while it differs from the share that would replace it by less than this part.
-        double keptDifference { 0.15 };
+        double keptDifference { 0.3 };
     };
 
     /// What a borrower reports.
@@ -53,6 +53,8 @@
         double returned { 0 };
         /// Single units that it needs at once.
         double wanted { 0 };
+        /// Whether it gets no share.
+        bool unitsOnly { false };
     };
 
     /// What a borrower gets.
