--- a/src/quotas/OperationAllowance.h
+++ b/src/quotas/OperationAllowance.h
@@ -32,6 +32,8 @@
 
     /// Applies what a coordinator has answered to a report that was sent at `sentAt`. Returns whether the share has become smaller.
     bool apply(const QuotaAnswer::Entry&, uint64_t coordinator, Instant sentAt, Instant now);
+    /// Makes the share last longer, if it is still the one that a report sent at `sentAt` confirmed.
+    void keep(uint64_t number, uint64_t coordinator, Instant sentAt, Instant now);
     QuotaReport::Entry report(const OrganisationId&, uint64_t coordinator, Instant now) const;
 
     /// Whether the organisation is known to be over its limit.
@@ -61,6 +63,8 @@
 
 private:
     static constexpr Milliseconds shortagePatience { 300 };
+    /// A shortage has ended when the coordinator has not told of it for this long.
+    static constexpr Milliseconds shortageEnd { 1500 };
 
     void refill(Instant now);
 
@@ -85,6 +89,7 @@
     bool m_isIdle { true };
 
     Instant m_shortSince;
+    Instant m_shortAt;
     Instant m_shortUntil;
     Instant m_retrySlot;
 };
