Concurrency limit of a target that follows its answers, in fleets with homes

A home sent at most a fixed 2 or 3 statements at a time to a target, and gave a target that it had avoided its whole share at once. Its limit now begins at 1 when a target starts, recovers or becomes the primary, doubles with each good round up to the share, and follows latency and refusals from then on. Failures are told apart by kind: a full target is not failing, a replica that lacks a log position still gets reads of older ones, and failures add to a target's cost in proportion. A write is sent to a target that has not answered since it failed only after the target has stated its role. Small fleets keep the fixed limit.

--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -3,6 +3,7 @@
 #include "relay/RelayRun.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -35,10 +36,20 @@
     constexpr Milliseconds crossDomainCost { 30 };
     /// Added to the expected duration of a read at the primary, to prefer replicas, because only the primary can run writes.
     constexpr Milliseconds primaryCost { 15 };
+    /// Added to the expected duration of a read in proportion to the target's failures: a read that fails is answered after its objective.
+    constexpr Milliseconds failureCost { 200 };
+    /// Added for a replica that probably lacks the log that the read requires.
+    constexpr Milliseconds behindCost { 10'000 };
     /// Homes whose costs differ by less than this factor count as equally good for the statements of an organisation. One more statement
     /// that waits at a home raises its cost by an eighth, and opening a connection there costs 12 ms.
     constexpr double aboutEqualCost = 1.5;
 
+    MetricCounter counterOf(PaceReason reason)
+    {
+        static constexpr std::array<MetricCounter, 7> counters { MetricCounter::SlowStarts, MetricCounter::SlowStarts, MetricCounter::SlowStarts, MetricCounter::SharesReached, MetricCounter::LimitsShrunkByLatency, MetricCounter::LimitsShrunkByBusy, MetricCounter::LimitsShrunkByFailures };
+        return counters[static_cast<size_t>(reason)];
+    }
+
     MetricCounter counterOf(PoolEvent event)
     {
         switch (event) {
@@ -84,7 +95,7 @@
         const bool isSame = known != m_targets.end() && known->second->entry().target.address == entry.target.address;
         auto target = isSame ? known->second : std::make_shared<RelayTarget>(m_loop, m_connector, entry, std::hash<std::string>()(m_membership.self().instance.value() + entry.target.id.value()), [this](PoolEvent event) { m_metrics.count(counterOf(event)); });
         target->setEntry(entry);
-        target->setLimits(m_connectionLimit, statementLimit(entry));
+        applyLimits(*target);
         targets.emplace(entry.target.id, std::move(target));
     }
     m_targets.swap(targets);
@@ -106,7 +117,24 @@
     m_isFullMesh = shared / static_cast<double>(daemons) >= minConnectionsPerDaemon;
     m_connectionLimit = static_cast<uint32_t>(std::max(1L, std::lround(shared * (m_isFullMesh ? share : 1.0 / Membership::rankingLength))));
     for (auto& [id, target] : m_targets)
-        target->setLimits(m_connectionLimit, statementLimit(target->entry()));
+        applyLimits(*target);
+}
+
+// Where every daemon connects to every target, each has so few statements at a time that there is nothing to adapt.
+void RelayGroup::applyLimits(RelayTarget& target)
+{
+    target.setLimits(m_connectionLimit, statementLimit(target.entry()));
+    if (m_isFullMesh)
+        return target.fixLimit();
+    const TargetId id = target.entry().target.id;
+    target.adaptLimit(m_homeOffset + std::hash<std::string>()(id.value()), [this, id](const PaceChange& change) { reportPace(id, change); });
+}
+
+void RelayGroup::reportPace(const TargetId& target, const PaceChange& change)
+{
+    m_metrics.count(counterOf(change.reason));
+    if (change.isLogged)
+        m_log.write("target_pace", { { "group", m_id.value() }, { "target", target.value() }, { "limit", std::to_string(change.limit) }, { "reason", nameOf(change.reason) } });
 }
 
 // A target that is full queues statements in the order of their arrival and refuses more. The queues of the homes know deadlines and
@@ -124,7 +152,11 @@
     // Log marks of the old term do not apply to the log of the new primary.
     if (belief.term != m_primary.term)
         m_logHistory.clear();
+    const bool isReplaced = belief.primary != m_primary.primary && m_primary.primary != TargetId();
     m_primary = belief;
+    auto target = m_targets.find(m_primary.primary);
+    if (isReplaced && target != m_targets.end())
+        target->second->beginSlowly(PaceReason::PrimaryChanged);
 }
 
 void RelayGroup::run(RelayJob job)
@@ -224,7 +256,8 @@
             destination = peerDestination(job, target->entry().target, tried);
         if (!destination)
             continue;
-        const Milliseconds cost = costOf(*destination->target, isPrimary);
+        const bool isBehind = destination->requiredMark && destination->target->experience().isBehind(*destination->requiredMark, m_loop.now());
+        const Milliseconds cost = costOf(*destination->target, isPrimary) + (isBehind ? behindCost : Milliseconds(0));
         if (best && least <= cost)
             continue;
         best = std::move(destination);
@@ -346,6 +379,8 @@
         cost = cost + crossDomainCost;
     if (isPrimary)
         cost = cost + primaryCost;
+    if (const FailureShare* failures = target.experience().failures())
+        cost = cost + failureCost * failures->share(m_loop.now());
     // For reads, avoided targets rank behind all others, but are used when there is no other.
     constexpr Milliseconds avoidedCost { 100'000 };
     return target.experience().isAvoided(m_loop.now()) ? cost + avoidedCost : cost;
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -114,6 +114,9 @@
     /// The targets' queues and connections, created at the first call.
     const std::map<TargetId, std::shared_ptr<RelayTarget>>& targets();
     void updateTargets();
+    /// Sets the target's limits of connections and statements.
+    void applyLimits(RelayTarget&);
+    void reportPace(const TargetId&, const PaceChange&);
     /// Statements that this daemon sends to the target at the same time.
     uint32_t statementLimit(const TargetEntry&) const;
     std::optional<StatementDestination> primaryDestination(const RelayJob&, const std::set<TargetId>& tried);
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -76,6 +76,7 @@
     constexpr double weightOfOneMillisecond = 1000;
     work.classWeight = weightOfOneMillisecond / std::max(1.0, m_job.route->latencyObjective.count());
     work.statement = absl::HashOf(m_job.route->database, m_job.beginKind.has_value(), m_job.isWrite);
+    work.hasEffects = !isRepeatable();
     work.arrived = m_job.arrived;
     const StatementTimes until = times();
     if (until.objective < until.deadline)
@@ -100,8 +101,10 @@
     }
     const bool isUnreachable = resultCodeOf(slot.status()) == ResultCode::TargetUnreachable;
     m_primaryUse.reset();
-    if (isUnreachable)
+    if (isUnreachable) {
+        m_destination.target->recordUnreachable();
         reportUnreachable();
+    }
     // A full primary would refuse the statement from other daemons too. A statement that needs the primary is therefore retried
     // only if the primary was unreachable.
     if ((!m_job.needsPrimary() || isUnreachable) && mayRetry())
@@ -178,6 +181,7 @@
     case RelayError::Failed:
     case RelayError::TimedOut:
     case RelayError::InDoubt:
+        m_destination.target->recordError(answer.error, m_sentAt);
         return finish(std::move(answer));
     default:
         return retryOrRefuse(answer);
@@ -190,6 +194,7 @@
     const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
     m_isTransactionOpen = false;
     m_outstanding.reset();
+    m_destination.target->recordLost(m_sentAt);
     m_slot.reset();
     reportUnreachable();
     logStatement(m_group, "statement_broken", m_job, m_destination.target->entry().target.id, RelayError::None, std::string(status.message()));
@@ -204,7 +209,6 @@
 
 void RelayRun::reportUnreachable()
 {
-    m_destination.target->experience().recordUnreachable(m_group.loop().now());
     if (m_destination.isPrimary)
         m_group.observer().primaryFailed(m_group.id());
     if (!m_destination.peer.isEmpty())
@@ -214,11 +218,10 @@
 void RelayRun::retryOrRefuse(const RelayAnswer& answer)
 {
     const Instant now = m_group.loop().now();
+    m_destination.target->recordRefusal(answer.error, m_sentAt, m_destination.requiredMark);
     releaseSlot();
     m_primaryUse.reset();
     const bool isPeer = !m_destination.peer.isEmpty();
-    if (answer.error == RelayError::Lagging || isPeer)
-        m_destination.target->experience().recordBehind(now);
     if (answer.error == RelayError::ReadOnly && m_destination.isPrimary)
         m_group.observer().primaryFailed(m_group.id());
     const bool isFull = answer.error == RelayError::Busy && !isPeer;
@@ -246,7 +249,7 @@
 void RelayRun::recordSuccess(const RelayAnswer& answer)
 {
     const Instant now = m_group.loop().now();
-    m_destination.target->experience().recordAnswer(now - m_sentAt, now);
+    m_destination.target->recordAnswer(work().statement, m_sentAt, m_destination.requiredMark);
     if (!m_destination.peer.isEmpty())
         m_group.reportPeer(m_destination.peer, true);
     if (!m_destination.peer.isEmpty())
--- a/src/relay/RelayTarget.cpp
+++ b/src/relay/RelayTarget.cpp
@@ -18,6 +18,8 @@
     /// them; opening a new one takes about 15 ms.
     constexpr Milliseconds idleLimit { 3'000 };
     constexpr Milliseconds rollBackTimeout { 1000 };
+    /// How long a target may take to state its role before a write is sent there. It takes a round trip and no slot.
+    constexpr Milliseconds proofTimeout { 150 };
     /// Interval at which the queue is checked for work that can start or that can no longer meet its deadline.
     constexpr Milliseconds queueCheckInterval { 20 };
     /// Queue capacity for each connection. Work behind a longer queue would miss its objective.
@@ -112,10 +114,117 @@
     m_connectionLimit = connections;
     m_statementLimit = statements;
     m_pool->setLimit(connections);
-    m_queue->setSettings(queueSettings(connections, statements));
+    if (m_pace)
+        m_pace->setBounds({ statements, connections });
+    applyLimits();
+}
+
+void RelayTarget::adaptLimit(uint64_t seed, TargetPace::OnChange onChange)
+{
+    if (m_pace)
+        return;
+    m_pace = std::make_unique<TargetPace>(m_experience, ConcurrencyBounds { m_statementLimit, m_connectionLimit }, seed, std::move(onChange));
+    applyLimits();
+}
+
+void RelayTarget::fixLimit()
+{
+    m_pace.reset();
+    applyLimits();
+}
+
+uint32_t RelayTarget::statementLimit() const
+{
+    return m_pace ? m_pace->limit() : m_statementLimit;
+}
+
+void RelayTarget::applyLimits()
+{
+    m_appliedLimit = statementLimit();
+    m_queue->setSettings(queueSettings(m_connectionLimit, m_appliedLimit));
     startQueuedWork();
 }
 
+void RelayTarget::followPace()
+{
+    if (m_pace->limit() != m_appliedLimit)
+        applyLimits();
+}
+
+// A target counts what it reports from its start on.
+void RelayTarget::setEntry(const TargetEntry& entry)
+{
+    const bool isRestarted = entry.sequence < m_entry.sequence;
+    m_entry = entry;
+    if (isRestarted)
+        beginSlowly(PaceReason::Started);
+}
+
+void RelayTarget::beginSlowly(PaceReason reason)
+{
+    if (!m_pace)
+        return;
+    m_pace->begin(reason, m_loop.now());
+    followPace();
+}
+
+void RelayTarget::recordAnswer(uint64_t kind, Instant sentAt, const std::optional<LogMark>& required)
+{
+    const Instant now = m_loop.now();
+    if (!m_pace)
+        return m_experience.recordAnswer(now - sentAt, now);
+    if (required)
+        m_experience.recordApplied(*required);
+    const bool wasInUse = m_queue->waitingCount() > 0 || m_queue->runningCount() >= m_pace->limit();
+    m_pace->recordAnswer({ kind, now - sentAt, wasInUse }, now);
+    followPace();
+}
+
+void RelayTarget::recordRefusal(RelayError error, Instant sentAt, const std::optional<LogMark>& required)
+{
+    const Instant now = m_loop.now();
+    if (!m_pace) {
+        if (error == RelayError::Lagging || m_entry.target.isPeer)
+            m_experience.recordBehind(now);
+        return;
+    }
+    if (error == RelayError::Lagging)
+        m_experience.recordLagging(required.value_or(LogMark()), now);
+    else if (error == RelayError::Busy)
+        m_pace->recordBusy(sentAt, now);
+    else if (error == RelayError::Aborted)
+        m_pace->recordFailure(sentAt, now);
+    followPace();
+}
+
+// A statement may fail at every target because of its text, which does not make any of them suspected.
+void RelayTarget::recordError(RelayError error, Instant sentAt)
+{
+    if (!m_pace)
+        return;
+    if (error == RelayError::TimedOut)
+        m_pace->recordFailure(sentAt, m_loop.now());
+    else
+        m_experience.failures()->recordError(m_loop.now());
+    followPace();
+}
+
+void RelayTarget::recordLost(Instant sentAt)
+{
+    if (!m_pace)
+        return m_experience.recordUnreachable(m_loop.now());
+    m_pace->recordFailure(sentAt, m_loop.now());
+    followPace();
+}
+
+void RelayTarget::recordUnreachable()
+{
+    if (!m_pace)
+        return m_experience.recordUnreachable(m_loop.now());
+    m_pace->recordUnreachable(m_loop.now());
+    followPace();
+}
+
 void RelayTarget::acquire(WorkItem work, const OrganisationId& organisation, Acquired acquired)
 {
     work.id = WorkId(++m_lastWork);
@@ -129,7 +238,7 @@
 Milliseconds RelayTarget::expectedDelay(Milliseconds fallback) const
 {
     const double busy = static_cast<double>(m_queue->waitingCount() + m_queue->runningCount());
-    const double turns = 1 + busy / std::max<double>(1, m_statementLimit);
+    const double turns = 1 + busy / std::max<double>(1, statementLimit());
     return m_experience.expectedDelay(fallback, m_loop.now()) * turns;
 }
 
@@ -190,12 +299,37 @@
 
 void RelayTarget::connect(WaitingWork waiting)
 {
-    m_pool->acquire(waiting.work.deadline, waiting.organisation, [weak = weak_from_this(), id = waiting.work.id, acquired = std::move(waiting.acquired)](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
-        if (connection.ok())
-            return acquired(std::make_shared<RelaySlot>(weak, id, *std::move(connection)));
-        if (auto self = weak.lock())
-            self->finish(id);
-        acquired(connection.status());
+    if (m_pace)
+        m_pace->recordStart(m_loop.now());
+    const Instant deadline = waiting.work.deadline;
+    const OrganisationId organisation = waiting.organisation;
+    m_pool->acquire(deadline, organisation, [weak = weak_from_this(), waiting = std::move(waiting)](absl::StatusOr<std::unique_ptr<PooledConnection>> connection) {
+        auto self = weak.lock();
+        if (connection.ok()) {
+            auto slot = std::make_shared<RelaySlot>(weak, waiting.work.id, *std::move(connection));
+            if (self && self->m_pace && waiting.work.hasEffects && self->m_pace->isUnproven())
+                return prove(std::move(slot), waiting.acquired);
+            return waiting.acquired(std::move(slot));
+        }
+        if (self)
+            self->finish(waiting.work.id);
+        waiting.acquired(connection.status());
+    });
+}
+
+// A write that gets no answer may have run. At a target that has not answered since it failed, the target's role is requested first, on
+// the connection that the write will use.
+void RelayTarget::prove(std::shared_ptr<RelaySlot> slot, const Acquired& acquired)
+{
+    RelayStep step;
+    step.kind = RelayKind::Status;
+    RelaySlot& self = *slot;
+    self.run({ step }, proofTimeout, [slot = std::move(slot), acquired](const absl::StatusOr<std::vector<RelayAnswer>>& answers) mutable {
+        if (answers.ok())
+            return acquired(std::move(slot));
+        slot->discard();
+        slot.reset();
+        acquired(makeError(ResultCode::TargetUnreachable, "the target has failed and does not state its role, so the write was not sent"));
     });
 }
 
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -2,6 +2,7 @@
 
 #include "connections/ConnectionPool.h"
 #include "directory/TargetEntry.h"
+#include "relay/TargetPace.h"
 #include "routing/TargetHealth.h"
 #include "scheduling/WorkQueue.h"
 
@@ -58,10 +59,18 @@
     RelayTarget(EventLoop&, TargetConnector&, TargetEntry, uint64_t seed, std::function<void(PoolEvent)> onPoolEvent = nullptr);
 
     const TargetEntry& entry() const { return m_entry; }
-    void setEntry(const TargetEntry& entry) { m_entry = entry; }
+    /// Replaces the entry; a target that was started again begins with one statement at a time if its limit adapts.
+    void setEntry(const TargetEntry&);
     /// Sets the maximum number of this daemon's connections to the target, and of statements that it starts there at the same time.
     /// Statements of open transactions are not counted.
     void setLimits(uint32_t connections, uint32_t statements);
+    /// Lets the number of statements follow the target's answers. `statements` of setLimits() is then this daemon's share of the target
+    /// at equal demand, and `connections` the maximum.
+    void adaptLimit(uint64_t seed, TargetPace::OnChange);
+    /// Ends adaptLimit().
+    void fixLimit();
+    /// Begins with one statement at a time, if the limit adapts.
+    void beginSlowly(PaceReason);
 
     /// Queues the work until a connection of the organisation is free; an empty name stands for no organisation. Errors: Overloaded when the queue refuses or drops the work or the target
     /// accepts no more connections, DeadlinePassed when the pool has no connection before the deadline, TargetUnreachable when
@@ -72,9 +81,22 @@
     Milliseconds expectedDelay(Milliseconds fallback) const;
 
     TargetHealth& experience() { return m_experience; }
+
+    /// Records a statement, sent at `sentAt`, that the target has run; `kind`: see WorkItem::statement.
+    void recordAnswer(uint64_t kind, Instant sentAt, const std::optional<LogMark>& required);
+    /// Records a statement that the target, or the peer daemon, refused.
+    void recordRefusal(RelayError, Instant sentAt, const std::optional<LogMark>& required);
+    /// Records a statement that failed at the target or ended there without a result.
+    void recordError(RelayError, Instant sentAt);
+    /// Records a statement that got no answer.
+    void recordLost(Instant sentAt);
+    /// Records that no connection could be opened.
+    void recordUnreachable();
     const ConnectionPool& pool() const { return *m_pool; }
     size_t waiting() const { return m_queue->waitingCount(); }
     size_t running() const { return m_queue->runningCount(); }
+    /// Statements that may run at the target at the same time now.
+    uint32_t statementLimit() const;
 
 private:
     friend class RelaySlot;
@@ -86,7 +108,10 @@
         Acquired acquired;
     };
 
+    void applyLimits();
+    void followPace();
     void connect(WaitingWork);
+    static void prove(std::shared_ptr<RelaySlot>, const Acquired&);
     void finish(WorkId);
     void holdForTransaction(WorkId);
     void endTransaction();
@@ -98,11 +123,15 @@
     TargetEntry m_entry;
     uint32_t m_connectionLimit { 1 };
     uint32_t m_statementLimit { 1 };
+    /// The number of statements that the queue starts at the same time.
+    uint32_t m_appliedLimit { 1 };
     /// Connections that open transactions hold.
     uint32_t m_heldConnections { 0 };
     std::unique_ptr<ConnectionPool> m_pool;
     std::unique_ptr<WorkQueue> m_queue;
     TargetHealth m_experience;
+    /// Null while the number of statements is fixed.
+    std::unique_ptr<TargetPace> m_pace;
     std::map<WorkId, WaitingWork> m_waiting;
     uint64_t m_lastWork { 0 };
     TimerId m_queueTimer { TimerId::None };
--- a/src/routing/TargetHealth.cpp
+++ b/src/routing/TargetHealth.cpp
@@ -19,6 +19,8 @@
     constexpr Milliseconds initialAvoidance { 100 };
     constexpr Milliseconds maxAvoidance { 1600 };
     constexpr uint32_t maxDoublings = 10;
+    /// A replica is usually 20 to 90 ms behind. The time doubles while it stays behind.
+    constexpr Milliseconds initialLag { 50 };
 
 }
 
@@ -28,6 +30,8 @@
     m_lastAnswerAt = now;
     const double weight = std::max(1.0 / m_answerCount, smoothingFactor);
     m_delay += weight * (delay.count() - m_delay);
+    if (m_failures)
+        m_failures->recordAnswer(now);
     m_failureScore = failureScoreAt(now) * (1 - failureWeight);
     m_failureScoreUpdatedAt = now;
     if (m_failureScore >= recoveryThreshold)
@@ -47,6 +51,8 @@
 
 void TargetHealth::recordUnreachable(Instant now)
 {
+    if (m_failures)
+        m_failures->recordUnreachable(now);
     m_failureScore = 1;
     m_failureScoreUpdatedAt = now;
     m_isFailing = true;
@@ -54,6 +60,28 @@
         startAvoidance(now);
 }
 
+void TargetHealth::recordLagging(const LogMark& mark, Instant now)
+{
+    if (m_failures)
+        m_failures->recordAnswer(now);
+    m_laggingMark = now < m_laggingUntil ? std::min(m_laggingMark, mark) : mark;
+    const double doublings = std::min(m_lagCount++, maxDoublings);
+    m_laggingUntil = now + std::min(initialLag * std::exp2(doublings), maxAvoidance);
+}
+
+void TargetHealth::recordApplied(const LogMark& mark)
+{
+    if (mark < m_laggingMark)
+        return;
+    m_laggingUntil = {};
+    m_lagCount = 0;
+}
+
+bool TargetHealth::isBehind(const LogMark& mark, Instant now) const
+{
+    return now < m_laggingUntil && !(mark < m_laggingMark);
+}
+
 Milliseconds TargetHealth::expectedDelay(Milliseconds fallback, Instant now) const
 {
     const bool isKnown = m_answerCount > 0 && now - m_lastAnswerAt <= delayLifetime;
--- /dev/null
+++ b/src/scheduling/ConcurrencyLimit.cpp
@@ -0,0 +1,165 @@
+#include "scheduling/ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace parsleypaddle {
+
+namespace {
+
+    /// Weight of one answer in the average ratio. Latencies vary by a factor of 2 and 3% are 7 times longer, so the average of about
+    /// eight answers stays below `slowRatio` without queueing.
+    constexpr double sampleWeight = 0.125;
+    /// Answers after a change of the limit before latency may shrink it.
+    constexpr uint32_t minSamples = 4;
+    /// A single answer counts as at most this many times the usual latency.
+    constexpr double greatestRatio = 6;
+    /// The target's queue may take a quarter of the callers' objective of 200 ms: a statement of 33 ms then takes 2.5 times its usual
+    /// latency. Below the second ratio, the wait is shorter than the statement itself and more statements fit.
+    constexpr double slowRatio = 2.5;
+    constexpr double growRatio = 1.6;
+    /// Weight of an answer in the usual latency of its kind, while statements do not queue.
+    constexpr double usualWeight = 0.05;
+    /// While statements queue, the usual latency at most doubles in this time, so that it does not come to include the queue within
+    /// a burst or a fault, which last some seconds.
+    constexpr Milliseconds usualDoublingTime { 60'000 };
+    /// Statements run in an order that the home does not choose once they are sent, so a refusal halves the limit.
+    constexpr double busyFactor = 0.5;
+    constexpr double failureFactor = 0.5;
+    constexpr double latencyFactor = 0.7;
+    /// Kinds are few: routes of the group, each with and without transactions and writes.
+    constexpr size_t maxKinds = 256;
+
+}
+
+const char* nameOf(PaceReason reason)
+{
+    static constexpr std::array<const char*, 7> names { "started", "recovered", "primary changed", "reached share", "latency", "busy", "failures" };
+    return names[static_cast<size_t>(reason)];
+}
+
+ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyBounds& bounds)
+    : m_bounds(bounds)
+    , m_change(PaceReason::Started)
+{
+}
+
+void ConcurrencyLimit::setBounds(const ConcurrencyBounds& bounds)
+{
+    m_bounds = bounds;
+    m_limit = std::clamp(m_limit, 1.0, static_cast<double>(std::max(1U, m_bounds.greatest)));
+}
+
+void ConcurrencyLimit::begin(PaceReason reason)
+{
+    m_phase = PacePhase::SlowStart;
+    m_limit = 1;
+    m_excess = 0;
+    m_samples = 0;
+    m_hasReportedShrinking = false;
+    m_change = reason;
+}
+
+void ConcurrencyLimit::suspect()
+{
+    if (m_phase == PacePhase::Suspected)
+        return;
+    m_phase = PacePhase::Suspected;
+    m_limit = 1;
+    m_change = PaceReason::Failures;
+}
+
+uint32_t ConcurrencyLimit::limit() const
+{
+    return static_cast<uint32_t>(m_limit);
+}
+
+double ConcurrencyLimit::latencyRatio() const
+{
+    return std::exp(m_excess);
+}
+
+std::optional<PaceReason> ConcurrencyLimit::takeChange()
+{
+    return std::exchange(m_change, std::nullopt);
+}
+
+void ConcurrencyLimit::recordAnswer(const AnsweredStatement& answer, Instant now)
+{
+    const double ratio = compare(answer, now);
+    ++m_samples;
+    m_excess += std::max(sampleWeight, 1.0 / m_samples) * (ratio - m_excess);
+    if (m_phase == PacePhase::Suspected)
+        return;
+    const bool isQueueing = m_samples >= minSamples && m_excess > std::log(slowRatio);
+    // Statements that were sent before the limit shrank say nothing of the smaller limit.
+    if (isQueueing && now - answer.latency >= m_shrunkAt)
+        return shrink(latencyFactor, PaceReason::Latency, now);
+    grow(answer, ratio > std::log(slowRatio));
+}
+
+// A target's usual latency is an average over the answers without queueing. It follows lower latencies at once.
+double ConcurrencyLimit::compare(const AnsweredStatement& answer, Instant now)
+{
+    const double logarithm = std::log(std::max(answer.latency.count(), 0.1));
+    if (m_usual.size() >= maxKinds && m_usual.count(answer.kind) == 0)
+        m_usual.clear();
+    UsualLatency& usual = m_usual[answer.kind];
+    const double limit = std::log(greatestRatio);
+    const double ratio = usual.count == 0 ? 0 : std::clamp(logarithm - usual.logarithm, -limit, limit);
+    const double weight = std::max(usualWeight, 1.0 / (usual.count + 1.0));
+    const bool isQueueing = usual.count >= minSamples && m_excess > std::log(growRatio);
+    double step = usual.count == 0 ? logarithm : ratio * weight;
+    if (isQueueing)
+        step = std::min(step, std::log(2) * (now - usual.updatedAt).count() / usualDoublingTime.count());
+    usual.logarithm += step;
+    usual.updatedAt = now;
+    ++usual.count;
+    return ratio;
+}
+
+void ConcurrencyLimit::grow(const AnsweredStatement& answer, bool isSlow)
+{
+    const double greatest = std::max(1U, m_bounds.greatest);
+    if (m_phase == PacePhase::SlowStart) {
+        if (isSlow)
+            return;
+        const double share = std::min(greatest, static_cast<double>(m_bounds.share));
+        m_limit = std::max(m_limit, std::min(m_limit + 1, share));
+        if (m_limit < share)
+            return;
+        m_phase = PacePhase::Steady;
+        m_change = PaceReason::ReachedShare;
+        return;
+    }
+    if (!answer.wasLimitInUse || m_excess > std::log(growRatio))
+        return;
+    m_limit = std::min(greatest, m_limit + 1 / m_limit);
+    m_hasReportedShrinking = m_hasReportedShrinking && m_limit < m_bounds.share;
+}
+
+void ConcurrencyLimit::recordBusy(Instant sentAt, Instant now)
+{
+    if (m_phase != PacePhase::Suspected && sentAt >= m_shrunkAt)
+        shrink(busyFactor, PaceReason::Busy, now);
+}
+
+void ConcurrencyLimit::recordFailure(Instant sentAt, Instant now)
+{
+    if (m_phase != PacePhase::Suspected && sentAt >= m_shrunkAt)
+        shrink(failureFactor, PaceReason::Failures, now);
+}
+
+void ConcurrencyLimit::shrink(double factor, PaceReason reason, Instant now)
+{
+    m_limit = std::max(1.0, m_limit * factor);
+    m_shrunkAt = now;
+    m_samples = 0;
+    m_phase = PacePhase::Steady;
+    if (!std::exchange(m_hasReportedShrinking, true))
+        m_change = reason;
+}
+
+}
--- a/src/scheduling/WorkQueue.h
+++ b/src/scheduling/WorkQueue.h
@@ -38,6 +38,8 @@
     /// rejected only after its deadline, and shed only when its latest start has passed. It starts before other work of its
     /// urgency.
     bool isTransactionStep { false };
+    /// Whether the work must not run twice. The queue does not use it.
+    bool hasEffects { false };
 };
 
 /// Whether the queue admitted the work. When it was rejected, a retry is probably useful after `retryAfter`.
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 15> counterInfos { {
+    constexpr std::array<MetricInfo, 20> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -37,6 +37,11 @@
         { "parsleypaddle_connections_opened_total", "Statements and transactions that got a new connection to a target" },
         { "parsleypaddle_connections_evicted_total", "Connections to targets closed to make room for one of another organisation" },
         { "parsleypaddle_connection_waits_total", "Statements and transactions for which no connection was idle and none could be opened at once" },
+        { "parsleypaddle_target_slow_starts_total", "Times that a target at home here began with one statement at a time" },
+        { "parsleypaddle_target_shares_reached_total", "Slow starts of targets at home here that reached this daemon's share" },
+        { "parsleypaddle_target_limit_latency_total", "Times that latency began to shrink the limit of a target at home here" },
+        { "parsleypaddle_target_limit_busy_total", "Times that refusals began to shrink the limit of a target at home here" },
+        { "parsleypaddle_target_limit_failures_total", "Times that failures shrank the limit of a target at home here" },
     } };
 
     constexpr std::array<MetricInfo, 8> gaugeInfos { {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -50,6 +50,11 @@
     ConnectionsOpened,
     ConnectionsEvicted,
     ConnectionWaits,
+    SlowStarts,
+    SharesReached,
+    LimitsShrunkByLatency,
+    LimitsShrunkByBusy,
+    LimitsShrunkByFailures,
 };
 
 /// The gauges.
