--- a/src/routing/FailureShare.cpp
+++ b/src/routing/FailureShare.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-    /// One failure among answers does not make a target suspected, two in a row do, since a crash breaks all connections. After an
-    /// outage, five answers in a row end the suspicion; slow start takes some three more.
+    /// One failure among answers does not make a target suspected, two in a row do, since a crash breaks all connections.
     constexpr double failureWeight = 0.25;
     constexpr double suspicionThreshold = 0.4;
-    constexpr double recoveryThreshold = 0.25;
+    /// Answers in a row that end a suspicion: two, and one more for each failed attempt, up to the maximum. A target that fails 40%
+    /// of its statements gives six in a row in one of twenty cases. Slow start takes some three answers more.
+    constexpr uint32_t leastAnswers = 2;
+    constexpr uint32_t mostAnswers = 6;
+    /// The pause between attempts is divided by this for each answer in a row, so that a target that has recovered gives six answers
+    /// within a third of the longest pause.
+    constexpr double pauseDivisor = 4;
     /// A target that is avoided because of some failures gets reads again after some seconds.
     constexpr Milliseconds decayTime { 2000 };
     /// Pauses between attempts at a suspected target. Eight homes with the longest pause use less than a twentieth of a target that
@@ -34,12 +39,13 @@
 {
     m_share = share(now) * (1 - failureWeight);
     m_updatedAt = now;
-    if (++m_answersInRow >= reliableAnswers)
-        m_failedProbes = 0;
-    m_nextProbeAt = std::min(m_nextProbeAt, now);
+    ++m_answersInRow;
     m_isProbing = false;
-    if (m_share < recoveryThreshold)
-        m_isSuspected = false;
+    if (m_isSuspected && m_answersInRow < std::min(leastAnswers + m_failedProbes, mostAnswers))
+        return pause(now);
+    m_isSuspected = false;
+    if (m_answersInRow >= reliableAnswers)
+        m_failedProbes = 0;
 }
 
 double FailureShare::share(Instant now) const
@@ -111,7 +117,8 @@
 {
     const double doublings = std::min(m_failedProbes, maxDoublings);
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
-    m_nextProbeAt = now + std::min(firstPause * std::exp2(doublings), longestPause) * jitter(m_random);
+    const Milliseconds pause = std::min(firstPause * std::exp2(doublings), longestPause) * std::pow(pauseDivisor, -static_cast<double>(std::min(m_answersInRow, mostAnswers)));
+    m_nextProbeAt = now + pause * jitter(m_random);
 }
 
 }
--- a/src/scheduling/ConcurrencyLimit.cpp
+++ b/src/scheduling/ConcurrencyLimit.cpp
@@ -15,20 +15,33 @@
     /// Answers after a change of the limit before latency may shrink it.
     constexpr uint32_t minSamples = 4;
     /// A single answer counts as at most this many times the usual latency.
-    constexpr double greatestRatio = 6;
-    /// The target's queue may take a quarter of the callers' objective of 200 ms: a statement of 33 ms then takes 2.5 times its usual
-    /// latency. Below the second ratio, the wait is shorter than the statement itself and more statements fit.
-    constexpr double slowRatio = 2.5;
-    constexpr double growRatio = 1.6;
-    /// Weight of an answer in the usual latency of its kind, while statements do not queue.
-    constexpr double usualWeight = 0.05;
-    /// While statements queue, the usual latency at most doubles in this time, so that it does not come to include the queue within
-    /// a burst or a fault, which last some seconds.
+    constexpr double greatestRatio = 12;
+    /// Ratios of latency above which a limit shrinks, and up to which it grows. Without queueing the ratio is about 1.25, because the
+    /// usual latency is the lowest average.
+    struct Tolerance {
+        double grow;
+        double shrink;
+    };
+    /// Within the home's share, the target's queue may take a quarter of the callers' objective of 200 ms: a statement of 33 ms then
+    /// takes 2.5 times its mean latency.
+    constexpr Tolerance withinShare { 4, 6 };
+    /// Beyond its share, a home uses what others leave, so statements must hardly wait.
+    constexpr Tolerance beyondShare { 1.5, 2 };
+    /// An answer in slow start is good up to this ratio.
+    constexpr double slowRatio = 4;
+    /// Weight of an answer in the average latency of its kind. The usual latency is the lowest average: where a statement's latency
+    /// varies by a factor of 2, it is a quarter below the mean.
+    constexpr double kindWeight = 1.0 / 16;
+    /// The usual latency at most doubles in this time, so that it does not come to include the queue within a burst or a fault, which
+    /// last some seconds.
     constexpr Milliseconds usualDoublingTime { 60'000 };
     /// Statements run in an order that the home does not choose once they are sent, so a refusal halves the limit.
     constexpr double busyFactor = 0.5;
     constexpr double failureFactor = 0.5;
     constexpr double latencyFactor = 0.7;
+    /// Answers while the limit was not in use before the limit may exceed the share: a home that starts during an overload takes the
+    /// latency of a full target for the usual one.
+    constexpr uint32_t minUnloadedAnswers = 16;
     /// Kinds are few: routes of the group, each with and without transactions and writes.
     constexpr size_t maxKinds = 256;
 
@@ -58,6 +71,7 @@
     m_limit = 1;
     m_excess = 0;
     m_samples = 0;
+    m_answersAtLimit = 0;
     m_hasReportedShrinking = false;
     m_change = reason;
 }
@@ -90,34 +104,36 @@
 {
     const double ratio = compare(answer, now);
     ++m_samples;
+    ++m_answersAtLimit;
+    m_unloadedAnswers += answer.wasLimitInUse ? 0 : 1;
     m_excess += std::max(sampleWeight, 1.0 / m_samples) * (ratio - m_excess);
     if (m_phase == PacePhase::Suspected)
         return;
-    const bool isQueueing = m_samples >= minSamples && m_excess > std::log(slowRatio);
+    const bool isBeyondShare = limit() > m_bounds.share;
+    const double tolerated = isBeyondShare ? beyondShare.shrink : withinShare.shrink;
+    const bool isQueueing = m_answersAtLimit >= minSamples && m_excess > std::log(tolerated);
     // Statements that were sent before the limit shrank say nothing of the smaller limit.
     if (isQueueing && now - answer.latency >= m_shrunkAt)
         return shrink(latencyFactor, PaceReason::Latency, now);
     grow(answer, ratio > std::log(slowRatio));
 }
 
-// A target's usual latency is an average over the answers without queueing. It follows lower latencies at once.
 double ConcurrencyLimit::compare(const AnsweredStatement& answer, Instant now)
 {
+    if (m_kinds.size() >= maxKinds && m_kinds.count(answer.kind) == 0)
+        m_kinds.clear();
+    KindLatency& kind = m_kinds[answer.kind];
     const double logarithm = std::log(std::max(answer.latency.count(), 0.1));
-    if (m_usual.size() >= maxKinds && m_usual.count(answer.kind) == 0)
-        m_usual.clear();
-    UsualLatency& usual = m_usual[answer.kind];
-    const double limit = std::log(greatestRatio);
-    const double ratio = usual.count == 0 ? 0 : std::clamp(logarithm - usual.logarithm, -limit, limit);
-    const double weight = std::max(usualWeight, 1.0 / (usual.count + 1.0));
-    const bool isQueueing = usual.count >= minSamples && m_excess > std::log(growRatio);
-    double step = usual.count == 0 ? logarithm : ratio * weight;
-    if (isQueueing)
-        step = std::min(step, std::log(2) * (now - usual.updatedAt).count() / usualDoublingTime.count());
-    usual.logarithm += step;
-    usual.updatedAt = now;
-    ++usual.count;
-    return ratio;
+    const double greatest = std::log(greatestRatio);
+    ++kind.count;
+    if (kind.count == 1)
+        kind.average = kind.usual = logarithm;
+    kind.average += std::max(kindWeight, 1.0 / kind.count) * std::min(logarithm - kind.average, greatest);
+    const bool isKnown = kind.count > minSamples;
+    const double risen = kind.usual + std::log(2) * (now - kind.updatedAt).count() / usualDoublingTime.count();
+    kind.usual = isKnown ? std::min(kind.average, risen) : kind.average;
+    kind.updatedAt = now;
+    return std::clamp(logarithm - kind.usual, -greatest, greatest);
 }
 
 void ConcurrencyLimit::grow(const AnsweredStatement& answer, bool isSlow)
@@ -134,7 +150,10 @@
         m_change = PaceReason::ReachedShare;
         return;
     }
-    if (!answer.wasLimitInUse || m_excess > std::log(growRatio))
+    const bool isBeyondShare = m_limit + 1 / m_limit > m_bounds.share;
+    const double tolerated = isBeyondShare ? beyondShare.grow : withinShare.grow;
+    const bool hasEvidence = !isBeyondShare || (m_answersAtLimit >= minSamples && m_unloadedAnswers >= minUnloadedAnswers);
+    if (!answer.wasLimitInUse || m_excess > std::log(tolerated) || !hasEvidence)
         return;
     m_limit = std::min(greatest, m_limit + 1 / m_limit);
     m_hasReportedShrinking = m_hasReportedShrinking && m_limit < m_bounds.share;
@@ -156,7 +175,7 @@
 {
     m_limit = std::max(1.0, m_limit * factor);
     m_shrunkAt = now;
-    m_samples = 0;
+    m_answersAtLimit = 0;
     m_phase = PacePhase::Steady;
     if (!std::exchange(m_hasReportedShrinking, true))
         m_change = reason;
--- a/src/scheduling/ConcurrencyLimit.h
+++ b/src/scheduling/ConcurrencyLimit.h
@@ -77,10 +77,13 @@
     std::optional<PaceReason> takeChange();
 
 private:
-    /// Logarithm of the usual latency of one kind, in milliseconds.
-    struct UsualLatency {
-        double logarithm { 0 };
+    /// Latencies of one kind, as logarithms of milliseconds.
+    struct KindLatency {
+        /// Moving average.
+        double average { 0 };
         uint32_t count { 0 };
+        /// The lowest average, which rises slowly with time.
+        double usual { 0 };
         Instant updatedAt;
     };
 
@@ -92,10 +95,14 @@
     ConcurrencyBounds m_bounds;
     double m_limit { 1 };
     PacePhase m_phase { PacePhase::SlowStart };
-    std::map<uint64_t, UsualLatency> m_usual;
-    /// Moving average of the logarithms of the ratios, over m_samples answers at most.
+    std::map<uint64_t, KindLatency> m_kinds;
+    /// Moving average of the logarithms of the ratios, over m_samples answers since the last begin().
     double m_excess { 0 };
     uint32_t m_samples { 0 };
+    /// Answers since the limit last shrank.
+    uint32_t m_answersAtLimit { 0 };
+    /// Answers while the limit was not in use.
+    uint32_t m_unloadedAnswers { 0 };
     Instant m_shrunkAt;
     bool m_hasReportedShrinking { false };
     std::optional<PaceReason> m_change;
