--- a/src/scheduling/ConcurrencyLimit.cpp
+++ b/src/scheduling/ConcurrencyLimit.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// Weight of one answer in the average ratio. Latencies vary by a factor of 2 and 3% are 7 times longer, so the average of about
-    /// eight answers stays below `slowRatio` without queueing.
+    /// eight answers stays below `beyondShare.shrink` without queueing.
     constexpr double sampleWeight = 0.125;
     /// Answers after a change of the limit before latency may shrink it.
     constexpr uint32_t minSamples = 4;
@@ -22,12 +22,13 @@
         double grow;
         double shrink;
     };
-    /// Within the home's share, the target's queue may take a quarter of the callers' objective of 200 ms: a statement of 33 ms then
-    /// takes 2.5 times its mean latency.
+    /// Eight homes that all use their shares send four statements for each slot, so latencies are four to five times the usual ones.
+    /// If single homes shrank at less, they would divide a full target unequally. At a ratio of 6, a statement of 33 ms takes the
+    /// callers' whole objective of 200 ms at the target.
     constexpr Tolerance withinShare { 4, 6 };
     /// Beyond its share, a home uses what others leave, so statements must hardly wait.
     constexpr Tolerance beyondShare { 1.5, 2 };
-    /// An answer in slow start is good up to this ratio.
+    /// An answer in slow start is good up to this ratio, which homes at their shares cause.
     constexpr double slowRatio = 4;
     /// Weight of an answer in the average latency of its kind. The usual latency is the lowest average: where a statement's latency
     /// varies by a factor of 2, it is a quarter below the mean.
