--- a/review/rig/Group.cpp
+++ b/review/rig/Group.cpp
@@ -156,6 +156,12 @@
     return m_runs;
 }
 
+std::set<std::string> Group::begun()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_begun;
+}
+
 Group::Server* Group::leader()
 {
     Server* newest = nullptr;
@@ -295,6 +301,7 @@
         }
     }
     ++server.busy;
+    m_begun.insert(statement);
     lock.unlock();
     sleepFor(m_times.work);
     lock.lock();
--- a/review/rig/Group.h
+++ b/review/rig/Group.h
@@ -49,6 +49,8 @@
     std::vector<Entry> log();
     /// Runs of each write by the statement's text, at all servers.
     std::map<std::string, int> runs();
+    /// Statements that a server has begun to run.
+    std::set<std::string> begun();
 
 private:
     struct Server {
@@ -92,6 +94,7 @@
     std::mutex m_mutex;
     std::map<std::string, Server> m_servers;
     std::map<std::string, int> m_runs;
+    std::set<std::string> m_begun;
 };
 
 }
