--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 out=../target/review
 mkdir -p "$out"
 read -ra json <<<"$(pkg-config --cflags --libs jsoncpp)"
-for program in Stale Drain Configuration; do
+for program in Stale Drain Configuration Promotion; do
     g++ -std=c++17 -O1 -Wall -Wextra -o "$out/${program,,}" "rig/$program.cpp" rig/Net.cpp rig/Store.cpp rig/Group.cpp rig/Fleet.cpp "${json[@]}" -pthread
 done
 
--- a/review/rig/Configuration.cpp
+++ b/review/rig/Configuration.cpp
@@ -82,11 +82,11 @@
     group.start(store, "i-one", "zone-a", 8701);
     group.start(store, "i-two", "zone-b", 8702);
     group.start(store, "i-three", "zone-c", 8703);
-    store.serve("cloud", host, settings.cloudPort);
     for (int n = 0; n < daemons; ++n)
         fleet.add(settings.zones[static_cast<size_t>(n) % settings.zones.size()]);
     for (auto& it : fleet.daemons()) {
         store.serve(it->name, host, fleet.storePortOf(*it));
+        store.serve(it->name, host, fleet.cloudPortOf(*it));
         fleet.start(*it);
     }
     const auto areReady = [&] {
--- a/review/rig/Fleet.cpp
+++ b/review/rig/Fleet.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -70,13 +71,12 @@
     return *m_daemons.back();
 }
 
-int Fleet::storePortOf(const Daemon& daemon) const
+int Fleet::numberOf(const Daemon& daemon) const
 {
-    for (size_t n = 0; n < m_daemons.size(); ++n) {
-        if (m_daemons[n]->name == daemon.name)
-            return m_settings.storePort + static_cast<int>(n);
-    }
-    return m_settings.storePort;
+    int number = 0;
+    while (m_daemons[static_cast<size_t>(number)]->name != daemon.name)
+        ++number;
+    return number;
 }
 
 void Fleet::start(Daemon& daemon)
@@ -117,14 +117,15 @@
     settings["bounds"]["thaw-slack-ms"] = 300;
     settings["platform"]["address"] = m_settings.storeHost + ":" + std::to_string(storePortOf(daemon));
     settings["platform"]["form"] = "table";
-    settings["cloud-api"]["address"] = m_settings.storeHost + ":" + std::to_string(m_settings.cloudPort);
+    settings["cloud-api"]["address"] = m_settings.storeHost + ":" + std::to_string(cloudPortOf(daemon));
     const std::string file = m_settings.folder + "/" + daemon.name + ".json";
     std::ofstream(file) << writeJson(settings);
     const std::string log = m_settings.folder + "/" + daemon.name + ".log";
     const std::string metrics = std::to_string(metricsPort);
-    const pid_t parent = getpid();
     daemon.process = fork();
     if (daemon.process == 0) {
+        // The daemons end with this program, also if it is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(out, 1);
         dup2(out, 2);
@@ -132,7 +133,6 @@
         execl("target/platform/parsleypaddled-platform", "target/platform/parsleypaddled-platform", "--metrics", metrics.c_str(), static_cast<char*>(nullptr));
         _exit(127);
     }
-    (void)parent;
     record("started " + daemon.name + " at " + daemon.ip + " as process " + std::to_string(daemon.process));
 }
 
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -21,7 +21,8 @@
     std::vector<std::string> zones;
     std::string storeHost;
     std::string folder;
-    int cloudPort { 8783 };
+    /// The port for promotions for the first daemon, like the store's.
+    int cloudPort { 8900 };
     /// The store's port for the first daemon; each further one has the next.
     int storePort { 8800 };
 };
@@ -40,7 +41,8 @@
     bool isReady(const Daemon&) const;
     /// The body of a page of the daemon's metrics port.
     static std::string metrics(const Daemon&);
-    int storePortOf(const Daemon&) const;
+    int storePortOf(const Daemon& daemon) const { return m_settings.storePort + numberOf(daemon); }
+    int cloudPortOf(const Daemon& daemon) const { return m_settings.cloudPort + numberOf(daemon); }
     std::vector<std::unique_ptr<Daemon>>& daemons() { return m_daemons; }
     /// Daemons that have ended by themselves.
     std::vector<std::string> ended();
@@ -48,6 +50,8 @@
     void stop();
 
 private:
+    int numberOf(const Daemon&) const;
+
     FleetSettings m_settings;
     std::string m_prefix;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
--- a/review/rig/Net.cpp
+++ b/review/rig/Net.cpp
@@ -152,6 +152,12 @@
     return bytes;
 }
 
+bool Connection::isReset() const
+{
+    char byte = 0;
+    return recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 void Connection::shutDown()
 {
     shutdown(m_descriptor, SHUT_RDWR);
--- a/review/rig/Net.h
+++ b/review/rig/Net.h
@@ -32,6 +32,8 @@
     std::optional<std::string> readLine(double timeout);
     std::optional<std::string> readBytes(size_t count, double timeout);
     bool isTimedOut() const { return m_isTimedOut; }
+    /// Whether the other end has reset the connection. Bytes that were not delivered then are lost.
+    bool isReset() const;
     /// Ends reads and writes from another thread.
     void shutDown();
 
--- a/review/rig/Stale.cpp
+++ b/review/rig/Stale.cpp
@@ -144,11 +144,11 @@
     group.start(store, "i-one", "zone-a", 8701);
     group.start(store, "i-two", "zone-b", 8702);
     group.start(store, "i-three", "zone-c", 8703);
-    store.serve("cloud", host, settings.cloudPort);
     for (const char* zone : { "zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-b", "zone-c", "zone-c", "zone-d", "zone-d" })
         fleet.add(zone);
     for (auto& it : fleet.daemons()) {
         store.serve(it->name, host, fleet.storePortOf(*it));
+        store.serve(it->name, host, fleet.cloudPortOf(*it));
         fleet.start(*it);
     }
     const auto fail = [&](const std::string& why) {
--- a/review/rig/Store.cpp
+++ b/review/rig/Store.cpp
@@ -137,6 +137,8 @@
     };
     if (isForTables && isSilent(name))
         return awaitEnd();
+    if (!isForTables && m_deliver && !m_deliver(name, connection))
+        return awaitEnd();
     sleepFor(answerTime);
     const Answer answer = process(method, target, headers, body);
     // A connection on which a response is lost delivers nothing further, until the client closes it.
--- a/review/rig/Store.h
+++ b/review/rig/Store.h
@@ -20,8 +20,12 @@
     /// Called for a promotion: service, server id, holder, token. Returns the HTTP status.
     using Promote = std::function<int(const std::string& service, const std::string& id, const std::string& holder, uint64_t token)>;
 
-    explicit Store(Promote promote)
+    /// Called before a promotion's call by the machine is carried out. Returns false if the call never arrives.
+    using Deliver = std::function<bool(const std::string& name, Connection&)>;
+
+    explicit Store(Promote promote, Deliver deliver = nullptr)
         : m_promote(std::move(promote))
+        , m_deliver(std::move(deliver))
     {
     }
 
@@ -55,6 +59,7 @@
     bool isSilent(const std::string& name);
 
     Promote m_promote;
+    Deliver m_deliver;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::pair<std::string, std::string>, Row> m_rows;
