Log and count reads that do not require the session's last commit

Callers of review/1 read an older value than their session had committed. Three causes were possible, and no log line told them apart: the daemon notes the commit under the wrong term and drops it at a change of primary; the position is lost when a statement is forwarded; or a replica answers although it lacks the position that it was asked for.

session_commit_superseded has the commit, the term under which the daemon noted it, and the position that is required in its place. Only the first cause gives a line whose commit is of the group's present term.

--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -55,6 +55,7 @@
     ++m_attempts;
     m_destination = destination;
     m_tried.insert(destination.target->entry().target.id);
+    reportSupersededCommit();
     if (destination.isPrimary) {
         m_primaryUse = std::make_unique<Use>(*this);
         m_primaryUse->setWaitingSince(m_group.loop().now());
@@ -65,6 +66,17 @@
     });
 }
 
+void RelayRun::reportSupersededCommit()
+{
+    const bool isOwnCommitRequired = m_job.route->readConsistency == ReadConsistency::ReadYourWrites && !m_job.needsPrimary() && !m_destination.isPrimary;
+    const LogMark& commit = m_job.lastCommit.mark;
+    const auto& required = m_destination.requiredMark;
+    if (!isOwnCommitRequired || commit == LogMark() || (required && !(*required < commit)))
+        return;
+    m_group.metrics().count(MetricCounter::SessionCommitsSuperseded);
+    m_group.log().write("session_commit_superseded", { { "group", m_group.id().value() }, { "commit", textOf(commit) }, { "noted_in_term", std::to_string(m_job.lastCommit.term.value()) }, { "required", required ? textOf(*required) : "" }, { "term", std::to_string(m_group.primary().term.value()) }, { "to", m_destination.target->entry().target.id.value() } });
+}
+
 WorkItem RelayRun::work() const
 {
     WorkItem work;
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -55,6 +55,7 @@
     LimitsShrunkByLatency,
     LimitsShrunkByBusy,
     LimitsShrunkByFailures,
+    SessionCommitsSuperseded,
 };
 
 /// The gauges.
