Keep a session's commits with the term of their own acknowledgement

Callers: after a change of primary, a session on a read_your_writes route read an older value than it had committed (STALE), at daemons that heard of the change late.

Cause: RelayRun and RelayTransaction noted a commit with the term that the daemon knew for the group, not with the term of the answer. A daemon that forwards its statements gets acknowledgements of the new term before it hears of it. When it heard of it, the noted term was an earlier one and the commit was no longer required. A home that received a position did the same: it took it for one of its own term.

Change: a commit is its log mark, whose term is that of the answer. Whether a later primary may have rolled it back is decided where a replica is chosen, by the term of the primary that gave the required position, not by what the daemon knows of the group. If no sample of a later primary is known, the commit stays required, and a replica that lacks it answers LAGGING.

An answer of the old primary that arrives after the change left a sample of the old term, which was taken to cover the session's commits of that term. A sample now has the term of the primary that gave it; - the session of a database that moves to another group: found. The position of one group was required in the other one's log. Commits are kept by group; - pooled sessions between daemons: keep no commits, not affected. Signed session tokens of the product's own interface hold the term of the target's answer (reply.term), not affected. Suspicions and probes compare the target's own report, not affected.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -206,13 +206,13 @@
     if (!job.route)
         return reject(RelayError::UnknownDatabase, m_database.value());
     job.sessionState = m_sessionState;
-    job.lastCommit = m_lastCommit;
+    job.lastCommit = m_commits.lastIn(job.route->group);
     job.isForwarded = m_kind == CallerKind::Peer;
     if (m_state == TransactionState::Open && !m_transaction)
         job.beginKind = m_pendingBegin;
     job.step.requiredMark.reset();
     if (const auto requiredMark = std::exchange(m_requiredMark, std::nullopt); requiredMark && job.isForwarded)
-        job.lastCommit = { m_relay.primaryTermOf(job.route->group), *requiredMark };
+        job.lastCommit = requiredMark;
     job.arrived = m_relay.now();
     const auto forwardedFor = std::exchange(job.step.forwardedFor, std::nullopt);
     // Waiting beyond the time-out makes no difference, and bounds what a wrong value can do.
@@ -236,10 +236,10 @@
 void CallerSession::sendAdmitted(RelayJob job)
 {
     job.requester = weak_from_this();
-    job.done = [weak = weak_from_this(), endsTransaction = job.step.kind == RelayKind::Commit](RelayResult result) {
+    job.done = [weak = weak_from_this(), route = job.route, endsTransaction = job.step.kind == RelayKind::Commit](RelayResult result) {
         auto self = weak.lock();
         if (self)
-            self->statementFinished(std::move(result), endsTransaction);
+            self->statementFinished(*route, std::move(result), endsTransaction);
         else if (result.transaction)
             result.transaction->rollBack();
     };
@@ -249,13 +249,13 @@
     m_relay.run(std::move(job));
 }
 
-void CallerSession::statementFinished(RelayResult result, bool endsTransaction)
+void CallerSession::statementFinished(const Route& route, RelayResult result, bool endsTransaction)
 {
     if (result.transaction)
         m_transaction = std::move(result.transaction);
     // The session of a peer serves several callers in turn; the peer itself keeps each caller's last commit.
     if (result.committed && m_kind == CallerKind::Caller)
-        m_lastCommit = *result.committed;
+        m_commits.add(route.group, *result.committed);
     if (endsTransaction) {
         m_transaction.reset();
         m_state = TransactionState::Idle;
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/Relay.h"
+#include "relay/SessionCommits.h"
 
 #include <deque>
 #include <memory>
@@ -84,7 +85,7 @@
     void refuseIdentity(const RelayJob&, const StatementIdentity&);
     void rejectStatement(const RelayJob&, RelayError, std::string_view why);
     void endUnauthorized();
-    void statementFinished(RelayResult, bool endsTransaction);
+    void statementFinished(const Route&, RelayResult, bool endsTransaction);
     void dropTransaction();
     void replySuccess();
     void reject(RelayError, std::string_view why);
@@ -98,7 +99,7 @@
     CallerKind m_kind;
     CallerPort* m_port;
     std::shared_ptr<const CallerSessionState> m_sessionState { std::make_shared<CallerSessionState>() };
-    SessionCommit m_lastCommit;
+    SessionCommits m_commits;
     TransactionState m_state { TransactionState::Idle };
     /// The BEGIN of the open transaction, set until the transaction's first statement is sent.
     std::optional<RelayKind> m_pendingBegin;
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -40,8 +40,6 @@
     /// How long an open transaction may stay idle before it is rolled back.
     Milliseconds transactionIdleTimeout() const { return m_routes->transactionIdleTimeout; }
     RelayGroup* findGroup(const GroupId&);
-    /// The term of the group's primary as known to this daemon.
-    Term primaryTermOf(const GroupId& group) { return findOrCreateGroup(group).primary().term; }
 
     /// Decides in whose name statements run.
     CallerIdentification& identification() { return m_identification; }
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -206,11 +206,7 @@
 {
     if (job.route->readConsistency == ReadConsistency::Primary)
         return std::nullopt;
-    auto required = m_logHistory.requiredMark(m_loop.now(), job.route->greatestAge);
-    if (!required || job.route->readConsistency == ReadConsistency::BoundedStaleness || job.lastCommit.term == Term())
-        return required;
-    // After a change of primary, every log mark of the new term covers the commits of the session that survived.
-    return job.lastCommit.term == m_primary.term ? std::max(*required, job.lastCommit.mark) : required;
+    return m_logHistory.requiredMark(m_loop.now(), job.route->greatestAge, job.requiredCommit());
 }
 
 std::optional<StatementDestination> RelayGroup::chooseDestination(const RelayJob& job, const std::set<TargetId>& tried)
@@ -326,8 +322,8 @@
     auto target = peerTarget(job.route->database, *entry);
     if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
         return std::nullopt;
-    const bool mustSeeLastCommit = job.route->readConsistency == ReadConsistency::ReadYourWrites && job.lastCommit.term != Term() && job.lastCommit.term == m_primary.term;
-    return StatementDestination { std::move(target), mustSeeLastCommit ? std::make_optional(job.lastCommit.mark) : std::nullopt, false, peer };
+    // The home may know a later term than this daemon, and decides whether the commit may have been rolled back.
+    return StatementDestination { std::move(target), job.requiredCommit(), false, peer };
 }
 
 std::shared_ptr<RelayTarget> RelayGroup::peerTarget(const DatabaseId& database, const InstanceEntry& peer)
--- a/src/relay/RelayJob.h
+++ b/src/relay/RelayJob.h
@@ -13,20 +13,13 @@
 
 class RelayTransaction;
 
-/// The last commit of a session. It applies within its term only: after a change of primary, the commits that survived
-/// are part of the new primary's log when its term begins.
-struct SessionCommit {
-    Term term;
-    LogMark mark;
-};
-
 /// The outcome of a statement.
 struct RelayResult {
     RelayAnswer answer;
     /// The transaction that the statement opened, unless it has ended.
     std::shared_ptr<RelayTransaction> transaction;
     /// Log mark of the commit that the statement made, if any.
-    std::optional<SessionCommit> committed;
+    std::optional<LogMark> committed;
 };
 
 /// A statement to be sent to a target, with the session state that it needs.
@@ -47,7 +40,9 @@
     /// Begin or BeginRead if the statement is the first of a transaction; unset otherwise.
     std::optional<RelayKind> beginKind;
     std::shared_ptr<const CallerSessionState> sessionState;
-    SessionCommit lastCommit;
+    /// The last commit of the session in the route's group. Its term is that of the answer that acknowledged it, which this daemon may
+    /// not know as the group's term yet.
+    std::optional<LogMark> lastCommit;
     /// Whether another daemon forwarded the statement. It is not forwarded a second time.
     bool isForwarded { false };
     Instant arrived;
@@ -70,6 +65,12 @@
         return mayWrite || route->readConsistency == ReadConsistency::Primary;
     }
 
+    /// The commit that a read must see; nullopt if its route does not ask for the session's own commits.
+    std::optional<LogMark> requiredCommit() const
+    {
+        return route->readConsistency == ReadConsistency::ReadYourWrites ? lastCommit : std::nullopt;
+    }
+
     StatementKind kind() const { return { route->database, needsPrimary() }; }
 };
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -68,13 +68,13 @@
 
 void RelayRun::reportSupersededCommit()
 {
-    const bool isOwnCommitRequired = m_job.route->readConsistency == ReadConsistency::ReadYourWrites && !m_job.needsPrimary() && !m_destination.isPrimary;
-    const LogMark& commit = m_job.lastCommit.mark;
+    const auto commit = m_job.requiredCommit();
     const auto& required = m_destination.requiredMark;
-    if (!isOwnCommitRequired || commit == LogMark() || (required && !(*required < commit)))
+    const bool isReplicaRead = !m_job.needsPrimary() && !m_destination.isPrimary;
+    if (!commit || !isReplicaRead || (required && !(*required < *commit)))
         return;
     m_group.metrics().count(MetricCounter::SessionCommitsSuperseded);
-    m_group.log().write("session_commit_superseded", { { "group", m_group.id().value() }, { "commit", textOf(commit) }, { "noted_in_term", std::to_string(m_job.lastCommit.term.value()) }, { "required", required ? textOf(*required) : "" }, { "term", std::to_string(m_group.primary().term.value()) }, { "to", m_destination.target->entry().target.id.value() } });
+    m_group.log().write("session_commit_superseded", { { "group", m_group.id().value() }, { "commit", textOf(*commit) }, { "required", required ? textOf(*required) : "" }, { "term", std::to_string(m_group.primary().term.value()) }, { "to", m_destination.target->entry().target.id.value() } });
 }
 
 WorkItem RelayRun::work() const
@@ -272,9 +272,9 @@
         return;
     if (m_destination.isPrimary)
         m_group.observer().primaryAnswered(m_group.id());
-    m_group.logHistory().addSample(m_sentAt, *answer.mark);
+    m_group.logHistory().addSample(m_sentAt, m_primaryUse ? m_primaryUse->term() : answer.mark->term, *answer.mark);
     if (m_job.isWrite && !m_job.beginKind)
-        m_result.committed = SessionCommit { m_group.primary().term, *answer.mark };
+        m_result.committed = answer.mark;
 }
 
 TransactionDestination RelayRun::transactionDestination() const
