Watches of the platform wait no longer than the promised times allow

Callers: after a moment in which the platform's store left some daemons without responses, these daemons kept an old configuration in force for up to 8.4 s (CONFIG): NODB for an added database, reads on a dropped one.

Cause: the response that reported the change was lost, and nothing but the watch's own time-out shows that: 7.5 s of waiting and 0.9 s for the call, more than config-apply-ms (3 s). Other calls are answered all the while, so no call fails and none is "answered again".

Evidence: platform_call_failed, "GET /rows-feed?table=op" with after_ms 8400 on each daemon that is late, and configuration_in_force after it. Ruled out by the logs: a response that is rejected (no configuration_malformed or configuration_ignored), a path through another daemon (the call went to the platform's address), and keep-alive, which the store's machine answers.

Change: the time that a watch may wait follows from the promise, less the call's time-out, the retry and the delivery (src/directory/WatchTimes): config-apply-ms and the limit of withdrawn keys for the configuration, drain-ms for the targets. A watch that is sent again because the platform is back does not wait, so the table is known as of now.

The same cause on related paths: - the target list: found. 8.4 s are more than drain-ms (7 s); bounded the same way; - the control table: found. A daemon that missed a record held up the change until its lease had expired. The rejection of its next renewal shows that the epoch has passed, and now sends the watch again; - withdrawn keys: found. Any answered call, such as a renewal, confirmed the configuration. Only answers to requests for the configuration do now, and a source tells their age in its grants (an older one does not, and is read as before); - subscriptions between daemons: a lost message ends the channel's order, and renewals show it after 1.8 s; tested with a response that all sources lose, not found; - limits of organisations come with the configuration; leases are read again every 5 s with a time-out of 0.9 s: not found; - by reading, not mended: a subscriber leaves a source that has lost the platform after 3.5 s, which is more than a bound of 3 s. Deployments with that bound have no subscribers.

The distribution fixture's watch of the configuration now waits as the daemon's does; no assertion changed but that the age in ConfirmationAgeTests is the daemon's new one, which is stricter.

--- a/src/directory/TableWatch.cpp
+++ b/src/directory/TableWatch.cpp
@@ -1,13 +1,8 @@
 #include "directory/TableWatch.h"
 
-namespace parsleypaddle {
-
-namespace {
-
-    /// Delay before the retry of a failed call. It is short because changes have to take effect within seconds.
-    constexpr Milliseconds retryDelay { 300 };
+#include "directory/WatchTimes.h"
 
-}
+namespace parsleypaddle {
 
 TableWatch::TableWatch(EventLoop& loop, PlatformRows& platform, std::string table, Milliseconds watchTimeout, Changed changed, ReachabilityChanged reachabilityChanged)
     : m_loop(loop)
@@ -24,10 +19,11 @@
     sendRequest();
 }
 
+// The request that takes its place is answered at once, so that the table is known as of now.
 void TableWatch::replaceOlderRequest(Instant answeredCallSentAt)
 {
     if (m_requestSentAt && *m_requestSentAt < answeredCallSentAt)
-        sendRequest();
+        sendRequest(Milliseconds(0));
 }
 
 void TableWatch::beginEra(PlatformEra era)
@@ -39,10 +35,15 @@
 }
 
 void TableWatch::sendRequest()
+{
+    sendRequest(m_watchTimeout);
+}
+
+void TableWatch::sendRequest(Milliseconds wait)
 {
     m_requestSentAt = std::make_shared<Instant>(m_loop.now());
     if (m_isHistoryAvailable)
-        watchChanges();
+        watchChanges(wait);
     else
         readTable();
 }
@@ -55,7 +56,7 @@
         reportReachability(answer.status());
         // An answer of an earlier era may arrive late.
         if (!answer.ok() || answer->version < m_version)
-            return sendRequestAfter(retryDelay);
+            return sendRequestAfter(watchRetryDelay);
         m_rows.clear();
         for (const auto& it : answer->rows)
             m_rows[it.key] = it;
@@ -67,14 +68,14 @@
     });
 }
 
-void TableWatch::watchChanges()
+void TableWatch::watchChanges(Milliseconds wait)
 {
-    m_platform.watch(m_table, m_version, m_watchTimeout, [this, request = std::weak_ptr<Instant>(m_requestSentAt)](const absl::StatusOr<RowsAnswer>& answer) {
+    m_platform.watch(m_table, m_version, wait, [this, request = std::weak_ptr<Instant>(m_requestSentAt)](const absl::StatusOr<RowsAnswer>& answer) {
         if (request.expired())
             return;
         reportReachability(answer.status());
         if (!answer.ok())
-            return sendRequestAfter(retryDelay);
+            return sendRequestAfter(watchRetryDelay);
         if (answer->isHistoryLost) {
             m_isHistoryAvailable = false;
             return sendRequest();
--- a/src/directory/TableWatch.h
+++ b/src/directory/TableWatch.h
@@ -43,8 +43,10 @@
 
 private:
     void sendRequest();
+    /// `wait`: how long the platform may hold a watch request open.
+    void sendRequest(Milliseconds wait);
     void readTable();
-    void watchChanges();
+    void watchChanges(Milliseconds wait);
     void sendRequestAfter(Milliseconds delay);
     void reportReachability(const absl::Status&);
     void applyRow(const StoredRow&);
--- a/src/distribution/ConfirmationAgeTests.cpp
+++ b/src/distribution/ConfirmationAgeTests.cpp
@@ -9,7 +9,7 @@
 /// Time since anything confirmed the configuration to the daemon, as the platform's daemon computes it.
 Milliseconds ageAt(const DistributionDaemon& daemon)
 {
-    return std::min(daemon.sharedRows.confirmationAge(), daemon.lease.platformAge().value_or(daemon.sharedRows.confirmationAge()));
+    return daemon.sharedRows.confirmationAge();
 }
 
 /// The highest age at any of the daemons during the time.
@@ -31,7 +31,7 @@
 }
 
 // With revoke-fail-closed, a daemon refuses organisations beyond the limit. Subscribers call the platform only to find a source, and
-// holders' watches are answered every 7.5 s.
+// holders' watches of the configuration are answered in less than that time.
 TEST_CASE("while the platform is reached, holders and subscribers alike have the configuration confirmed within the limit", "[distribution]")
 {
     DistributionFixture fixture(24, 2);
@@ -47,10 +47,44 @@
         it->rows.isCut = true;
     fixture.run(confirmationLimit.count() + 50);
     for (const auto& it : fixture.daemons)
-        CHECK(ageAt(*it) > confirmationLimit);
+        CHECK(ageAt(*it).count() > confirmationLimit.count());
     for (const auto& it : fixture.daemons)
         it->rows.isCut = false;
     fixture.run(3000);
     for (const auto& it : fixture.daemons)
-        CHECK(ageAt(*it) < confirmationLimit);
+        CHECK(ageAt(*it).count() < confirmationLimit.count());
+}
+
+// Guards against withdrawn keys that stay in use: the renewals of the lease were answered while the response that reported a new configuration
+// was lost, and the daemon took the configuration for confirmed.
+TEST_CASE("answers to other calls do not confirm the configuration", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    fixture.run(10'000);
+    for (const auto& it : fixture.daemons)
+        it->rows.losesWatchAnswers = true;
+    fixture.run(confirmationLimit.count() + 50);
+    for (const auto& it : fixture.daemons)
+        CHECK(ageAt(*it).count() > confirmationLimit.count());
+    for (const auto& it : fixture.daemons)
+        it->rows.losesWatchAnswers = false;
+    fixture.run(testConfigurationBound.count());
+    for (const auto& it : fixture.daemons)
+        CHECK(ageAt(*it).count() < confirmationLimit.count());
+}
+
+// Guards against old configurations in force: a lost response to a source's watch left its subscribers with the old version, too.
+TEST_CASE("a configuration whose response to all sources is lost reaches every daemon within its bound", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    fixture.run(10'000 + GENERATE(0, 700, 1400, 2100, 2800));
+    for (const auto& it : fixture.daemons)
+        it->rows.losesWatchAnswers = true;
+    fixture.tables.put(testConfigurationTable, testConfigurationKey, "1");
+    fixture.run(100);
+    for (const auto& it : fixture.daemons)
+        it->rows.losesWatchAnswers = false;
+    fixture.run(testConfigurationBound.count() - 100);
+    for (const auto& it : fixture.daemons)
+        CHECK(it->configuration == 1);
 }
--- a/src/distribution/DistributionFaultTests.cpp
+++ b/src/distribution/DistributionFaultTests.cpp
@@ -75,7 +75,7 @@
 {
     DistributionFixture fixture(1, 1);
     DistributionDaemon& daemon = *fixture.daemons[0];
-    SharedRows rows(fixture.loop, daemon.rows, daemon.log, { controlTable });
+    SharedRows rows(fixture.loop, daemon.rows, daemon.log, controlTable, {});
     FakeRows platform(fixture.loop, fixture.tables);
     InstanceLease lease(fixture.loop, platform, InstanceId("other"), "first", {});
     struct Connector final : PeerConnector {
--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -19,6 +19,8 @@
 /// Table with the configuration of the tests, one row whose value is a number that grows.
 inline constexpr const char* testConfigurationTable = "configuration";
 inline constexpr const char* testConfigurationKey = "newest";
+/// Within which a configuration must be in force.
+inline constexpr Milliseconds testConfigurationBound { 5000 };
 
 class DistributionDaemon;
 
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -1,5 +1,7 @@
 #include "distribution/DistributionFixture.h"
 
+#include "directory/WatchTimes.h"
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -24,7 +26,7 @@
     , loop(shared)
     , rows(loop, tables)
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
-    , sharedRows(loop, rows, log, { testConfigurationTable, controlTable, leaseTable })
+    , sharedRows(loop, rows, log, testConfigurationTable, { controlTable, leaseTable })
     , lease(loop, rows, InstanceId(name), incarnation, { FailureDomainId(domain), name, 1, 2, 3, 0.12 })
     , leaseMonitor(loop, rows, sharedRows, InstanceId(name))
     , service(loop, sharedRows, lease, log)
@@ -37,7 +39,7 @@
               lease.confirmEpoch(version, era.isPresent(version) ? InstanceLease::EpochOrigin::PresentEra : InstanceLease::EpochOrigin::Copy); },
           [](const absl::Status&) {})
     , configurationWatch(
-          loop, sharedRows, testConfigurationTable, Milliseconds(7500), [this](const TableWatch::Rows& it) {
+          loop, sharedRows, testConfigurationTable, watchHoldTime(testConfigurationBound), [this](const TableWatch::Rows& it) {
               auto newest = it.find(testConfigurationKey);
               const int number = newest == it.end() ? 0 : std::stoi(newest->second.value);
               hasGoneBack = hasGoneBack || number < configuration;
--- a/src/distribution/SharedRows.cpp
+++ b/src/distribution/SharedRows.cpp
@@ -4,13 +4,16 @@
 
 namespace parsleypaddle {
 
-SharedRows::SharedRows(EventLoop& loop, PlatformRows& platform, DecisionLog& log, const std::vector<std::string>& tables)
+SharedRows::SharedRows(EventLoop& loop, PlatformRows& platform, DecisionLog& log, std::string configurationTable, const std::vector<std::string>& otherTables)
     : m_loop(loop)
     , m_platform(platform)
     , m_log(log)
+    , m_configurationTable(std::move(configurationTable))
     , m_platformAnsweredAt(loop.now())
+    , m_configurationConfirmedAt(loop.now())
 {
-    for (const auto& it : tables)
+    m_copies[m_configurationTable];
+    for (const auto& it : otherTables)
         m_copies[it];
 }
 
@@ -104,10 +107,17 @@
         m_platform.watch(pending.request.table, pending.request.after, pending.wait, std::move(done));
 }
 
+void SharedRows::notePlatformAnswer(const std::string& table)
+{
+    m_platformAnsweredAt = m_loop.now();
+    if (table == m_configurationTable)
+        m_configurationConfirmedAt = m_loop.now();
+}
+
 void SharedRows::applyPlatformAnswer(const TableRequest& request, const absl::StatusOr<RowsAnswer>& answer)
 {
     if (answer.ok()) {
-        m_platformAnsweredAt = m_loop.now();
+        notePlatformAnswer(request.table);
         updateCopy(request, *answer);
     } else if (m_way != Way::Platform) {
         // The request was also sent to the source that is used now.
@@ -184,8 +194,10 @@
                 applyRefresh(table, true, whole);
         });
     m_copies[table].isRefreshing = false;
-    if (answer.ok())
-        updateCopy({ 0, table, RowVersion(), isWhole }, *answer);
+    if (!answer.ok())
+        return;
+    notePlatformAnswer(table);
+    updateCopy({ 0, table, RowVersion(), isWhole }, *answer);
 }
 
 }
--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -19,7 +19,8 @@
 class SharedRows final : public PlatformRows {
 public:
     /// Until usePlatform() or useSource() is called, reads wait.
-    SharedRows(EventLoop&, PlatformRows& platform, DecisionLog&, const std::vector<std::string>& tables);
+    /// `configurationTable` and `otherTables` are the distributed ones.
+    SharedRows(EventLoop&, PlatformRows& platform, DecisionLog&, std::string configurationTable, const std::vector<std::string>& otherTables);
 
     void readAll(const std::string& table, RowsDone) override;
     void watch(const std::string& table, RowVersion after, Milliseconds wait, RowsDone) override;
@@ -49,10 +50,11 @@
     /// Time since the platform last answered this daemon.
     Milliseconds platformAge() const { return m_loop.now() - m_platformAnsweredAt; }
 
-    /// Notes that the source reached the platform at the given time.
-    void confirmThroughSource(Instant platformAnsweredAt) { m_sourceConfirmedAt = std::max(m_sourceConfirmedAt, platformAnsweredAt); }
-    /// Time since the platform last answered this daemon or its source: changes made before are known here, or on their way.
-    Milliseconds confirmationAge() const { return m_loop.now() - std::max(m_platformAnsweredAt, m_sourceConfirmedAt); }
+    /// Notes that the platform answered the source's request for the configuration at the given time.
+    void confirmThroughSource(Instant answeredAt) { m_configurationConfirmedAt = std::max(m_configurationConfirmedAt, answeredAt); }
+    /// Time since the platform last answered a request for the configuration of this daemon or its source: changes made before are known
+    /// here, or on their way. An answer to another call says nothing, because the response that reports a change may be lost.
+    Milliseconds confirmationAge() const { return m_loop.now() - m_configurationConfirmedAt; }
 
 private:
     enum class Way {
@@ -77,6 +79,7 @@
     void dispatch(const Pending&);
     void dispatchAll(const std::string& except);
     void complete(uint64_t id, const absl::StatusOr<RowsAnswer>&);
+    void notePlatformAnswer(const std::string& table);
     void applyPlatformAnswer(const TableRequest&, const absl::StatusOr<RowsAnswer>&);
     void updateCopy(const TableRequest&, const RowsAnswer&);
     void refresh(const std::string& table, Copy&);
@@ -85,6 +88,7 @@
     EventLoop& m_loop;
     PlatformRows& m_platform;
     DecisionLog& m_log;
+    std::string m_configurationTable;
     Way m_way { Way::None };
     /// The only table that is read now; empty for all.
     std::string m_firstTable;
@@ -93,7 +97,7 @@
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastId { 0 };
     Instant m_platformAnsweredAt;
-    Instant m_sourceConfirmedAt;
+    Instant m_configurationConfirmedAt;
     std::function<void(const std::string&)> m_copyChanged { [](const std::string&) {} };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -237,7 +237,7 @@
     scheduleRenewal(message.platformAge);
     if (!isGranted)
         renewAfter(shortRenewInterval);
-    m_rows.confirmThroughSource(sentAt - message.platformAge);
+    m_rows.confirmThroughSource(sentAt - message.configurationAge.value_or(message.platformAge));
     m_link->isStale = message.platformAge > maxPlatformAge;
     if (m_link->isStale && message.newHolder)
         addCandidate(*message.newHolder);
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -193,6 +193,8 @@
         value["number"] = Json::UInt64(message.number);
         value["duration_ms"] = message.duration.count();
         value["platform_age_ms"] = message.platformAge.count();
+        if (message.configurationAge)
+            value["configuration_age_ms"] = message.configurationAge->count();
         if (!message.newHolder)
             return;
         Json::Value& holder = value["new_holder"];
@@ -282,6 +284,8 @@
         message.number = fields.number("number");
         message.duration = Milliseconds(fields.real("duration_ms"));
         message.platformAge = Milliseconds(fields.real("platform_age_ms"));
+        if (fields.has("configuration_age_ms"))
+            message.configurationAge = Milliseconds(fields.real("configuration_age_ms"));
         if (!value.isMember("new_holder"))
             return checked(fields, message);
         const Json::Value& holder = value["new_holder"];
--- a/src/distribution/SourceMessages.h
+++ b/src/distribution/SourceMessages.h
@@ -71,6 +71,8 @@
     Milliseconds platformAge;
     /// A daemon that has recently left this source to hold a row itself.
     std::optional<LeaseMember> newHolder {};
+    /// Time since the platform last answered the source's request for the configuration; unset if the source does not tell.
+    std::optional<Milliseconds> configurationAge {};
 };
 
 /// Source: it does not serve subscribers, or is about to stop.
--- a/src/distribution/SourceService.cpp
+++ b/src/distribution/SourceService.cpp
@@ -128,6 +128,7 @@
     const Milliseconds duration = m_lease.grant(subscriber->instance, subscriber->incarnation, message.epoch, message.sessions);
     const Milliseconds age = std::min(m_rows.platformAge(), m_lease.platformAge().value_or(m_rows.platformAge()));
     GrantMessage answer { message.number, duration, age };
+    answer.configurationAge = m_rows.confirmationAge();
     if (m_loop.now() < m_newHolderUntil)
         answer.newHolder = m_newHolder;
     subscriber->send(answer);
--- a/src/failover/FailoverFaultTests.cpp
+++ b/src/failover/FailoverFaultTests.cpp
@@ -58,6 +58,23 @@
     CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") == 3);
 }
 
+// Guards against an interruption: a daemon that missed the record of a change, because the response that reported it was lost, held up the
+// change until its lease had expired.
+TEST_CASE("a daemon that misses the record of a change hears of it when its lease is not renewed", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    fixture.daemons[2]->rows.losesWatchAnswers = true;
+    fixture.setLeaving("one");
+    fixture.run(200);
+    fixture.daemons[2]->rows.losesWatchAnswers = false;
+    // The interval of renewals is 1.2 s, and a change takes about a second.
+    fixture.run(2800);
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+    CHECK(fixture.write(2) == RelayError::None);
+    CHECK(fixture.daemons[2]->lease.isValid());
+}
+
 TEST_CASE("under random faults no replaced primary acknowledges a write, and fencing tokens do not decrease", "[failover]")
 {
     const auto seed = GENERATE(range(1U, 31U));
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -74,6 +74,10 @@
 {
     rows.onEraChanged([this](PlatformEra era) { controlWatch.beginEra(era); });
     rows.onReachedAgain([this](Instant sent) { controlWatch.replaceOlderRequest(sent); });
+    lease.onEpochPassed([this](RowVersion epoch, Instant sentAt) {
+        if (epoch > controlWatch.version())
+            controlWatch.replaceOlderRequest(sentAt);
+    });
 }
 
 FailoverFixture::FailoverFixture(size_t n, double listDelay)
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -299,10 +299,10 @@
             return renew();
         return scheduleRenewal(renewInterval());
     }
-    applyRejection(*answer);
+    applyRejection(*answer, sentAt);
 }
 
-void InstanceLease::applyRejection(const TransactionAnswer& answer)
+void InstanceLease::applyRejection(const TransactionAnswer& answer, Instant sentAt)
 {
     RowVersion rowVersion;
     RowVersion epoch;
@@ -314,6 +314,8 @@
     }
     if (!std::exchange(m_isRejectionReported, true) && m_onRenewalRejected)
         m_onRenewalRejected({ m_epoch, epoch, m_rowVersion, rowVersion });
+    if (epoch > m_epoch && m_onEpochPassed)
+        m_onEpochPassed(epoch, sentAt);
     const bool isRowChanged = rowVersion != m_rowVersion;
     m_rowVersion = rowVersion;
     // This daemon's row has changed if, for example, an earlier renewal was applied but its answer was lost. Then the renewal is
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -111,6 +111,10 @@
     /// Sets the function that is called for the first rejection after a renewal that was applied.
     void onRenewalRejected(std::function<void(const RenewalRejection&)> callback) { m_onRenewalRejected = std::move(callback); }
 
+    /// Sets the function that is called at each rejection of a renewal whose epoch has passed, with the present version of the epoch row and
+    /// the time at which the renewal was sent. The control table has changed, and this daemon may not have received the change.
+    void onEpochPassed(std::function<void(RowVersion epoch, Instant sentAt)> callback) { m_onEpochPassed = std::move(callback); }
+
     /// Calls onValidityChanged's function if the validity has changed.
     void reportValidity();
 
@@ -122,7 +126,7 @@
     void renew();
     bool isWaitingForMembers();
     void scheduleRenewal(Milliseconds);
-    void applyRejection(const TransactionAnswer&);
+    void applyRejection(const TransactionAnswer&, Instant sentAt);
     void applyRenewalAnswer(const absl::StatusOr<TransactionAnswer>&, Instant sentAt, Milliseconds duration, RowVersion epoch);
     bool mustConfirmEra() const;
     void deleteRow(std::function<void()> done);
@@ -163,6 +167,7 @@
     std::function<void(bool)> m_onChange;
     std::function<void()> m_onEpochConfirmed;
     std::function<void(const RenewalRejection&)> m_onRenewalRejected;
+    std::function<void(RowVersion, Instant)> m_onEpochPassed;
     bool m_isRejectionReported { false };
     std::function<uint32_t()> m_sessionCounter;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -213,11 +213,15 @@
     }
     auto watch = std::make_shared<Watch>();
     watch->done = std::move(done);
+    const Instant timeoutAt = m_loop.now() + wait + callTimeout;
     watch->notified = std::make_shared<std::function<void()>>();
-    const auto answer = [this, table, after, weak = std::weak_ptr<bool>(m_alive)](const std::shared_ptr<Watch>& it) {
+    const auto answer = [this, table, after, timeoutAt, weak = std::weak_ptr<bool>(m_alive)](const std::shared_ptr<Watch>& it) {
         if (weak.expired())
             return;
-        if (auto function = std::exchange(it->done, nullptr))
+        auto function = std::exchange(it->done, nullptr);
+        if (function && losesWatchAnswers)
+            m_loop.after(timeoutAt - m_loop.now(), [function] { function(noAnswer()); });
+        else if (function)
             m_loop.after(callTime, [this, table, after, weak, function] {
                 if (weak.expired())
                     return;
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -87,6 +87,8 @@
     bool isCut { false };
     /// Transactions are applied, and their answers are lost.
     bool losesAnswers { false };
+    /// The answers to watches are lost, also to those that wait already. Other calls are answered.
+    bool losesWatchAnswers { false };
     /// Transactions are applied so much later, if their conditions still hold then, and their answers are lost.
     Milliseconds appliesLate;
     /// Bandwidth of the daemon's link, over which answers arrive one after the other; 0 for unlimited.
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -45,7 +45,7 @@
         { "parsleypaddle_session_commits_superseded_total", "Reads of sessions sent without the session's last commit as a requirement" },
     } };
 
-    constexpr std::array<MetricInfo, 8> gaugeInfos { {
+    constexpr std::array<MetricInfo, 9> gaugeInfos { {
         { "parsleypaddle_configuration_version", "Version of the configuration in force here" },
         { "parsleypaddle_requests_in_flight", "Requests of callers without an answer yet" },
         { "parsleypaddle_target_connections", "Open connections to targets" },
@@ -54,6 +54,7 @@
         { "parsleypaddle_is_holder", "1 while this daemon holds a row of the lease table" },
         { "parsleypaddle_subscribers", "Daemons that receive the platform's tables from this one" },
         { "parsleypaddle_platform_era", "How often the platform's tables have returned from a copy, as the platform counts it" },
+        { "parsleypaddle_configuration_confirmation_age_milliseconds", "Time since the platform answered a request for the configuration of this daemon or its source" },
     } };
 
     const prometheus::Histogram::BucketBoundaries& bucketBoundaries()
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -68,6 +68,7 @@
     IsHolder,
     Subscribers,
     PlatformEra,
+    ConfigurationConfirmationAge,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
