A call for a promotion cannot arrive after a later one

Callers: after a change of primary, writes that had been acknowledged were rolled back (ONE), when the daemon that carried out the change had been cut off from the platform while its call for the promotion was on its way.

Cause: two parts. The call was given up by closing its socket, and the kernel goes on sending what a closed connection has not delivered. And the daemon gave the candidate up after 3 s and ordered another one with a higher token, although the call could still arrive; the platform does not check tokens.

Ruled out: a second owner (both calls are of one daemon), and a record that was written twice (its versions rise).

A call whose time is over when its thread is ready to send is not sent (src/platform_http). - A candidate is given up only when the platform has answered the last call for it (promoted, or not running), and no sooner than 3 s after it was accepted. Calls are repeated with the same token until then. - A call is withdrawn at the end of the owner's lease, before another daemon can take over the change, and is not sent if less time is left than a promotion takes.

--- a/src/failover/FailoverFaultTests.cpp
+++ b/src/failover/FailoverFaultTests.cpp
@@ -131,6 +131,51 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against a change of primary that undoes a later one: a call for a promotion that was held up on its way arrived after another
+// candidate had been promoted under a higher token, and acknowledged writes were rolled back.
+TEST_CASE("a held-up call for a promotion never arrives after one with a higher token", "[failover]")
+{
+    const Milliseconds heldUpFor(GENERATE(1600, 2900, 3600, 6200, 9000));
+    CAPTURE(heldUpFor.count());
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    fixture.promotions.answersAtOnce = GENERATE(false, true);
+    CAPTURE(fixture.promotions.answersAtOnce);
+    fixture.promotions.heldUpFor = heldUpFor;
+    fixture.setLeaving("one");
+    fixture.runWithTraffic(4500);
+    fixture.promotions.heldUpFor = Milliseconds(0);
+    fixture.runWithTraffic(12'000);
+    CHECK(fixture.promotions.requests.size() >= 2);
+    CHECK(fixture.promotions.areFencingTokensOrdered());
+    CHECK(fixture.promotions.newestTerm == Term(2));
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.staleWrites == 0);
+}
+
+// Guards against the same from another daemon: the next owner of a change orders a promotion once the lease of the one before has expired.
+TEST_CASE("calls for a promotion are withdrawn before another daemon can take over the change", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    fixture.promotions.heldUpFor = Milliseconds(100'000);
+    std::vector<PromotionRequest> sent;
+    fixture.promotions.onSent = [&sent](const PromotionRequest& it) { sent.push_back(it); };
+    fixture.setLeaving("one");
+    fixture.run(2000);
+    REQUIRE_FALSE(sent.empty());
+    const InstanceId first = sent.front().leaseHolder;
+    fixture.daemons[static_cast<size_t>(first.value().back() - '0')]->rows.isCut = true;
+    fixture.run(15'000);
+    const auto next = std::find_if(sent.begin(), sent.end(), [&first](const PromotionRequest& it) { return it.leaseHolder != first; });
+    REQUIRE(next != sent.end());
+    for (const auto& it : sent) {
+        CHECK(it.at < it.until);
+        if (it.leaseHolder == first)
+            CHECK(it.until < next->at);
+    }
+}
+
 // The daemon has not seen that the change which it owned has ended, and that the primary was used again before the next change began.
 TEST_CASE("a daemon that takes over a later change waits for the leases again", "[failover]")
 {
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -3,6 +3,7 @@
 #include "leases/Epoch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleypaddle {
 
@@ -28,15 +29,29 @@
 
 }
 
-void FakePromotions::promote(const GroupId&, const TargetId& target, const InstanceId& leaseHolder, RowVersion fencingToken, Done done)
+void FakePromotions::promote(const GroupId&, const TargetId& target, const InstanceId& leaseHolder, RowVersion fencingToken, Instant until, Done done)
 {
-    requests.push_back({ target, leaseHolder, fencingToken, m_loop.now() });
-    if (m_targets[target].isDown) {
+    const PromotionRequest request { target, leaseHolder, fencingToken, m_loop.now(), until };
+    onSent(request);
+    const bool isHeldUp = heldUpFor > Milliseconds(0);
+    if (isHeldUp || losesAnswers)
+        m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("the answer was lost")); });
+    if (isHeldUp)
+        m_loop.after(heldUpFor, [this, request] { receive(request, [](const absl::StatusOr<bool>&) {}); });
+    else
+        receive(request, losesAnswers ? Done([](const absl::StatusOr<bool>&) {}) : std::move(done));
+}
+
+void FakePromotions::receive(const PromotionRequest& request, Done done)
+{
+    requests.push_back(request);
+    if (m_targets[request.target].isDown) {
         done(false);
         return;
     }
-    const bool isAnswerLost = losesAnswers;
-    m_loop.after(promotionTime, [this, target, done, isAnswerLost] {
+    if (answersAtOnce)
+        std::exchange(done, [](const absl::StatusOr<bool>&) {})(true);
+    m_loop.after(promotionTime, [this, target = request.target, done] {
         auto& promoted = m_targets[target];
         if (!hasNoEffect && (!promoted.isPrimary || promoted.term < newestTerm)) {
             newestTerm = newestTerm.next();
@@ -44,11 +59,8 @@
             promoted.isPrimary = true;
             promoted.term = newestTerm;
         }
-        if (!isAnswerLost)
-            done(true);
+        done(true);
     });
-    if (isAnswerLost)
-        m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("the answer was lost")); });
 }
 
 bool FakePromotions::areFencingTokensOrdered() const
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -17,6 +17,8 @@
     InstanceId leaseHolder;
     RowVersion fencingToken;
     Instant at;
+    /// When its caller withdraws it.
+    Instant until;
 };
 
 /// Fake of the platform's promotions. Each takes effect 300 ms after it was requested.
@@ -28,21 +30,30 @@
     {
     }
 
-    void promote(const GroupId&, const TargetId&, const InstanceId& leaseHolder, RowVersion fencingToken, Done) override;
+    void promote(const GroupId&, const TargetId&, const InstanceId& leaseHolder, RowVersion fencingToken, Instant until, Done) override;
 
     /// Whether no request had a lower token than an earlier one, nor the same as that of another daemon.
     bool areFencingTokensOrdered() const;
 
     /// Promotions take effect, but the caller gets an error after 1500 ms.
     bool losesAnswers { false };
+    /// Calls are held up on their way for this long, and their callers get an error after 1500 ms. 0 for none.
+    Milliseconds heldUpFor;
     /// Requests are accepted, but no target becomes primary.
     bool hasNoEffect { false };
+    /// Called when a request is sent, which may be long before the platform receives it.
+    std::function<void(const PromotionRequest&)> onSent { [](const PromotionRequest&) {} };
+    /// Promotions are answered before they take effect.
+    bool answersAtOnce { false };
+    /// In the order in which the platform received them.
     std::vector<PromotionRequest> requests;
     /// The term of the last promotion, and when it took effect.
     Term newestTerm { 1 };
     Instant newestTermSince;
 
 private:
+    void receive(const PromotionRequest&, Done);
+
     EventLoop& m_loop;
     SimulatedTargets& m_targets;
 };
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -52,6 +52,8 @@
     m_isReleasedEverywhere = m_isReleasedEverywhere && !isOwnerNew;
     m_record = record;
     m_version = version;
+    m_isPromotionUnanswered = false;
+    m_promotionAcceptedAt = Instant();
     m_rowVersion = version;
     m_recordSince = now;
     if (!record.isReinstated)
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -177,6 +177,9 @@
     std::set<TargetId> m_rejectedCandidates;
     std::string m_lastLoggedCandidates;
     bool m_isPromotionPending { false };
+    /// Whether a call for the promotion of the record's candidate has been sent, and none was answered since.
+    bool m_isPromotionUnanswered { false };
+    Instant m_promotionAcceptedAt;
     Instant m_nextPromotionRequest;
     Instant m_nextProbe;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -20,9 +20,11 @@
     constexpr Milliseconds minReleaseCheckInterval { 20 };
     constexpr Milliseconds maxReleaseCheckInterval { 250 };
     constexpr Milliseconds promotionRetryInterval { 700 };
-    /// A candidate is rejected if it has not become primary this long after this daemon received the record that names it. A
-    /// promotion takes about 600 ms.
+    /// A candidate is rejected if it has not become primary this long after this daemon received the record that names it, or after the
+    /// platform accepted the promotion. A promotion takes about 600 ms.
     constexpr Milliseconds promotionTimeout { 3000 };
+    /// The platform answers a promotion after up to one second. A call is not worth sending if it is withdrawn before that.
+    constexpr Milliseconds minPromotionTime { 1200 };
 
 }
 
@@ -173,8 +175,10 @@
 {
     const Instant now = m_context.loop.now();
     const TargetEntry* entry = find(m_record->candidate);
-    const bool hasFailed = !entry || m_rejectedCandidates.count(m_record->candidate) > 0 || now > m_recordSince + promotionTimeout;
-    if (hasFailed) {
+    const bool hasFailed = !entry || m_rejectedCandidates.count(m_record->candidate) > 0 || now > std::max(m_recordSince, m_promotionAcceptedAt) + promotionTimeout;
+    // While a call is unanswered it may still arrive. After another candidate was promoted it would undo that, so it is repeated until the
+    // platform answers that the candidate was promoted or does not run.
+    if (hasFailed && !m_isPromotionUnanswered) {
         m_rejectedCandidates.insert(m_record->candidate);
         GroupRecord record = *m_record;
         record.phase = GroupPhase::Closing;
@@ -182,7 +186,7 @@
     }
     if (!m_isPromotionPending && now >= m_nextPromotionRequest && m_isReleasedEverywhere)
         requestPromotion();
-    if (m_isProbing || now < m_nextProbe)
+    if (!entry || m_isProbing || now < m_nextProbe)
         return;
     m_isProbing = true;
     m_nextProbe = now + probeInterval;
@@ -198,15 +202,23 @@
 // The record's version serves as the fencing token, because it increases with every change of the record.
 void GroupFailover::requestPromotion()
 {
-    if (!m_context.lease.isValid())
+    // Another daemon may take over the change when the lease has expired, so no call may be on its way then.
+    const Instant now = m_context.loop.now();
+    const Instant until = m_context.lease.rowValidUntil();
+    if (now + minPromotionTime > until)
         return;
     m_isPromotionPending = true;
-    m_nextPromotionRequest = m_context.loop.now() + promotionRetryInterval;
-    m_context.log.write("promotion_ordered", { { "group", m_group.value() }, { "candidate", m_record->candidate.value() }, { "fence", std::to_string(m_version.value()) } });
-    m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, [this, candidate = m_record->candidate, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
+    m_isPromotionUnanswered = true;
+    m_nextPromotionRequest = now + promotionRetryInterval;
+    m_context.log.write("promotion_ordered", { { "group", m_group.value() }, { "candidate", m_record->candidate.value() }, { "fence", std::to_string(m_version.value()) }, { "withdrawn_after_ms", std::to_string(static_cast<int64_t>((until - now).count())) } });
+    m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, until, [this, candidate = m_record->candidate, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
         if (alive.expired())
             return;
         m_isPromotionPending = false;
+        if (accepted.ok() && version == m_version)
+            m_isPromotionUnanswered = false;
+        if (accepted.ok() && *accepted)
+            m_promotionAcceptedAt = m_context.loop.now();
         m_context.log.write("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "answer", !accepted.ok() ? std::string(accepted.status().message()) : *accepted ? "accepted"
                                                                                                                                                                                                         : "refused" } });
         if (accepted.ok() && !*accepted)
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -48,6 +48,8 @@
     void dropGrant();
     /// Whether the lease is valid by this daemon's own row.
     bool isValidByRow() const { return !m_isReleased && m_loop.now() < m_validUntil; }
+    /// When the lease by this daemon's own row ends. Other daemons take it for expired later than that.
+    Instant rowValidUntil() const { return m_isReleased ? Instant() : m_validUntil; }
 
     /// Where a version of the epoch row was written.
     enum class EpochOrigin {
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -73,13 +73,21 @@
 
 }
 
-absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest& request, ReceivedBytes& received)
+// The kernel goes on sending what a closed connection has not delivered, unless the connection is reset. A process that ends resets it too.
+absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, const TimeLeft& timeLeft, const PlatformRequest& request, ReceivedBytes& received)
 {
     try {
+        const Milliseconds connectTimeout = std::min(timeLeft(), longestConnect);
+        if (connectTimeout <= Milliseconds(0))
+            return unavailable("the call was withdrawn before it was sent");
         const Poco::Net::SocketAddress address(host, port);
         Poco::Net::StreamSocket socket;
-        socket.connect(address, std::min(timespanOf(timeout), timespanOf(longestConnect)));
+        socket.connect(address, timespanOf(connectTimeout));
+        socket.setLinger(true, 0);
         setKeepAlive(socket);
+        const Milliseconds timeout = timeLeft();
+        if (timeout <= Milliseconds(0))
+            return unavailable("the call was withdrawn before it was sent");
         // A session over a connected socket does not pass its own timeouts on to it.
         socket.setReceiveTimeout(timespanOf(timeout));
         socket.setSendTimeout(timespanOf(timeout));
@@ -96,6 +104,7 @@
             return unavailable("its answer is too large");
         if (message.hasContentLength() && static_cast<size_t>(message.getContentLength64()) != response.body.size())
             return unavailable("its answer was cut short");
+        socket.setLinger(false, 0);
         return response;
     } catch (const Poco::Exception& ec) {
         return unavailable(ec.displayText());
--- a/src/platform_http/PlatformExchange.h
+++ b/src/platform_http/PlatformExchange.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/NameValueCollection.h>
 #include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,8 +30,12 @@
     Poco::Net::NameValueCollection headers;
 };
 
-/// Sends the request and waits for the response; blocks. `timeout` limits each wait for the socket. Counts the bytes of the response's
-/// body. PlatformUnavailable when there is none in time.
-absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, Milliseconds timeout, const PlatformRequest&, ReceivedBytes&);
+/// What is left of the time of a call; not above 0 once it is withdrawn. Called on the thread of the call.
+using TimeLeft = std::function<Milliseconds()>;
+
+/// Sends the request and waits for the response; blocks. Each wait for the socket lasts no longer than the time that is left. A call whose
+/// time is over before the request is sent is not sent. One that ends without a whole response is reset, so that what was not delivered
+/// by then does not arrive any more. Counts the bytes of the response's body. PlatformUnavailable when there is none in time.
+absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, const TimeLeft&, const PlatformRequest&, ReceivedBytes&);
 
 }
--- a/src/platform_http/PlatformExchangeTests.cpp
+++ b/src/platform_http/PlatformExchangeTests.cpp
@@ -1,6 +1,9 @@
 #include "platform_http/PlatformExchange.h"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace parsleypaddle;
@@ -10,7 +13,8 @@
 {
     Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
     ReceivedBytes received { 0 };
-    const auto response = exchangeWithPlatform("127.0.0.1", silent.address().port(), Milliseconds(50), { "GET", "/", "", {} }, received);
+    const auto response = exchangeWithPlatform(
+        "127.0.0.1", silent.address().port(), [] { return Milliseconds(50); }, { "GET", "/", "", {} }, received);
     CHECK_FALSE(response.ok());
 }
 
@@ -22,5 +26,35 @@
         port = closed.address().port();
     }
     ReceivedBytes received { 0 };
-    CHECK_FALSE(exchangeWithPlatform("127.0.0.1", port, Milliseconds(50), { "GET", "/", "", {} }, received).ok());
+    CHECK_FALSE(exchangeWithPlatform(
+        "127.0.0.1", port, [] { return Milliseconds(50); }, { "GET", "/", "", {} }, received)
+                    .ok());
+}
+
+// Guards against calls that act after they were given up: the kernel goes on sending what a closed connection has not delivered.
+TEST_CASE("a call that is given up resets its connection", "[platform_http]")
+{
+    Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    ReceivedBytes received { 0 };
+    CHECK_FALSE(exchangeWithPlatform(
+        "127.0.0.1", silent.address().port(), [] { return Milliseconds(50); }, { "POST", "/", "body", {} }, received)
+                    .ok());
+    Poco::Net::StreamSocket connection = silent.acceptConnection();
+    // What has arrived can still be read.
+    std::array<char, 4096> buf {};
+    CHECK(connection.receiveBytes(buf.data(), static_cast<int>(buf.size())) > 0);
+    CHECK_THROWS_AS(connection.receiveBytes(buf.data(), static_cast<int>(buf.size())), Poco::Net::ConnectionResetException);
+}
+
+// Guards against the same when the thread of a call, or the whole instance, was paused.
+TEST_CASE("a call whose time is over before it is sent is not sent", "[platform_http]")
+{
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    ReceivedBytes received { 0 };
+    int asked = 0;
+    const TimeLeft timeLeft = [&asked] { return ++asked == 1 ? Milliseconds(50) : Milliseconds(-1); };
+    CHECK_FALSE(exchangeWithPlatform("127.0.0.1", listener.address().port(), timeLeft, { "POST", "/", "body", {} }, received).ok());
+    Poco::Net::StreamSocket connection = listener.acceptConnection();
+    std::array<char, 4096> buf {};
+    CHECK_THROWS_AS(connection.receiveBytes(buf.data(), static_cast<int>(buf.size())), Poco::Net::ConnectionResetException);
 }
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -176,8 +176,9 @@
 
     virtual ~PromotionPort() = default;
 
-    /// `fence` grows with each change of the daemon that holds the right to promote.
-    virtual void promote(const GroupId&, const TargetId&, const InstanceId& holder, RowVersion fence, Done) = 0;
+    /// `fence` grows with each change of the daemon that holds the right to promote. At `until` the call is withdrawn: what was not delivered
+    /// by then does not arrive any more. An error means that the call may have been delivered.
+    virtual void promote(const GroupId&, const TargetId&, const InstanceId& holder, RowVersion fence, Instant until, Done) = 0;
 };
 
 }
