A daemon's earlier channel ends when it subscribes again

Callers: none have reported it; found while looking for the cause of the promotion that arrived late.

Cause: a source kept the earlier channel of a daemon that had subscribed again. A message that it leaves, held up on that channel, ended the grant that the daemon had since got, and a change of primary no longer waited for the daemon.

Change: the source drops earlier channels of a daemon when it subscribes. If the messages arrive in the other order, the present channel is dropped and the daemon subscribes once more.

--- a/src/distribution/SourceService.cpp
+++ b/src/distribution/SourceService.cpp
@@ -106,6 +106,7 @@
         subscriber->send(StopMessage {});
         return drop(subscriber, "this daemon does not serve subscribers");
     }
+    dropEarlier(message.instance);
     subscriber->instance = message.instance;
     subscriber->incarnation = message.incarnation;
     subscriber->addresses = message.addresses;
@@ -113,6 +114,17 @@
     m_log.write("subscriber_gained", { { "subscriber", message.instance.value() }, { "incarnation", message.incarnation }, { "subscribers", std::to_string(subscribers()) } });
 }
 
+// What a daemon sent over an earlier channel may arrive after it has subscribed again. Its message that it leaves would end the present
+// grant, and a change of primary would not wait for it.
+void SourceService::dropEarlier(const InstanceId& instance)
+{
+    const std::vector<std::shared_ptr<Subscriber>> subscribers(m_subscribers.begin(), m_subscribers.end());
+    for (const auto& it : subscribers) {
+        if (it->instance == instance)
+            drop(it, "the daemon has subscribed again");
+    }
+}
+
 void SourceService::apply(const std::shared_ptr<Subscriber>& subscriber, const TableRequest& request)
 {
     if (!m_rows.isDistributed(request.table))
--- a/src/distribution/SourceService.h
+++ b/src/distribution/SourceService.h
@@ -43,6 +43,7 @@
     void apply(const std::shared_ptr<Subscriber>&, const LeaveMessage&);
     template <typename Message>
     void apply(const std::shared_ptr<Subscriber>&, const Message&);
+    void dropEarlier(const InstanceId&);
     void answerTable(Subscriber&, const std::string& table);
     /// The rows that answer a request, null if there is nothing to answer yet.
     const EncodedRows* rowsFor(const TableRequest&);
