Odd entries of other writers are skipped, counted and logged

Callers: other operators report that one odd entry among those of the servers ended the machines that read the list, or kept them from following it.

An undecodable lease row expires 30 s after its version was first read; a daemon that uses it renews it every two seconds.

--- a/src/distribution/DistributionTests.cpp
+++ b/src/distribution/DistributionTests.cpp
@@ -349,3 +349,49 @@
     CHECK(fixture.daemons[holder]->hasLogged("peer_message_rejected"));
     CHECK(fixture.countValidLeases() == 4);
 }
+
+// Guards against daemons that end, or that stop following a table, because of one odd row: a source passes on what it has read.
+TEST_CASE("a row that another writer has left does not keep subscribers from following the table", "[distribution]")
+{
+    const std::string odd = GENERATE(as<std::string> {}, std::string("\0\xff\xfe\r\n\t\"", 7), std::string(100'000, '['), std::string(65'000, '\xff'), "\xed\xa0\x80", "{\"a\":1e400}");
+    DistributionFixture fixture(12, 2);
+    const auto keys = { std::string("odd"), std::string("odd\tkey\r\n"), std::string("\xff\xfe"), std::string(200, 'k') };
+    for (const auto& it : keys)
+        fixture.tables.put(testConfigurationTable, it, odd);
+    fixture.run(2000);
+    fixture.writeConfiguration(2);
+    fixture.run(500);
+    for (const auto& it : fixture.daemons) {
+        CHECK(it->configuration == 2);
+        CHECK_FALSE(it->hasLogged("peer_message_rejected"));
+    }
+    CHECK(fixture.countValidLeases() == 12);
+}
+
+// Guards against a change of primary that does not wait for a daemon: its message that it leaves was held up, and arrived after it had
+// subscribed again.
+TEST_CASE("a message of an earlier channel does not end the grant of a daemon that has subscribed again", "[distribution]")
+{
+    DistributionFixture fixture(4, 1);
+    const size_t holder = fixture.holders().front();
+    DistributionDaemon& source = *fixture.daemons[holder];
+    const auto connect = [&fixture, holder] {
+        auto channel = fixture.network.connect(*fixture.daemons[(holder + 1) % 4], "daemon-" + std::to_string(holder), { [](std::string_view) {}, [] {} });
+        channel->send(encodeSourceMessage(SubscribeMessage { InstanceId("again"), "incarnation", { FailureDomainId("domain-0"), "again", 1, 2, 3, 0.1 } }));
+        return channel;
+    };
+    const auto grant = [&](PeerChannel& channel) {
+        channel.send(encodeSourceMessage(RenewMessage { 1, source.lease.confirmedEpoch(), 0 }));
+        fixture.run(20);
+        return source.lease.grant(InstanceId("again"), "incarnation", source.lease.confirmedEpoch(), 0);
+    };
+    const auto earlier = connect();
+    fixture.run(1500);
+    REQUIRE(grant(*earlier) > Milliseconds(0));
+    const auto present = connect();
+    fixture.run(20);
+    REQUIRE(grant(*present) > Milliseconds(0));
+    earlier->send(encodeSourceMessage(LeaveMessage {}));
+    fixture.run(20);
+    CHECK(source.lease.grant(InstanceId("again"), "incarnation", source.lease.confirmedEpoch(), 0) > Milliseconds(0));
+}
--- a/src/distribution/SourceMessages.cpp
+++ b/src/distribution/SourceMessages.cpp
@@ -56,6 +56,14 @@
             return field.isNumeric() ? field.asDouble() : 0;
         }
 
+        /// An age that is below 0 would confirm what was never confirmed.
+        Milliseconds duration(const char* name)
+        {
+            const double milliseconds = real(name);
+            check(name, milliseconds >= 0);
+            return Milliseconds(milliseconds);
+        }
+
         bool flag(const char* name)
         {
             const Json::Value& field = m_value[name];
@@ -282,10 +290,10 @@
         FieldReader fields(value);
         GrantMessage message;
         message.number = fields.number("number");
-        message.duration = Milliseconds(fields.real("duration_ms"));
-        message.platformAge = Milliseconds(fields.real("platform_age_ms"));
+        message.duration = fields.duration("duration_ms");
+        message.platformAge = fields.duration("platform_age_ms");
         if (fields.has("configuration_age_ms"))
-            message.configurationAge = Milliseconds(fields.real("configuration_age_ms"));
+            message.configurationAge = fields.duration("configuration_age_ms");
         if (!value.isMember("new_holder"))
             return checked(fields, message);
         const Json::Value& holder = value["new_holder"];
--- a/src/failover/FailoverFaultTests.cpp
+++ b/src/failover/FailoverFaultTests.cpp
@@ -226,3 +226,17 @@
     fixture.run(5000);
     CHECK(fixture.promotions.requests.size() == 1);
 }
+
+// Guards against a group without a primary for good: one row of another writer counted as a lease that never expires.
+TEST_CASE("a lease row that cannot be decoded holds up a change of primary only until no daemon can be using it", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    fixture.tables.put(leaseTable, "odd", GENERATE(as<std::string> {}, "", "[[[[[[[[[[[[[[[[[[[[[[", "{}", "\xff\xfe", R"({"incarnation":7,"asked_at":1e400,"length_ms":-1})"));
+    fixture.run(100);
+    fixture.setLeaving("one");
+    fixture.runWithTraffic(10'000);
+    CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") == 0);
+    fixture.runWithTraffic(30'000);
+    CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") == 3);
+}
--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -19,8 +19,7 @@
     /// Every recorded suspicion is delivered to all daemons that watch the control table, so the number of
     /// voters is limited.
     constexpr size_t maxVoters = 9;
-    /// Duration given to a lease whose row cannot be decoded: longer than any duration that this version writes. The value has
-    /// no effect, because each read treats such a lease as requested just then, so that it never expires.
+    /// Duration given to a lease whose row cannot be decoded: longer than any duration that a daemon writes.
     constexpr Milliseconds malformedRowDuration { 30'000 };
 
 }
@@ -80,10 +79,8 @@
         table.version = answer->version;
         table.platformTime = answer->platformTime;
         for (const auto& it : answer->rows) {
-            // At each read, a row that cannot be decoded counts as a lease requested just then, since its daemon may be using a
-            // primary. Such a lease never expires: while the row stays the same, no change that begins later can promote a target.
             const auto lease = decodeLeaseRow(it.value);
-            table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : LeaseRow { "", answer->platformTime, malformedRowDuration, {}, 0 }, it.version });
+            table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : malformedLease(it, answer->platformTime), it.version });
         }
         noteEra(table.version.era());
         if (m_loop.now() >= m_keptUntil)
@@ -92,6 +89,16 @@
     });
 }
 
+// The daemon of a row that cannot be decoded may be using a primary. If it lives it renews the row, so the lease counts from the first time
+// that this daemon has read this version of the row.
+LeaseRow LeaseMonitor::malformedLease(const StoredRow& row, Instant platformTime)
+{
+    auto& known = m_malformed[row.key];
+    if (known.version != row.version)
+        known = { row.version, platformTime };
+    return { "", known.since, malformedRowDuration, {}, 0 };
+}
+
 void LeaseMonitor::noteEra(PlatformEra era)
 {
     if (era <= m_era)
--- a/src/failover/LeaseMonitor.h
+++ b/src/failover/LeaseMonitor.h
@@ -86,6 +86,7 @@
     /// When the leases are the first ones of a later era, keeps the values derived from the earlier ones for some seconds: the leases of
     /// the copy have expired, so that live daemons seem to have none.
     void noteEra(PlatformEra);
+    LeaseRow malformedLease(const StoredRow&, Instant platformTime);
     void applyHolders(const LeaseTable&);
     void applySessions(const LeaseTable&);
 
@@ -106,6 +107,13 @@
     PlatformEra m_era;
     /// Until then the values derived from earlier leases stay as they are.
     Instant m_keptUntil;
+    struct MalformedRow {
+        RowVersion version;
+        Instant since;
+    };
+
+    /// By key, when each row that cannot be decoded was first read in its present version, by the platform's clock.
+    std::map<std::string, MalformedRow> m_malformed;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/platform_ports/RowVersion.h
+++ b/src/platform_ports/RowVersion.h
@@ -20,6 +20,9 @@
 public:
     /// Later eras cannot be told apart.
     static constexpr uint64_t maxEra = (uint64_t { 1 } << 24) - 1;
+    /// Enough for 80 years at 400 changes a second; era and number together stay exact in a JSON number up to era 8191.
+    static constexpr unsigned numberBits = 40;
+    static constexpr uint64_t maxNumber = (uint64_t { 1 } << numberBits) - 1;
 
     constexpr RowVersion() = default;
     /// From value().
@@ -47,10 +50,6 @@
     friend constexpr bool operator>=(RowVersion a, RowVersion b) { return a.m_value >= b.m_value; }
 
 private:
-    /// Enough for 80 years at 400 changes a second; era and number together stay exact in a JSON number up to era 8191.
-    static constexpr unsigned numberBits = 40;
-    static constexpr uint64_t maxNumber = (uint64_t { 1 } << numberBits) - 1;
-
     uint64_t m_value { 0 };
 };
 
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 21> counterInfos { {
+    constexpr std::array<MetricInfo, 22> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -43,6 +43,7 @@
         { "parsleypaddle_target_limit_busy_total", "Times that refusals began to shrink the limit of a target at home here" },
         { "parsleypaddle_target_limit_failures_total", "Times that failures shrank the limit of a target at home here" },
         { "parsleypaddle_session_commits_superseded_total", "Reads of sessions sent without the session's last commit as a requirement" },
+        { "parsleypaddle_entries_skipped_total", "Rows and entries of the platform's tables that could not be decoded" },
     } };
 
     constexpr std::array<MetricInfo, 9> gaugeInfos { {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -56,6 +56,7 @@
     LimitsShrunkByBusy,
     LimitsShrunkByFailures,
     SessionCommitsSuperseded,
+    EntriesSkipped,
 };
 
 /// The gauges.
