A session's commit stays required until a position of a later term covers it

Callers: nothing changes for them.

Change: what is required is the greater of sample and commit, ordered by term and position, without any other rule.

--- a/src/relay/PrimaryLogHistory.cpp
+++ b/src/relay/PrimaryLogHistory.cpp
@@ -15,33 +15,30 @@
 
 }
 
-void PrimaryLogHistory::addSample(Instant sentAt, Term primaryTerm, const LogMark& mark)
+void PrimaryLogHistory::addSample(Instant sentAt, const LogMark& mark)
 {
     if (!m_samples.empty() && sentAt < m_samples.back().at)
         return;
     // Answers may arrive out of order, so the newer sample can have the smaller mark. The greater mark covers both.
     const LogMark greatest = m_samples.empty() ? mark : std::max(mark, m_samples.back().mark);
-    const Term latest = m_samples.empty() ? primaryTerm : std::max(primaryTerm, m_samples.back().primaryTerm);
     while (!m_samples.empty() && m_samples.front().at + retention < sentAt)
         m_samples.pop_front();
     const size_t n = m_samples.size();
     if (n >= 2 && sentAt - m_samples[n - 2].at < sampleInterval)
-        m_samples.back() = { sentAt, latest, greatest };
+        m_samples.back() = { sentAt, greatest };
     else
-        m_samples.push_back({ sentAt, latest, greatest });
+        m_samples.push_back({ sentAt, greatest });
 }
 
-// The log of a later primary contains the commits of earlier terms that have survived, and the mark of its answer covers them. A commit that it
-// has rolled back must not be waited for.
+// Marks are ordered by term first, so a mark of a later term covers an earlier commit: either that has survived, or it was rolled back. Until
+// such a mark is known the commit stays required, and replicas that lack it refuse the read.
 std::optional<LogMark> PrimaryLogHistory::requiredMark(Instant now, Milliseconds greatestAge, const std::optional<LogMark>& ownCommit) const
 {
     const Instant oldest = now + maxTransitTime - greatestAge;
     const auto it = std::find_if(m_samples.begin(), m_samples.end(), [oldest](const Sample& sample) { return sample.at >= oldest; });
     if (it == m_samples.end())
         return std::nullopt;
-    if (!ownCommit || ownCommit->term < it->primaryTerm)
-        return it->mark;
-    return std::max(it->mark, *ownCommit);
+    return ownCommit ? std::max(it->mark, *ownCommit) : it->mark;
 }
 
 std::optional<LogMark> PrimaryLogHistory::newestMark() const
--- a/src/relay/PrimaryLogHistory.h
+++ b/src/relay/PrimaryLogHistory.h
@@ -13,11 +13,11 @@
 class PrimaryLogHistory {
 public:
     /// Adds the `mark` from the primary's answer to a request sent at `sentAt`. The mark covers every commit acknowledged
-    /// before `sentAt`. `primaryTerm`: the term in which the target was primary, or an earlier one if that is not known.
-    void addSample(Instant sentAt, Term primaryTerm, const LogMark& mark);
+    /// before `sentAt`.
+    void addSample(Instant sentAt, const LogMark& mark);
 
     /// The mark that a replica must have applied so that its data is at most `greatestAge` old; nullopt when no
-    /// sample is recent enough. The mark also covers `ownCommit`, the last commit of a session, unless a later primary has rolled it back.
+    /// sample is recent enough. The mark also covers `ownCommit`, the last commit of a session.
     std::optional<LogMark> requiredMark(Instant now, Milliseconds greatestAge, const std::optional<LogMark>& ownCommit = std::nullopt) const;
 
     std::optional<LogMark> newestMark() const;
@@ -28,7 +28,6 @@
 private:
     struct Sample {
         Instant at;
-        Term primaryTerm;
         LogMark mark;
     };
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -55,7 +55,7 @@
     ++m_attempts;
     m_destination = destination;
     m_tried.insert(destination.target->entry().target.id);
-    reportSupersededCommit();
+    reportUnrequiredCommit();
     if (destination.isPrimary) {
         m_primaryUse = std::make_unique<Use>(*this);
         m_primaryUse->setWaitingSince(m_group.loop().now());
@@ -66,15 +66,15 @@
     });
 }
 
-void RelayRun::reportSupersededCommit()
+void RelayRun::reportUnrequiredCommit()
 {
     const auto commit = m_job.requiredCommit();
     const auto& required = m_destination.requiredMark;
     const bool isReplicaRead = !m_job.needsPrimary() && !m_destination.isPrimary;
     if (!commit || !isReplicaRead || (required && !(*required < *commit)))
         return;
-    m_group.metrics().count(MetricCounter::SessionCommitsSuperseded);
-    m_group.log().write("session_commit_superseded", { { "group", m_group.id().value() }, { "commit", textOf(*commit) }, { "required", required ? textOf(*required) : "" }, { "term", std::to_string(m_group.primary().term.value()) }, { "to", m_destination.target->entry().target.id.value() } });
+    m_group.metrics().count(MetricCounter::SessionCommitsNotRequired);
+    m_group.log().write("session_commit_not_required", { { "group", m_group.id().value() }, { "commit", textOf(*commit) }, { "required", required ? textOf(*required) : "" }, { "term", std::to_string(m_group.primary().term.value()) }, { "to", m_destination.target->entry().target.id.value() } });
 }
 
 WorkItem RelayRun::work() const
@@ -272,7 +272,7 @@
         return;
     if (m_destination.isPrimary)
         m_group.observer().primaryAnswered(m_group.id());
-    m_group.logHistory().addSample(m_sentAt, m_primaryUse ? m_primaryUse->term() : answer.mark->term, *answer.mark);
+    m_group.logHistory().addSample(m_sentAt, *answer.mark);
     if (m_job.isWrite && !m_job.beginKind)
         m_result.committed = answer.mark;
 }
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -24,7 +24,7 @@
     void tryNextDestination();
     void tryDestination(const StatementDestination&);
     /// Logs and counts a read of a session that is not required to see the session's last commit.
-    void reportSupersededCommit();
+    void reportUnrequiredCommit();
     void connectionAcquired(absl::StatusOr<std::shared_ptr<RelaySlot>>);
     void prepareSession();
     void sessionPrepared(absl::StatusOr<std::vector<RelayAnswer>>);
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -146,7 +146,7 @@
     if (m_destination != TransactionDestination::ReadOnly && answer.mark) {
         if (m_primaryUse)
             m_group.observer().primaryAnswered(m_group.id());
-        m_group.logHistory().addSample(m_sentAt, m_primaryUse ? m_primaryUse->term() : answer.mark->term, *answer.mark);
+        m_group.logHistory().addSample(m_sentAt, *answer.mark);
         m_result.committed = answer.mark;
     }
     auto self = shared_from_this();
--- a/src/relay/SessionCommitTests.cpp
+++ b/src/relay/SessionCommitTests.cpp
@@ -88,7 +88,7 @@
         daemon.scene.run(50);
     }
     CHECK(daemon.requiredOf("READ 1") == committed);
-    CHECK(std::none_of(daemon.scene.logLines.begin(), daemon.scene.logLines.end(), [](const std::string& it) { return it.find("session_commit_superseded") != std::string::npos; }));
+    CHECK(std::none_of(daemon.scene.logLines.begin(), daemon.scene.logLines.end(), [](const std::string& it) { return it.find("session_commit_not_required") != std::string::npos; }));
 }
 
 // Guards against stale reads: the home took the position for one of its own term, and dropped it with the samples of that term.
@@ -121,18 +121,17 @@
 {
     PrimaryLogHistory history;
     const LogMark commit { Term(1), LogPosition(30) };
-    history.addSample(Instant(1000), Term(1), { Term(1), LogPosition(20) });
+    history.addSample(Instant(1000), { Term(1), LogPosition(20) });
     CHECK(history.requiredMark(Instant(1100), Milliseconds(1500), commit) == commit);
-    SECTION("a sample of the new primary covers what survived of it")
+    history.clear();
+    SECTION("a position of a later term covers what survived of it")
     {
-        history.clear();
-        history.addSample(Instant(1200), Term(2), { Term(1), LogPosition(25) });
-        CHECK(history.requiredMark(Instant(1300), Milliseconds(1500), commit) == LogMark { Term(1), LogPosition(25) });
+        history.addSample(Instant(1200), { Term(2), LogPosition(25) });
+        CHECK(history.requiredMark(Instant(1300), Milliseconds(1500), commit) == LogMark { Term(2), LogPosition(25) });
     }
-    SECTION("a sample of unknown term that is no later than the commit's does not")
+    SECTION("a new primary that has not written yet may answer with a position of the term before")
     {
-        history.clear();
-        history.addSample(Instant(1200), Term(1), { Term(1), LogPosition(25) });
+        history.addSample(Instant(1200), { Term(1), LogPosition(25) });
         CHECK(history.requiredMark(Instant(1300), Milliseconds(1500), commit) == commit);
     }
 }
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -42,7 +42,7 @@
         { "parsleypaddle_target_limit_latency_total", "Times that latency began to shrink the limit of a target at home here" },
         { "parsleypaddle_target_limit_busy_total", "Times that refusals began to shrink the limit of a target at home here" },
         { "parsleypaddle_target_limit_failures_total", "Times that failures shrank the limit of a target at home here" },
-        { "parsleypaddle_session_commits_superseded_total", "Reads of sessions sent without the session's last commit as a requirement" },
+        { "parsleypaddle_session_commits_not_required_total", "Reads of sessions sent without the session's last commit as a requirement" },
         { "parsleypaddle_entries_skipped_total", "Rows and entries of the platform's tables that could not be decoded" },
     } };
 
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -55,7 +55,7 @@
     LimitsShrunkByLatency,
     LimitsShrunkByBusy,
     LimitsShrunkByFailures,
-    SessionCommitsSuperseded,
+    SessionCommitsNotRequired,
     EntriesSkipped,
 };
 
