--- a/src/tool/ToolTests.cpp
+++ b/src/tool/ToolTests.cpp
@@ -298,7 +298,8 @@
 
 TEST_CASE("the key comes from its file or a daemon's key file", "[tool]")
 {
-    const std::string path = "tool-tests-key.txt";
+    const Poco::TemporaryFile file;
+    const std::string& path = file.path();
     std::ofstream(path) << "token t1 aaaa\npeer first\npeer second\n";
     CHECK(loadKey(path).value() == "first");
     std::ofstream(path) << "bare\n";
