--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -322,7 +322,7 @@
     auto target = peerTarget(job.route->database, *entry);
     if (tried.count(target->entry().target.id) > 0 || target->experience().isAvoided(m_loop.now()))
         return std::nullopt;
-    // The home may know a later term than this daemon, and decides whether the commit may have been rolled back.
+    // The home requires this commit, or a later position of its own.
     return StatementDestination { std::move(target), job.requiredCommit(), false, peer };
 }
 
