Logs tell which call caused a promotion, and keep these lines under load

Change: calls are numbered and name record, epoch and fence; answers name the call, its age and whether it was still wanted; a failed probe says what the target reports and which record was in use. Lines on changes of a primary are not limited: their number follows the number of changes.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -42,7 +42,7 @@
     const bool wasOpen = !m_record || m_record->phase == GroupPhase::Open;
     // FailoverManager writes one line for all first records: a daemon that starts reads those of hundreds of groups at once.
     if (m_record || record.phase != GroupPhase::Open)
-        m_context.log.write("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "reinstated", record.isReinstated ? "yes" : "no" }, { "version", textOf(version) } });
+        m_context.log.writeUnlimited("primary_record", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "owner", record.owner.value() }, { "reinstated", record.isReinstated ? "yes" : "no" }, { "version", textOf(version) } });
     if (!m_isWriting)
         endFirstRecord();
     if (record.isReinstated)
@@ -165,7 +165,7 @@
     const size_t n = group.primaryUses();
     group.abandonPrimary();
     m_hasReleasedPrimary = true;
-    m_context.log.write("primary_released", { { "group", m_group.value() }, { "term", std::to_string(knownPrimary().term.value()) }, { "abandoned", std::to_string(n) } });
+    m_context.log.writeUnlimited("primary_released", { { "group", m_group.value() }, { "term", std::to_string(knownPrimary().term.value()) }, { "abandoned", std::to_string(n) } });
 }
 
 // Creates the group's record when there is none, with a target that reports itself as primary.
@@ -271,7 +271,7 @@
             transaction.removals.push_back({ controlTable, suspicionKey(m_group, it) });
     }
     m_isWriting = true;
-    m_context.log.write("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "expected_version", textOf(m_rowVersion) }, { "why", std::string(why) } });
+    m_context.log.writeUnlimited("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "expected_version", textOf(m_rowVersion) }, { "why", std::string(why) } });
     const TargetEntry* old = m_record ? find(m_record->primary) : nullptr;
     const bool isReplaced = old && record.phase == GroupPhase::Open && record.primary != m_record->primary;
     const auto demoted = isReplaced ? std::make_optional(old->target) : std::nullopt;
@@ -280,8 +280,8 @@
             return;
         m_isWriting = false;
         endFirstRecord();
-        m_context.log.write("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
-                                                                                                                                                                             : "rejected: the record has changed since it was read" } });
+        m_context.log.writeUnlimited("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
+                                                                                                                                                                                      : "rejected: the record has changed since it was read" } });
         if (demoted && answer.ok() && answer->isApplied)
             demoteTarget(m_context.connector, *demoted, term);
     });
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -114,6 +114,7 @@
     void logCandidates();
     void chooseCandidate();
     void requestPromotion();
+    void logPromotionAnswer(const TargetId& candidate, uint64_t call, RowVersion version, Instant sentAt, const absl::StatusOr<bool>& accepted);
     void monitorPromotion();
     /// Ends the preparation of the first record.
     void endFirstRecord();
@@ -179,6 +180,8 @@
     bool m_isPromotionPending { false };
     /// Whether a call for the promotion of the record's candidate has been sent, and none was answered since.
     bool m_isPromotionUnanswered { false };
+    /// Number of this daemon's calls for a promotion in the group so far, which identifies them in the log.
+    uint64_t m_promotionCalls { 0 };
     Instant m_promotionAcceptedAt;
     Instant m_nextPromotionRequest;
     Instant m_nextProbe;
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -73,7 +73,7 @@
         m_isReleasedEverywhere = true;
         // Log positions reported earlier may be outdated, since statements could still write until now.
         m_isProbeRoundComplete = false;
-        m_context.log.write("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", textOf(epoch) }, { "leases", std::to_string(table->entries.size()) } });
+        m_context.log.writeUnlimited("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", textOf(epoch) }, { "leases", std::to_string(table->entries.size()) } });
     });
 }
 
@@ -133,7 +133,7 @@
     if (text == m_lastLoggedCandidates)
         return;
     m_lastLoggedCandidates = text;
-    m_context.log.write("primary_candidates", { { "group", m_group.value() }, { "targets", text } });
+    m_context.log.writeUnlimited("primary_candidates", { { "group", m_group.value() }, { "targets", text } });
 }
 
 // A replacement that the platform set up with the old primary's log may be primary in the same term, so an equal term is
@@ -210,8 +210,9 @@
     m_isPromotionPending = true;
     m_isPromotionUnanswered = true;
     m_nextPromotionRequest = now + promotionRetryInterval;
-    m_context.log.write("promotion_ordered", { { "group", m_group.value() }, { "candidate", m_record->candidate.value() }, { "fence", std::to_string(m_version.value()) }, { "withdrawn_after_ms", std::to_string(static_cast<int64_t>((until - now).count())) } });
-    m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, until, [this, candidate = m_record->candidate, version = m_version, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
+    const uint64_t call = ++m_promotionCalls;
+    m_context.log.writeUnlimited("promotion_ordered", { { "group", m_group.value() }, { "candidate", m_record->candidate.value() }, { "call", std::to_string(call) }, { "fence", std::to_string(m_version.value()) }, { "version", textOf(m_version) }, { "epoch", textOf(m_epoch) }, { "withdrawn_after_ms", std::to_string(static_cast<int64_t>((until - now).count())) } });
+    m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, until, [this, candidate = m_record->candidate, version = m_version, call, sentAt = now, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
         if (alive.expired())
             return;
         m_isPromotionPending = false;
@@ -219,11 +220,20 @@
             m_isPromotionUnanswered = false;
         if (accepted.ok() && *accepted)
             m_promotionAcceptedAt = m_context.loop.now();
-        m_context.log.write("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "answer", !accepted.ok() ? std::string(accepted.status().message()) : *accepted ? "accepted"
-                                                                                                                                                                                                        : "refused" } });
+        logPromotionAnswer(candidate, call, version, sentAt, accepted);
         if (accepted.ok() && !*accepted)
             m_rejectedCandidates.insert(candidate);
     });
 }
 
+void GroupFailover::logPromotionAnswer(const TargetId& candidate, uint64_t call, RowVersion version, Instant sentAt, const absl::StatusOr<bool>& accepted)
+{
+    std::string answer;
+    if (accepted.ok())
+        answer = *accepted ? "accepted" : "refused";
+    else
+        answer = std::string(accepted.status().message());
+    m_context.log.writeUnlimited("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "call", std::to_string(call) }, { "fence", std::to_string(version.value()) }, { "after_ms", std::to_string(static_cast<int64_t>((m_context.loop.now() - sentAt).count())) }, { "still_wanted", version == m_version ? "yes" : "no" }, { "answer", answer } });
+}
+
 }
--- a/src/failover/GroupFailoverMonitor.cpp
+++ b/src/failover/GroupFailoverMonitor.cpp
@@ -32,6 +32,13 @@
     /// Delay before a suspicion is written again after the platform did not confirm it.
     constexpr Milliseconds suspicionRetryDelay { 300 };
 
+    std::string describe(const ProbeResult& result)
+    {
+        if (!result.report)
+            return result.hasAnswered ? "overloaded" : "no answer";
+        return std::string(result.report->isPrimary ? "primary" : "replica") + " in term " + std::to_string(result.report->term.value());
+    }
+
 }
 
 void GroupFailover::monitorPrimary(const RelayGroup& group)
@@ -127,7 +134,7 @@
     // The primary is suspected after two probes in a row that failed within 100 ms. A single probe suffices if it timed out,
     // because that takes longer than two such failures, or if the target reports another role or term.
     m_consecutiveFailedProbes = isNoLongerPrimary || !result.failedAtOnce ? failedProbesForSuspicion : m_consecutiveFailedProbes + 1;
-    m_context.log.write("primary_probe_failed", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "in_a_row", std::to_string(m_consecutiveFailedProbes) }, { "deposed", isNoLongerPrimary ? "yes" : "no" } });
+    m_context.log.writeUnlimited("primary_probe_failed", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "in_a_row", std::to_string(m_consecutiveFailedProbes) }, { "deposed", isNoLongerPrimary ? "yes" : "no" }, { "term", std::to_string(m_record->term.value()) }, { "version", textOf(m_version) }, { "reported", describe(result) } });
 }
 
 void GroupFailover::writeSuspicion(bool isSuspect)
@@ -140,7 +147,7 @@
         transaction.removals.push_back({ controlTable, key });
     m_isWriting = true;
     m_isSuspicionWritten = isSuspect;
-    m_context.log.write("primary_suspicion", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "suspect", isSuspect ? "yes" : "no" } });
+    m_context.log.writeUnlimited("primary_suspicion", { { "group", m_group.value() }, { "primary", m_record->primary.value() }, { "suspect", isSuspect ? "yes" : "no" } });
     m_context.platform.transact(transaction, [this, isSuspect, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<TransactionAnswer>& answer) {
         if (alive.expired())
             return;
--- a/src/telemetry/DecisionLog.cpp
+++ b/src/telemetry/DecisionLog.cpp
@@ -59,6 +59,11 @@
         ++m_dropped;
         return;
     }
+    writeUnlimited(event, fields);
+}
+
+void DecisionLog::writeUnlimited(std::string_view event, std::initializer_list<LogField> fields)
+{
     Json::Value line(Json::objectValue);
     line["at_ms"] = static_cast<Json::Int64>(m_loop.now().sinceEpoch());
     line["instance"] = m_instance;
--- a/src/telemetry/DecisionLog.h
+++ b/src/telemetry/DecisionLog.h
@@ -25,6 +25,10 @@
     /// Writes a line unless the rate limit is exceeded. `event` is the kind of decision; `fields` hold the values behind it.
     void write(std::string_view event, std::initializer_list<LogField> fields);
 
+    /// Writes a line even if the rate limit is exceeded. For events whose number does not grow with the load, such as changes of a primary:
+    /// they come with a burst of refused statements.
+    void writeUnlimited(std::string_view event, std::initializer_list<LogField> fields);
+
     /// The number of lines dropped so far.
     uint64_t dropped() const { return m_dropped; }
 
