--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -34,30 +34,44 @@
     const PromotionRequest request { target, leaseHolder, fencingToken, m_loop.now(), until };
     onSent(request);
     const bool isHeldUp = heldUpFor > Milliseconds(0);
-    if (isHeldUp || losesAnswers)
+    const bool isLate = carriedOutAfter > Milliseconds(0);
+    const Done unanswered = [](const absl::StatusOr<bool>&) {};
+    if (isHeldUp || isLate || losesAnswers)
         m_loop.after(Milliseconds(1500), [done] { done(absl::UnavailableError("the answer was lost")); });
     if (isHeldUp)
-        m_loop.after(heldUpFor, [this, request] { receive(request, [](const absl::StatusOr<bool>&) {}); });
-    else
-        receive(request, losesAnswers ? Done([](const absl::StatusOr<bool>&) {}) : std::move(done));
+        return (void)m_loop.after(heldUpFor, [this, request, unanswered] { receive(request, unanswered); });
+    if (isLate) {
+        requests.push_back(request);
+        m_loop.after(carriedOutAfter, [this, target, unanswered] { carryOut(target, unanswered); });
+        return;
+    }
+    receive(request, losesAnswers ? unanswered : std::move(done));
 }
 
 void FakePromotions::receive(const PromotionRequest& request, Done done)
 {
     requests.push_back(request);
-    if (m_targets[request.target].isDown) {
+    if (carriedOutAgainAfter > Milliseconds(0))
+        m_loop.after(carriedOutAgainAfter, [this, target = request.target] { carryOut(target, [](const absl::StatusOr<bool>&) {}); });
+    carryOut(request.target, std::move(done));
+}
+
+void FakePromotions::carryOut(const TargetId& target, Done done)
+{
+    if (m_targets[target].isDown) {
         done(false);
         return;
     }
     if (answersAtOnce)
         std::exchange(done, [](const absl::StatusOr<bool>&) {})(true);
-    m_loop.after(promotionTime, [this, target = request.target, done] {
+    m_loop.after(promotionTime, [this, target, done] {
         auto& promoted = m_targets[target];
         if (!hasNoEffect && (!promoted.isPrimary || promoted.term < newestTerm)) {
             newestTerm = newestTerm.next();
             newestTermSince = m_loop.now();
             promoted.isPrimary = true;
             promoted.term = newestTerm;
+            onPromoted(target);
         }
         done(true);
     });
@@ -100,6 +114,10 @@
         entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group"), false };
         m_targetList.push_back(entry);
     }
+    promotions.onPromoted = [this](const TargetId& promoted) {
+        const bool isConflict = std::any_of(daemons.begin(), daemons.end(), [&](const auto& it) { return it && mayUseOtherPrimary(*it, promoted); });
+        conflictingPromotions += isConflict ? 1 : 0;
+    };
     daemons.resize(n);
     for (size_t it = 0; it < n; ++it)
         startDaemon(it, listDelay);
@@ -234,10 +252,29 @@
     }));
 }
 
+bool FailoverFixture::mayUseOtherPrimary(FailoverDaemon& daemon, const TargetId& promoted) const
+{
+    const RelayGroup* group = daemon.relay.findGroup(GroupId("group"));
+    return group && group->mayUsePrimary() && group->primary().primary != promoted;
+}
+
+void FailoverFixture::stepDownReplacedPrimaries()
+{
+    constexpr Milliseconds stepDownDelay { 1000 };
+    if (!doReplacedPrimariesStepDown || loop.now() < promotions.newestTermSince + stepDownDelay)
+        return;
+    for (const char* it : { "one", "two", "three" }) {
+        auto& target = targets[TargetId(it)];
+        if (target.isPrimary && !target.isDown && !target.isSilent && target.term < promotions.newestTerm)
+            target.isPrimary = false;
+    }
+}
+
 // Replicas copy the log of the primary with the highest term, unless they have followed a later one. A primary of a lower term does so
 // only after it was demoted.
 void FailoverFixture::replicate()
 {
+    stepDownReplacedPrimaries();
     const SimulatedTargets::Target* primary = nullptr;
     for (const char* it : { "one", "two", "three" }) {
         const auto& target = targets[TargetId(it)];
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -39,6 +39,13 @@
     bool losesAnswers { false };
     /// Calls are held up on their way for this long, and their callers get an error after 1500 ms. 0 for none.
     Milliseconds heldUpFor;
+    /// The platform carries calls out this long after it has received them, although their callers have withdrawn them and got an error
+    /// after 1500 ms. 0 for none.
+    Milliseconds carriedOutAfter;
+    /// The platform carries calls out once more this long after the first time. 0 for none.
+    Milliseconds carriedOutAgainAfter;
+    /// Called when a target has been promoted.
+    std::function<void(const TargetId&)> onPromoted { [](const TargetId&) {} };
     /// Requests are accepted, but no target becomes primary.
     bool hasNoEffect { false };
     /// Called when a request is sent, which may be long before the platform receives it.
@@ -53,6 +60,7 @@
 
 private:
     void receive(const PromotionRequest&, Done);
+    void carryOut(const TargetId&, Done);
 
     EventLoop& m_loop;
     SimulatedTargets& m_targets;
@@ -113,10 +121,16 @@
     std::vector<std::unique_ptr<FailoverDaemon>> stoppedDaemons;
     /// Number of writes acknowledged by a target whose term is lower than the newest term at the time when they were sent.
     uint32_t staleWrites { 0 };
+    /// Number of promotions that took effect while a daemon could use another primary.
+    uint32_t conflictingPromotions { 0 };
+    /// Replaced primaries become replicas a second after the promotion.
+    bool doReplacedPrimariesStepDown { false };
 
 private:
     void startDaemon(size_t daemon, double listDelay = 0);
     void publishTargets();
+    bool mayUseOtherPrimary(FailoverDaemon&, const TargetId& promoted) const;
+    void stepDownReplacedPrimaries();
     void replicate();
 
     std::vector<TargetEntry> m_targetList;
