--- /dev/null
+++ b/src/failover/PromotionCallsTests.cpp
@@ -0,0 +1,44 @@
+#include "failover/PromotionCalls.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <catch2/catch.hpp>
+
+using namespace parsleypaddle;
+
+namespace {
+
+constexpr Instant start { 1000 };
+constexpr Milliseconds latest = PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
+
+}
+
+TEST_CASE("a call that is out may be carried out until it is withdrawn, and a while longer", "[failover]")
+{
+    PromotionCalls calls;
+    CHECK_FALSE(calls.unansweredUntil(start));
+    calls.begin();
+    CHECK(calls.isCallOut());
+    CHECK(calls.unansweredUntil(start) == start + latest);
+}
+
+TEST_CASE("an answer to a repeated call settles none of the calls before it", "[failover]")
+{
+    PromotionCalls calls;
+    calls.end(calls.begin(), PromotionCalls::Outcome::Unanswered, start);
+    CHECK(calls.isLastUnanswered());
+    calls.end(calls.begin(), GENERATE(PromotionCalls::Outcome::Accepted, PromotionCalls::Outcome::Refused), start + Milliseconds(20));
+    CHECK_FALSE(calls.isLastUnanswered());
+    CHECK(calls.unansweredUntil(start + Milliseconds(20)) == start + PromotionPort::maxCallDelay);
+}
+
+TEST_CASE("the answer to a call under an earlier record does not count", "[failover]")
+{
+    PromotionCalls calls;
+    const uint64_t earlier = calls.begin();
+    calls.reset();
+    CHECK(calls.isCallOut());
+    calls.end(earlier, PromotionCalls::Outcome::Unanswered, start);
+    CHECK_FALSE(calls.isCallOut());
+    CHECK_FALSE(calls.isLastUnanswered());
+    CHECK_FALSE(calls.unansweredUntil(start));
+}
