The kernel drops what a paused daemon's call has not delivered in its time

A call for a promotion that was held up by a cut could so arrive after the pause or the cut, longer after its time than the record keeps it as unanswered.

Change: TCP_USER_TIMEOUT is the time left of the call. A pause exactly between the check of the time and the send remains; the sender cannot exclude it.

No test shows the fault: it takes a cut network.

--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -36,6 +36,12 @@
         socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
     }
 
+    // A process that is paused does not reset its connections, and the kernel goes on sending for it.
+    void dropUndeliveredAfter(Poco::Net::StreamSocket& socket, Milliseconds time)
+    {
+        socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(time.count()) + 1);
+    }
+
     absl::Status unavailable(const std::string& why)
     {
         return makeError(ResultCode::PlatformUnavailable, "the platform did not answer: " + why);
@@ -88,6 +94,7 @@
         const Milliseconds timeout = timeLeft();
         if (timeout <= Milliseconds(0))
             return unavailable("the call was withdrawn before it was sent");
+        dropUndeliveredAfter(socket, timeout);
         // A session over a connected socket does not pass its own timeouts on to it.
         socket.setReceiveTimeout(timespanOf(timeout));
         socket.setSendTimeout(timespanOf(timeout));
