Unanswered calls are kept across eras, takeovers and writes of unknown outcome

- A candidate whose process was started again without its log was the only one allowed while its call was unanswered, and was promoted.
Now the owner waits until the call is settled if another replica has received more.
- A record that is reinstated after a return from a copy dropped the calls of the records before it.
It keeps the later one of both, and an uncertain one begins with Closing, so that all targets are probed before one is promoted.
- The owner of a change could renew its lease between the takeover's read of it and the write.
The takeover expects the owner's rows as read, and writes the epoch, so that the owner can't renew before it has read the new record.
- After a write whose outcome is unknown, or that was rejected, further calls went out under a record that may have been replaced.
No call is sent until the record is known.
- Replies to an earlier round of probes completed a later one with few reports.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -45,7 +45,7 @@
         m_loop.after(carriedOutAfter, [this, target, unanswered] { carryOut(target, unanswered); });
         return;
     }
-    receive(request, losesAnswers ? unanswered : std::move(done));
+    receive(request, losesAnswers ? unanswered : done);
 }
 
 void FakePromotions::receive(const PromotionRequest& request, Done done)
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -53,6 +53,7 @@
     m_record = record;
     m_version = version;
     m_calls.reset();
+    m_isRecordUncertain = false;
     m_candidateLeadsSince.reset();
     m_isCandidateUnreachable = false;
     m_isAwaitingCandidatesLogged = false;
@@ -76,8 +77,7 @@
         m_releaseDeadline = now + (record.isPlanned ? plannedReleaseTimeout : Milliseconds(0));
         m_isReleasedEverywhere = false;
     }
-    m_probes.clear();
-    m_isProbeRoundComplete = false;
+    abandonProbeRound();
     m_nextPromotionRequest = now;
     m_nextReleaseCheck = now;
     m_nextProbe = now;
@@ -241,14 +241,26 @@
         m_isReadingLeases = false;
         if (!table.ok() || version != m_version || !hasPresentRecord() || !m_context.lease.platformTime() || table->version.era() != m_version.era() || table->hasValidLease(m_record->owner, m_record->ownerIncarnation))
             return;
-        GroupRecord record = *m_record;
-        record.phase = GroupPhase::Closing;
-        record.owner = m_context.lease.instance();
-        record.ownerIncarnation = m_context.lease.incarnation();
-        writeRecord(std::move(record), false, "the previous owner of the change holds no valid lease");
+        takeOver(*table);
     });
 }
 
+// The owner may reach the platform again between the read of its lease and this write. The write fails if it has renewed the lease meanwhile,
+// and the epoch keeps it from renewing it later without having read the new record.
+void GroupFailover::takeOver(const LeaseTable& table)
+{
+    std::vector<RowExpectation> expected;
+    for (const auto& it : table.entries) {
+        if (it.instance == m_record->owner)
+            expected.push_back({ leaseTable, it.key, it.version });
+    }
+    GroupRecord record = *m_record;
+    record.phase = GroupPhase::Closing;
+    record.owner = m_context.lease.instance();
+    record.ownerIncarnation = m_context.lease.incarnation();
+    writeRecord(std::move(record), true, "the previous owner of the change holds no valid lease", expected);
+}
+
 GroupRecord GroupFailover::makeOpenRecord(const TargetId& primary, Term term) const
 {
     GroupRecord record;
@@ -260,10 +272,11 @@
     return record;
 }
 
-void GroupFailover::writeRecord(GroupRecord record, bool updatesEpoch, std::string_view why)
+void GroupFailover::writeRecord(GroupRecord record, bool updatesEpoch, std::string_view why, const std::vector<RowExpectation>& expected)
 {
     keepUnansweredPromotion(record);
     RowsTransaction transaction;
+    transaction.expected = expected;
     transaction.expected.push_back({ controlTable, groupKey(m_group), m_rowVersion });
     transaction.expected.push_back(eraFence(m_context.era->era));
     transaction.writes.push_back({ controlTable, groupKey(m_group), encodeGroupRecord(record) });
@@ -282,6 +295,7 @@
         if (alive.expired())
             return;
         m_isWriting = false;
+        m_isRecordUncertain = !answer.ok() || !answer->isApplied;
         endFirstRecord();
         m_context.log.writeUnlimited("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
                                                                                                                                                                                       : "rejected: the record has changed since it was read" } });
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -114,6 +114,7 @@
     bool isNewPrimary(const TargetId&, const std::optional<RoleReport>&) const;
     void logCandidates();
     void chooseCandidate();
+    bool isMissingLog(const TargetId& candidate) const;
     void awaitCandidates();
     void monitorPromotion();
     bool isPromotionDue() const;
@@ -122,11 +123,18 @@
     /// Whether a call for the promotion of another target than this one may still be carried out.
     bool isAwaitingOtherPromotion(const TargetId&) const;
     bool mayUnansweredPromotionAct() const;
-    /// Notes the unanswered calls under the present record in the one that follows it.
-    void keepUnansweredPromotion(GroupRecord&) const;
+    /// The same of the call that a record names.
+    bool mayBeCarriedOut(const GroupRecord&) const;
+    /// When the last unanswered call under a record is carried out at the latest, if `next` is to follow it; unset if there is none.
+    std::optional<Instant> unansweredUntil(const GroupRecord& previous, const GroupRecord& next) const;
+    /// Notes the unanswered calls under the known records in the one that follows them.
+    void keepUnansweredPromotion(GroupRecord& next) const;
+    void abandonProbeRound();
     /// Ends the preparation of the first record.
     void endFirstRecord();
-    void writeRecord(GroupRecord, bool updatesEpoch, std::string_view why);
+    /// Writes the record if the present one, and the rows of `expected`, have not changed.
+    void writeRecord(GroupRecord, bool updatesEpoch, std::string_view why, const std::vector<RowExpectation>& expected = {});
+    void takeOver(const LeaseTable&);
 
     bool isChangeOwner() const;
     const TargetEntry* find(const TargetId&) const;
@@ -171,11 +179,15 @@
     bool m_hasReleasedPrimary { true };
     Instant m_releaseDeadline;
     bool m_isWriting { false };
+    /// Whether the platform may hold a later record than this daemon knows, because it rejected a write or did not answer it.
+    bool m_isRecordUncertain { false };
     bool m_isReadingLeases { false };
     bool m_isReleasedEverywhere { false };
     Instant m_nextReleaseCheck;
     Instant m_nextOwnerCheck;
     size_t m_pendingProbes { 0 };
+    /// Counts the rounds of probes of all targets. Replies to an earlier round are ignored.
+    uint64_t m_probeRound { 0 };
     bool m_isPreparingFirstRecord { false };
     /// Rounds of probes so far while there is no record.
     uint32_t m_firstProbeRounds { 0 };
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -79,11 +79,12 @@
         return;
     m_nextProbe = m_context.loop.now() + probeInterval;
     m_pendingProbes = m_targets.size();
+    ++m_probeRound;
     const bool isAfterRelease = m_isReleasedEverywhere || !m_record;
     for (const auto& it : m_targets) {
         const TargetId id = it.target.id;
-        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
-            if (alive.expired())
+        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, round = m_probeRound, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+            if (alive.expired() || round != m_probeRound)
                 return;
             m_probes[id] = result;
             --m_pendingProbes;
@@ -92,6 +93,14 @@
     }
 }
 
+void GroupFailover::abandonProbeRound()
+{
+    ++m_probeRound;
+    m_pendingProbes = 0;
+    m_probes.clear();
+    m_isProbeRoundComplete = false;
+}
+
 std::optional<TargetId> GroupFailover::mostCompleteReplica() const
 {
     std::optional<TargetId> best;
@@ -113,6 +122,17 @@
     return best;
 }
 
+// While only the target of an unanswered call may be promoted, it may be less complete than another replica: its process may have been
+// started again without its log.
+bool GroupFailover::isMissingLog(const TargetId& candidate) const
+{
+    const LogMark received = m_probes.at(candidate).report->received;
+    return mayUnansweredPromotionAct() && std::any_of(m_probes.begin(), m_probes.end(), [this, received](const auto& it) {
+        const TargetEntry* entry = find(it.first);
+        return it.first != m_record->primary && entry && !entry->isLeaving && it.second.report && received < it.second.report->received;
+    });
+}
+
 // Logs the probe results only when they have changed since the last line, not after each round.
 void GroupFailover::logCandidates()
 {
@@ -152,7 +172,7 @@
     auto oldProbe = m_probes.find(m_record->primary);
     const bool isOldStillPrimary = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
     const auto best = mostCompleteReplica();
-    if (!best)
+    if (!best || isMissingLog(*best))
         return awaitCandidates();
     const bool isComplete = !isOldStillPrimary || !(m_probes[*best].report->received < oldProbe->second.report->received);
     if (!isComplete && m_context.loop.now() < m_recordSince + plannedReleaseTimeout + catchUpTimeout)
--- a/src/failover/GroupFailoverEra.cpp
+++ b/src/failover/GroupFailoverEra.cpp
@@ -46,8 +46,8 @@
     m_rowVersion = RowVersion(m_context.era->era, 0);
     m_epoch = m_rowVersion;
     m_isReleasedEverywhere = false;
-    m_isProbeRoundComplete = false;
-    m_probes.clear();
+    m_isRecordUncertain = false;
+    abandonProbeRound();
     m_suspicions.clear();
     m_isSuspicionWritten = false;
     m_rejectedCandidates.clear();
@@ -106,7 +106,7 @@
     m_nextReinstatement = m_context.loop.now() + rewriteDelay;
     const bool isCertain = m_record && m_record->phase == GroupPhase::Open && !hasPresentRecord();
     record.isReinstated = !isCertain;
-    if (!isCertain && record.phase == GroupPhase::Open)
+    if (!isCertain)
         record.phase = GroupPhase::Closing;
     record.owner = m_context.lease.instance();
     record.ownerIncarnation = m_context.lease.incarnation();
--- a/src/failover/GroupFailoverPromotion.cpp
+++ b/src/failover/GroupFailoverPromotion.cpp
@@ -24,8 +24,6 @@
     /// The answer to a call arrives at about the time when the candidate becomes primary. This long it is waited for, because a call that
     /// is known to be answered does not delay the next change.
     constexpr Milliseconds answerDelay { 150 };
-    /// The clocks of platform and instances run at the same rate within a few parts per thousand.
-    constexpr double clockDrift = 0.005;
 
 }
 
@@ -34,7 +32,7 @@
     const Instant now = m_context.loop.now();
     const TargetEntry* entry = find(m_record->candidate);
     const bool hasFailed = !entry || m_rejectedCandidates.count(m_record->candidate) > 0 || now > std::max(m_recordSince, m_calls.acceptedAt().value_or(Instant())) + promotionTimeout;
-    if (hasFailed && !m_calls.isLastUnanswered()) {
+    if (hasFailed && (!m_calls.isLastUnanswered() || m_isRecordUncertain)) {
         m_rejectedCandidates.insert(m_record->candidate);
         GroupRecord record = *m_record;
         record.phase = GroupPhase::Closing;
@@ -76,7 +74,7 @@
     // Another daemon may take over the change when the lease has expired, so no call may be on its way then.
     const Instant now = m_context.loop.now();
     const Instant until = m_context.lease.rowValidUntil();
-    if (now + minPromotionTime > until)
+    if (now + minPromotionTime > until || m_isRecordUncertain)
         return;
     m_nextPromotionRequest = now + promotionRetryInterval;
     const uint64_t call = m_calls.begin();
@@ -111,33 +109,54 @@
 
 bool GroupFailover::mayUnansweredPromotionAct() const
 {
-    if (!m_record || m_record->unansweredCandidate.isEmpty())
+    return m_record && mayBeCarriedOut(*m_record);
+}
+
+bool GroupFailover::mayBeCarriedOut(const GroupRecord& record) const
+{
+    if (record.unansweredCandidate.isEmpty())
         return false;
-    const auto platformTime = m_context.lease.platformTime();
-    return !platformTime || *platformTime + *m_context.lease.platformAge() * (1 - clockDrift) <= m_record->unansweredUntil;
+    const auto platformTime = m_context.lease.earliestPlatformTime();
+    return !platformTime || *platformTime <= record.unansweredUntil;
 }
 
-// Of the calls of another daemon nothing is known, so that each of them may be unanswered.
-void GroupFailover::keepUnansweredPromotion(GroupRecord& record) const
+std::optional<Instant> GroupFailover::unansweredUntil(const GroupRecord& previous, const GroupRecord& next) const
 {
-    record.unansweredCandidate = mayUnansweredPromotionAct() ? m_record->unansweredCandidate : TargetId();
-    record.unansweredUntil = record.unansweredCandidate.isEmpty() ? Instant() : m_record->unansweredUntil;
-    const auto platformTime = m_context.lease.platformTime();
-    if (!m_record || m_record->phase != GroupPhase::Promoting || !platformTime)
-        return;
+    if (previous.phase != GroupPhase::Promoting)
+        return std::nullopt;
+    const Instant now = m_context.loop.now();
+    // Of the calls of another daemon nothing is known, so that each of them may be unanswered.
+    if (!m_record || !isChangeOwner())
+        return now + PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
+    std::optional<Instant> until = m_calls.unansweredUntil(now);
+    const bool isPromoted = next.phase == GroupPhase::Open && next.primary == previous.candidate;
+    if (!isPromoted && m_calls.acceptedUntil())
+        until = std::max(until.value_or(Instant()), *m_calls.acceptedUntil());
+    return until;
+}
+
+// After a return from a copy the record that is written may follow two known ones.
+void GroupFailover::keepUnansweredPromotion(GroupRecord& next) const
+{
+    next.unansweredCandidate = TargetId();
+    next.unansweredUntil = Instant();
+    const auto keep = [&next](const TargetId& candidate, Instant until) {
+        if (until <= next.unansweredUntil)
+            return;
+        next.unansweredCandidate = candidate;
+        next.unansweredUntil = until;
+    };
     const Instant now = m_context.loop.now();
-    std::optional<Instant> until = now + PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
-    if (isChangeOwner()) {
-        until = m_calls.unansweredUntil(now);
-        const bool isPromoted = record.phase == GroupPhase::Open && record.primary == m_record->candidate;
-        if (!isPromoted && m_calls.acceptedUntil())
-            until = std::max(until.value_or(Instant()), *m_calls.acceptedUntil());
+    const auto platformTime = m_context.lease.latestPlatformTime();
+    for (const auto* previous : { &m_record, &m_earlierRecord }) {
+        if (!*previous)
+            continue;
+        if (mayBeCarriedOut(**previous))
+            keep((*previous)->unansweredCandidate, (*previous)->unansweredUntil);
+        const auto until = unansweredUntil(**previous, next);
+        if (until && *until > now && platformTime)
+            keep((*previous)->candidate, *platformTime + (*until - now));
     }
-    if (!until || *until <= now)
-        return;
-    record.unansweredCandidate = m_record->candidate;
-    const Instant platformNow = *platformTime + *m_context.lease.platformAge() * (1 + clockDrift);
-    record.unansweredUntil = std::max(record.unansweredUntil, platformNow + (*until - now));
 }
 
 }
--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -190,6 +190,33 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against the loss of the group's log: the candidate of an unanswered call has been started again without its log.
+TEST_CASE("a candidate that has lost its log is not promoted because of an unanswered call", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    std::optional<PromotionRequest> first;
+    fixture.promotions.carriedOutAfter = Milliseconds(100'000);
+    fixture.promotions.onSent = [&](const PromotionRequest& it) {
+        if (!fixture.promotions.requests.empty())
+            fixture.promotions.carriedOutAfter = Milliseconds(0);
+        first = first.value_or(it);
+    };
+    fixture.targets[TargetId("one")].isDown = true;
+    while (!first) {
+        fixture.write(0);
+        fixture.run(20);
+    }
+    fixture.targets[first->target].received = LogPosition(0);
+    fixture.targets[first->target].applied = LogPosition(0);
+    fixture.restart(static_cast<size_t>(first->leaseHolder.value().back() - '0'), 300);
+    fixture.runWithTraffic(18'000);
+    CHECK(primaryOf(fixture) != first->target.value());
+    CHECK(primaryOf(fixture) != "one");
+    checkNoConflict(fixture);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against a candidate that is given up between the platform's answer and the promotion: its entry in the target list has expired.
 TEST_CASE("an accepted promotion does not undo that of another candidate", "[failover]")
 {
--- a/src/failover/LeaseMonitor.cpp
+++ b/src/failover/LeaseMonitor.cpp
@@ -80,7 +80,7 @@
         table.platformTime = answer->platformTime;
         for (const auto& it : answer->rows) {
             const auto lease = decodeLeaseRow(it.value);
-            table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : malformedLease(it, answer->platformTime), it.version });
+            table.entries.push_back({ leaseInstance(it.key), lease.ok() ? *lease : malformedLease(it, answer->platformTime), it.version, it.key });
         }
         noteEra(table.version.era());
         if (m_loop.now() >= m_keptUntil)
--- a/src/failover/LeaseMonitor.h
+++ b/src/failover/LeaseMonitor.h
@@ -18,6 +18,8 @@
         InstanceId instance;
         LeaseRow lease;
         RowVersion version;
+        /// Of its row.
+        std::string key {};
     };
 
     /// One for each row. An instance may have several, of which all but one belong to processes that have ended.
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -196,6 +196,21 @@
 {
     m_platformTime = platformTime;
     m_platformTimeRequestedAt = sentAt;
+    m_platformTimeReceivedAt = m_loop.now();
+}
+
+std::optional<Instant> InstanceLease::earliestPlatformTime() const
+{
+    if (!m_platformTime)
+        return std::nullopt;
+    return *m_platformTime + (m_loop.now() - m_platformTimeReceivedAt) * (1 - platformClockDrift);
+}
+
+std::optional<Instant> InstanceLease::latestPlatformTime() const
+{
+    if (!m_platformTime)
+        return std::nullopt;
+    return *m_platformTime + (m_loop.now() - m_platformTimeRequestedAt) * (1 + platformClockDrift);
 }
 
 std::optional<Milliseconds> InstanceLease::platformAge() const
@@ -257,7 +272,7 @@
     m_isRenewing = true;
     const Instant sentAt = m_loop.now();
     // Must not be early, even if the platform was last heard from minutes ago and this daemon's clock is slow.
-    const Instant requestedAt = *m_platformTime + (sentAt - m_platformTimeRequestedAt) * (1 + platformClockDrift);
+    const Instant requestedAt = *latestPlatformTime();
     // The row that is read may be this one, although its answer is lost, so it must not end before the lease that it renews.
     const Milliseconds duration = std::max(this->duration(), m_validUntil - sentAt);
     LeaseRow row { m_incarnation, requestedAt, duration, m_addresses, sessionCount() };
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -78,6 +78,9 @@
     std::optional<Milliseconds> platformAge() const;
     /// The platform's clock as of its last answer about the row; unset before the first answer.
     std::optional<Instant> platformTime() const { return m_platformTime; }
+    /// Bounds of what the platform's clock says now; unset before the first answer.
+    std::optional<Instant> earliestPlatformTime() const;
+    std::optional<Instant> latestPlatformTime() const;
     bool hasGrants() const { return m_grants.hasGrants(m_loop.now()); }
 
     /// Invalidates the lease and requests that its row be deleted, which the platform rejects if a renewal in progress has changed
@@ -148,6 +151,7 @@
     /// so it is not later than the moment at which the platform read its clock.
     std::optional<Instant> m_platformTime;
     Instant m_platformTimeRequestedAt;
+    Instant m_platformTimeReceivedAt;
     RowVersion m_rowVersion;
     RowVersion m_epoch;
     /// What daemons with grants have to confirm before the row is renewed.
