Subscribers leave a source without the platform in time for the promised bound

Cause: the age at which a subscriber leaves its source was 3.5 s for all bounds, and the first subscriber that the platform answers became a holder 1.2 s after that.

Change: the age follows from the bound (distribution/SourceTimes): the bound less 1.2 s, 1 s at least and 3.5 s at most. The second read of the leases comes after 0.5 s where the bound is below 5 s. Bounds of 5 s and more keep 3.5 s and 1.2 s.

Why 1.2 s: a source that the platform answers hears from it at the end of each watch (1.3 s with a bound of 3 s) and at each renewal (1.2 to 2 s); 0.5 s remain for slow answers. A source that loses one response to its watch may now be left, in fleets whose leases are renewed every 2 s.

--- a/src/distribution/DistributionFaultTests.cpp
+++ b/src/distribution/DistributionFaultTests.cpp
@@ -1,4 +1,5 @@
 #include "distribution/DistributionFixture.h"
+#include "distribution/SourceTimes.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -90,7 +91,7 @@
             return std::make_shared<Channel>();
         }
     } connector;
-    SourceClient client(fixture.loop, connector, rows, lease, daemon.log, { [] {}, [] {}, [] {}, [] {} });
+    SourceClient client(fixture.loop, connector, rows, lease, daemon.log, maxSourceAge(testConfigurationBound), { [] {}, [] {}, [] {}, [] {} });
     client.setCandidates({ { InstanceId("source"), { FailureDomainId("domain-0"), "source", 1, 2, 3, 0 }, true } });
     client.start();
     connector.callbacks.onLine(R"({"v":2,"kind":"grant","number":1,"duration_ms":1e12,"platform_age_ms":0})");
--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -19,7 +19,7 @@
 /// Table with the configuration of the tests, one row whose value is a number that grows.
 inline constexpr const char* testConfigurationTable = "configuration";
 inline constexpr const char* testConfigurationKey = "newest";
-/// Within which a configuration must be in force.
+/// Within which a configuration must be in force, unless a test says otherwise.
 inline constexpr Milliseconds testConfigurationBound { 5000 };
 
 class DistributionDaemon;
@@ -66,7 +66,7 @@
 /// a change has begun.
 class DistributionDaemon final : public PeerConnector {
 public:
-    DistributionDaemon(VirtualLoop&, FakeTables&, FakePeerNetwork&, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed);
+    DistributionDaemon(VirtualLoop&, FakeTables&, FakePeerNetwork&, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed, Milliseconds configurationBound);
     ~DistributionDaemon() override;
 
     void start(bool isFirstStart);
@@ -95,7 +95,8 @@
 /// A fleet in virtual time that starts for the first time.
 class DistributionFixture {
 public:
-    DistributionFixture(size_t daemons, size_t domains, uint64_t seed = 1);
+    /// `configurationBound`: within which a configuration is promised to be in force.
+    DistributionFixture(size_t daemons, size_t domains, uint64_t seed = 1, Milliseconds configurationBound = testConfigurationBound);
     ~DistributionFixture();
 
     void run(double milliseconds) { loop.advance(Milliseconds(milliseconds)); }
@@ -143,6 +144,7 @@
 
     size_t m_domains;
     uint64_t m_seed;
+    Milliseconds m_configurationBound;
     uint64_t m_incarnations { 0 };
     uint64_t m_callsOfEnded { 0 };
     FakeRows m_observer { loop, tables };
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -20,7 +20,7 @@
 
 }
 
-DistributionDaemon::DistributionDaemon(VirtualLoop& shared, FakeTables& tables, FakePeerNetwork& network, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed)
+DistributionDaemon::DistributionDaemon(VirtualLoop& shared, FakeTables& tables, FakePeerNetwork& network, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed, Milliseconds configurationBound)
     : network(network)
     , name(name)
     , loop(shared)
@@ -30,7 +30,7 @@
     , lease(loop, rows, InstanceId(name), incarnation, { FailureDomainId(domain), name, 1, 2, 3, 0.12 })
     , leaseMonitor(loop, rows, sharedRows, InstanceId(name))
     , service(loop, sharedRows, lease, log)
-    , role({ loop, leaseMonitor, lease, sharedRows, service, *this, log, [] { return true; } }, seed)
+    , role({ loop, leaseMonitor, lease, sharedRows, service, *this, log, [] { return true; }, configurationBound }, seed)
     , controlWatch(
           loop, sharedRows, controlTable, Milliseconds(7500), [this](const TableWatch::Rows& it) {
               const PlatformEraState era = eraOf(it, controlWatch.version());
@@ -39,7 +39,7 @@
               lease.confirmEpoch(version, era.isPresent(version) ? InstanceLease::EpochOrigin::PresentEra : InstanceLease::EpochOrigin::Copy); },
           [](const absl::Status&) {})
     , configurationWatch(
-          loop, sharedRows, testConfigurationTable, watchHoldTime(testConfigurationBound), [this](const TableWatch::Rows& it) {
+          loop, sharedRows, testConfigurationTable, watchHoldTime(configurationBound), [this](const TableWatch::Rows& it) {
               auto newest = it.find(testConfigurationKey);
               const int number = newest == it.end() ? 0 : std::stoi(newest->second.value);
               hasGoneBack = hasGoneBack || number < configuration;
@@ -81,9 +81,10 @@
     return std::any_of(logLines.begin(), logLines.end(), [&event](const std::string& it) { return it.find("\"" + event + "\"") != std::string::npos; });
 }
 
-DistributionFixture::DistributionFixture(size_t n, size_t domains, uint64_t seed)
+DistributionFixture::DistributionFixture(size_t n, size_t domains, uint64_t seed, Milliseconds configurationBound)
     : m_domains(domains)
     , m_seed(seed)
+    , m_configurationBound(configurationBound)
 {
     tables.put(controlTable, epochKey, "first");
     writeConfiguration(1);
@@ -106,7 +107,7 @@
     const std::string name = "daemon-" + std::to_string(daemon);
     const std::string domain = "domain-" + std::to_string(daemon % m_domains);
     const uint64_t incarnation = ++m_incarnations;
-    daemons[daemon] = std::make_unique<DistributionDaemon>(loop, tables, network, name, domain, std::to_string(incarnation), m_seed * 100'000 + incarnation);
+    daemons[daemon] = std::make_unique<DistributionDaemon>(loop, tables, network, name, domain, std::to_string(incarnation), m_seed * 100'000 + incarnation, m_configurationBound);
     daemons[daemon]->rows.bytesPerSecond = network.bytesPerSecond;
     network.processes[name] = daemons[daemon].get();
     daemons[daemon]->start(isFirstStart);
--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -17,9 +17,6 @@
     /// The same for the first renewal on a channel. A machine without power leaves it unanswered.
     constexpr Milliseconds firstAnswerTimeout { 500 };
     constexpr Milliseconds avoidanceTime { 3000 };
-    /// A source that the platform has not answered for this long may have missed a change. It normally hears from the platform
-    /// at each renewal of its row.
-    constexpr Milliseconds maxPlatformAge { 3500 };
     /// A source without the platform tells in its answers of a daemon that reaches it. These renewals stay in the failure domain.
     constexpr Milliseconds staleRenewInterval { 300 };
     constexpr Milliseconds minRenewInterval { 50 };
@@ -32,12 +29,13 @@
 
 }
 
-SourceClient::SourceClient(EventLoop& loop, PeerConnector& connector, SharedRows& rows, InstanceLease& lease, DecisionLog& log, Callbacks callbacks)
+SourceClient::SourceClient(EventLoop& loop, PeerConnector& connector, SharedRows& rows, InstanceLease& lease, DecisionLog& log, Milliseconds maxPlatformAge, Callbacks callbacks)
     : m_loop(loop)
     , m_connector(connector)
     , m_rows(rows)
     , m_lease(lease)
     , m_log(log)
+    , m_maxPlatformAge(maxPlatformAge)
     , m_callbacks(std::move(callbacks))
 {
 }
@@ -173,10 +171,10 @@
 // Renews again as soon as the source may have passed the greatest age, so that a loss of the platform is noticed at once.
 void SourceClient::scheduleRenewal(Milliseconds platformAge)
 {
-    if (platformAge > maxPlatformAge)
+    if (platformAge > m_maxPlatformAge)
         renewAfter(staleRenewInterval);
-    else if (platformAge + renewInterval > maxPlatformAge)
-        renewAfter(std::max(maxPlatformAge - platformAge, minRenewInterval));
+    else if (platformAge + renewInterval > m_maxPlatformAge)
+        renewAfter(std::max(m_maxPlatformAge - platformAge, minRenewInterval));
 }
 
 void SourceClient::addCandidate(const LeaseMember& holder)
@@ -238,7 +236,7 @@
     if (!isGranted)
         renewAfter(shortRenewInterval);
     m_rows.confirmThroughSource(sentAt - message.configurationAge.value_or(message.platformAge));
-    m_link->isStale = message.platformAge > maxPlatformAge;
+    m_link->isStale = message.platformAge > m_maxPlatformAge;
     if (m_link->isStale && message.newHolder)
         addCandidate(*message.newHolder);
     if (m_link->isStale && nextCandidate())
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -30,7 +30,8 @@
         std::function<void()> onExhausted;
     };
 
-    SourceClient(EventLoop&, PeerConnector&, SharedRows&, InstanceLease&, DecisionLog&, Callbacks);
+    /// `maxPlatformAge`: a source that the platform has not answered for longer may have missed a change.
+    SourceClient(EventLoop&, PeerConnector&, SharedRows&, InstanceLease&, DecisionLog&, Milliseconds maxPlatformAge, Callbacks);
     ~SourceClient();
 
     /// Sets the daemons that may serve as sources. A source in use stays in use, even if it is not among them.
@@ -104,6 +105,7 @@
     SharedRows& m_rows;
     InstanceLease& m_lease;
     DecisionLog& m_log;
+    Milliseconds m_maxPlatformAge;
     Callbacks m_callbacks;
     std::vector<Peer> m_candidates;
     struct Avoidance {
--- a/src/distribution/SourceRole.cpp
+++ b/src/distribution/SourceRole.cpp
@@ -1,5 +1,6 @@
 #include "distribution/SourceRole.h"
 
+#include "distribution/SourceTimes.h"
 #include "leases/Epoch.h"
 
 #include <algorithm>
@@ -32,8 +33,6 @@
     constexpr Milliseconds fallbackRetryPerDaemon { 400 };
     /// How long a failed call makes the next one a retry.
     constexpr Milliseconds fallbackMemory { 60'000 };
-    /// Longer than the interval at which sources report since when they have not reached the platform.
-    constexpr Milliseconds staleRecheckDelay { 1200 };
     /// Delay before the holders are tried again after all of them have refused. When all daemons restart, they listen again at about the
     /// same time.
     constexpr Milliseconds firstRetrySpread { 300 };
@@ -65,7 +64,7 @@
 SourceRole::SourceRole(Context context, uint64_t seed)
     : m_context(std::move(context))
     , m_random(seed)
-    , m_client(m_context.loop, m_context.connector, m_context.rows, m_context.lease, m_context.log,
+    , m_client(m_context.loop, m_context.connector, m_context.rows, m_context.lease, m_context.log, maxSourceAge(m_context.configurationBound),
           { [this] { attach(); }, [this] { completeStepDown(); }, [this] { checkOwnPath(); }, [this] { searchAgain(); } })
 {
     m_context.leaseMonitor.setOwnHoldsRow(false);
@@ -200,7 +199,7 @@
         return hold("no source reaches the platform");
     // The sources may have reached the platform again, too.
     if (m_hasOwnPath)
-        return readLeases(staleRecheckDelay);
+        return readLeases(staleRecheckDelay(m_context.configurationBound));
     if (holders().size() < holdersPerDomain)
         hold("the failure domain lacks holders");
 }
--- a/src/distribution/SourceRole.h
+++ b/src/distribution/SourceRole.h
@@ -26,6 +26,8 @@
         DecisionLog& log;
         /// Whether this daemon may give up its row now. It must not while it carries out a change of primary.
         std::function<bool()> mayStepDown;
+        /// Within which a change of the configuration is promised to be in force.
+        Milliseconds configurationBound;
     };
 
     /// `seed` of random delays; it must differ between daemons.
--- a/src/platform_ports/FakeRows.cpp
+++ b/src/platform_ports/FakeRows.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-    constexpr Milliseconds callTime { 4 };
     constexpr Milliseconds callTimeout { 900 };
 
     absl::Status noAnswer()
--- a/src/platform_ports/FakeRows.h
+++ b/src/platform_ports/FakeRows.h
@@ -91,6 +91,8 @@
     bool losesWatchAnswers { false };
     /// Transactions are applied so much later, if their conditions still hold then, and their answers are lost.
     Milliseconds appliesLate;
+    /// How long a call takes that does not wait for a change.
+    Milliseconds callTime { 4 };
     /// Bandwidth of the daemon's link, over which answers arrive one after the other; 0 for unlimited.
     double bytesPerSecond { 0 };
     /// Calls sent so far, including those that were not answered.
