A subscriber that becomes a holder announces itself to all sources without the platform

Callers: when all sources of a failure domain had lost the platform, daemons of larger domains handled requests by an older version after the promised time, although another daemon of the domain had the new one (CONFIG).

Cause: the subscriber that becomes a holder told only the source that it left. Subscribers of the other sources without the platform heard nothing, and read the leases one after the other, 200 ms apart, or tried the sources again after 3 s.

Change: the new holder also subscribes to the other sources that it has left as being without the platform, and leaves at once with the message that it holds a row. These are at most two more connections of one daemon; the messages are the same as before.

--- a/src/distribution/SourceClient.cpp
+++ b/src/distribution/SourceClient.cpp
@@ -20,6 +20,8 @@
     /// A source without the platform tells in its answers of a daemon that reaches it. These renewals stay in the failure domain.
     constexpr Milliseconds staleRenewInterval { 300 };
     constexpr Milliseconds minRenewInterval { 50 };
+    /// By then a source has received what this daemon announces to it, or does not answer.
+    constexpr Milliseconds announcementTime { 1000 };
 
     uint64_t affinity(const InstanceId& own, const InstanceId& source)
     {
@@ -143,11 +145,29 @@
     m_loop.cancel(std::exchange(m_timer, TimerId::None));
     if (!m_link)
         return;
+    if (holdsRow && isStale())
+        announceToStaleSources();
     send(LeaveMessage { holdsRow });
     m_link->channel->close();
     m_link.reset();
 }
 
+// The other sources without the platform have subscribers too, which call the platform only one after the other.
+void SourceClient::announceToStaleSources()
+{
+    for (const auto& it : m_candidates) {
+        auto avoided = m_avoided.find(it.instance);
+        if (it.instance == m_link->source.instance || avoided == m_avoided.end() || avoided->second.loss != Loss::Stale)
+            continue;
+        const auto channel = m_connector.connect(it.addresses, { [](std::string_view) {}, [] {}, [] {} });
+        if (!channel)
+            continue;
+        channel->send(encodeSourceMessage(SubscribeMessage { m_lease.instance(), m_lease.incarnation(), m_lease.addresses() }));
+        channel->send(encodeSourceMessage(LeaveMessage { true }));
+        m_loop.after(announcementTime, [channel] { channel->close(); });
+    }
+}
+
 void SourceClient::send(const SourceMessage& message)
 {
     m_link->channel->send(encodeSourceMessage(message));
--- a/src/distribution/SourceClient.h
+++ b/src/distribution/SourceClient.h
@@ -38,8 +38,8 @@
     void setCandidates(const std::vector<Peer>&);
     /// Starts to subscribe, unless this daemon does so already. Calls onExhausted() if there is no candidate.
     void start();
-    /// Leaves the source. This daemon must no longer rely on its grants. A source that has lost the platform tells its other
-    /// subscribers of this daemon if it `holdsRow` now.
+    /// Leaves the source. This daemon must no longer rely on its grants. If it `holdsRow` now, sources that have lost the platform tell
+    /// their subscribers of it.
     void stop(bool holdsRow = false);
     /// Moves from a source that has lost the platform to another one, if there is one. Returns whether it moved.
     bool moveFromStale();
@@ -96,6 +96,7 @@
     void renewAfter(Milliseconds);
     void scheduleRenewal(Milliseconds platformAge);
     void addCandidate(const LeaseMember&);
+    void announceToStaleSources();
     void tick();
     void lose(const std::string& why, Loss = Loss::Refused);
     void send(const SourceMessage&);
--- a/src/distribution/StaleSourceTests.cpp
+++ b/src/distribution/StaleSourceTests.cpp
@@ -77,7 +77,7 @@
 TEST_CASE("with a bound of 3 s, subscribers of a failure domain whose sources all lose the platform receive a change within it", "[distribution]")
 {
     const double delay = GENERATE(10'000, 10'300, 10'600, 10'900, 11'200, 11'500);
-    const auto daemons = static_cast<size_t>(GENERATE(12, 16));
+    const auto daemons = static_cast<size_t>(GENERATE(12, 16, 40, 80));
     CAPTURE(delay, daemons);
     DistributionFixture fixture(daemons, 2, 1, shortBound);
     fixture.run(delay);
@@ -88,6 +88,20 @@
     CHECK(time.count() <= shortBound.count());
 }
 
+TEST_CASE("with other bounds too, subscribers of a failure domain whose sources all lose the platform receive a change in time", "[distribution]")
+{
+    const Milliseconds bound(GENERATE(3500, 4000, 4600, 4900, 6000));
+    const double delay = GENERATE(10'000, 10'400, 10'800);
+    CAPTURE(bound.count(), delay);
+    DistributionFixture fixture(40, 2, 1, bound);
+    fixture.run(delay);
+    const size_t source = fixture.holderWithSubscribers();
+    const auto subscribers = subscribersInDomainOf(fixture, source);
+    cutHoldersOfDomain(fixture, source);
+    const Milliseconds time = timeOfDelivery(fixture, subscribers, Milliseconds(8000));
+    CHECK(time.count() <= bound.count());
+}
+
 // With 21 holders, leases are renewed every 2 s. A call to a slow platform takes up to 240 ms.
 TEST_CASE("subscribers stay with sources that the platform answers, whatever the bound", "[distribution]")
 {
