The writes acknowledged by a replaced primary are logged in one line

Writes that are served leave no line, and a line for each would cost too much.

Change: each daemon that sends to a primary itself keeps the last 64 writes and commits that the primary acknowledged, and writes them as one line `writes_acknowledged`, at most 6,000 characters of list, when its view of the primary is closed or goes to another primary or term. An entry has the id, when it was sent and answered, the number of the connection, the log mark, and the lease when it was sent: by row or grant, for how long, and the confirmed epoch. Writes answered more than 3 s before the end of the use are left out; the use of a daemon whose lease has ended counts as ended with its last acknowledged write, because it hears of the change much later. Answers that come after the group was closed are listed at the next record.

--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -19,6 +19,9 @@
     /// The session state that this holder and earlier ones have set up at the target.
     virtual TargetSessionState& sessionState() = 0;
 
+    /// Number of the connection among those that its pool has opened. For logs.
+    virtual uint64_t number() const = 0;
+
     /// Makes the destructor close the connection instead of returning it. For connections whose state is uncertain.
     virtual void discard() = 0;
 };
--- a/src/connections/HeldConnection.h
+++ b/src/connections/HeldConnection.h
@@ -15,6 +15,7 @@
 
     void run(const TargetBatch&, Milliseconds timeout, TargetConnection::Done) override;
     TargetSessionState& sessionState() override { return m_entry.connection->sessionState(); }
+    uint64_t number() const override { return m_entry.number; }
     void discard() override { m_isReusable = false; }
 
 private:
--- a/src/connections/PoolCore.cpp
+++ b/src/connections/PoolCore.cpp
@@ -244,7 +244,7 @@
         if (m_openCount >= m_settings.maxConnections)
             return dispatch();
         ++m_openCount;
-        addIdle({ *std::move(connection), now(), organisation, now() });
+        addIdle({ *std::move(connection), now(), organisation, now(), ++m_lastNumber });
         return;
     }
     m_backoff.recordFailure(now());
--- a/src/connections/PoolCore.h
+++ b/src/connections/PoolCore.h
@@ -20,6 +20,8 @@
         Instant lastAnswerAt;
         OrganisationId organisation;
         Instant openedAt;
+        /// See PooledConnection::number().
+        uint64_t number { 0 };
         /// Whether a request has held the connection.
         bool wasUsed { false };
     };
@@ -86,6 +88,7 @@
     std::deque<Waiter> m_waiters;
     ConnectionShares m_shares;
     uint64_t m_lastWaiter { 0 };
+    uint64_t m_lastNumber { 0 };
     uint32_t m_openCount { 0 };
     /// Error of the last failed connection attempt: TargetUnreachable or Overloaded.
     ResultCode m_lastFailure { ResultCode::TargetUnreachable };
--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -92,6 +92,13 @@
     return !m_isReleased && m_loop.now() < std::max(m_validUntil, m_grantedUntil);
 }
 
+LeaseState InstanceLease::state() const
+{
+    if (m_isReleased)
+        return { Instant(), LeaseSource::Row, m_epoch };
+    return { std::max(m_validUntil, m_grantedUntil), m_grantedUntil > m_validUntil ? LeaseSource::Grant : LeaseSource::Row, m_epoch };
+}
+
 void InstanceLease::extendByGrant(Instant until)
 {
     m_grantedUntil = std::max(m_grantedUntil, until);
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -41,6 +41,7 @@
     bool holdsRow() const { return m_isHolding; }
 
     bool isValid() const override;
+    LeaseState state() const override;
 
     /// Extends the lease to `until`, as granted by another daemon.
     void extendByGrant(Instant until);
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -105,6 +105,7 @@
     ~RelayFixture() override { loop.advance(Milliseconds(10'000)); }
 
     bool isValid() const override { return isLeaseValid; }
+    LeaseState state() const override { return { loop.now() + Milliseconds(2500), leaseSource, RowVersion(firstEra, 7) }; }
     void primaryAnswered(const GroupId&) override { ++primaryAnswers; }
     void primaryFailed(const GroupId&) override { ++primaryFailures; }
 
@@ -122,6 +123,7 @@
     VirtualLoop loop;
     SimulatedTargets targets { loop };
     bool isLeaseValid { true };
+    LeaseSource leaseSource { LeaseSource::Row };
     uint32_t primaryAnswers { 0 };
     uint32_t primaryFailures { 0 };
     std::vector<std::string> logLines;
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -152,6 +152,7 @@
     // Log marks of the old term do not apply to the log of the new primary.
     if (belief.term != m_primary.term)
         m_logHistory.clear();
+    logAcknowledgedWrites(belief);
     const bool isReplaced = belief.primary != m_primary.primary && m_primary.primary != TargetId();
     m_primary = belief;
     auto target = m_targets.find(m_primary.primary);
@@ -159,6 +160,17 @@
         target->second->beginSlowly(PaceReason::PrimaryChanged);
 }
 
+// Answers that arrive after the primary was closed are logged with the next change. A daemon without a valid lease has stopped using the
+// primary before it hears of the change.
+void RelayGroup::logAcknowledgedWrites(const PrimaryView& next)
+{
+    const bool isClosed = m_primary.isAvailable && !next.isAvailable;
+    const auto lastAnswer = m_acknowledgedWrites.lastAnswer();
+    if (!lastAnswer || (!isClosed && next.primary == m_primary.primary && next.term == m_primary.term))
+        return;
+    m_acknowledgedWrites.logAndClear(m_log, m_id, m_primary.primary, m_primary.term, mayUsePrimary() ? m_loop.now() : *lastAnswer);
+}
+
 void RelayGroup::run(RelayJob job)
 {
     m_retryBudget.recordFirstAttempt();
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/Membership.h"
+#include "relay/AcknowledgedWrites.h"
 #include "relay/HomeDelays.h"
 #include "relay/PrimaryLease.h"
 #include "relay/PrimaryLogHistory.h"
@@ -94,6 +95,9 @@
     RetryBudget& retryBudget() { return m_retryBudget; }
     PrimaryLogHistory& logHistory() { return m_logHistory; }
     HomeDelays& homeDelays() { return m_homeDelays; }
+    /// How a write is sent now on this connection to the primary.
+    SentWrite sentNow(const RelaySlot& slot) const { return { m_loop.now(), m_lease.state(), slot.connectionNumber() }; }
+    AcknowledgedWrites& acknowledgedWrites() { return m_acknowledgedWrites; }
     bool mayUsePrimary() const { return m_primary.isAvailable && m_lease.isValid(); }
     /// Whether an answer from the primary of `term` may still be used: the lease is valid and the term has not changed.
     bool mayAcceptAnswer(Term term) const { return m_primary.term == term && m_lease.isValid(); }
@@ -116,6 +120,8 @@
     void updateTargets();
     /// Sets the target's limits of connections and statements.
     void applyLimits(RelayTarget&);
+    /// Logs which writes the primary has acknowledged, if this daemon stops using it by the change to the new view.
+    void logAcknowledgedWrites(const PrimaryView&);
     void reportPace(const TargetId&, const PaceChange&);
     /// Statements that this daemon sends to the target at the same time.
     uint32_t statementLimit(const TargetEntry&) const;
@@ -162,6 +168,7 @@
     std::map<std::pair<DatabaseId, InstanceId>, std::shared_ptr<RelayTarget>> m_peers;
     HomeDelays m_homeDelays;
     PrimaryLogHistory m_logHistory;
+    AcknowledgedWrites m_acknowledgedWrites;
     RetryBudget m_retryBudget;
     std::set<PrimaryUse*> m_primaryUses;
 };
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -174,6 +174,8 @@
         step.forwardedFor = m_job.forwardedFor(m_sentAt);
     if (!m_destination.peer.isEmpty())
         m_outstanding = m_group.homeDelays().recordSent(m_destination.peer, m_sentAt);
+    if (m_destination.isPrimary && m_job.isWrite && !m_job.beginKind)
+        m_sentWrite = m_group.sentNow(*m_slot);
     m_isAwaitingAnswer = true;
     m_slot->run({ std::move(step) }, timeLeft(), [self = shared_from_this(), attempt = m_attempts](absl::StatusOr<std::vector<RelayAnswer>> answers) {
         if (self->isCurrent(attempt))
@@ -252,9 +254,10 @@
         return refuse(mayHaveRun ? RelayError::InDoubt : RelayError::Busy, "the lease expired or the term changed before the primary answered");
     }
     recordSuccess(answer);
+    recordAcknowledgedWrite(answer);
     m_isTransactionOpen = m_isTransactionOpen && answer.state != TransactionState::Idle;
     if (m_job.beginKind && m_job.step.kind != RelayKind::Commit && answer.state == TransactionState::Open)
-        m_result.transaction = RelayTransaction::create(m_group, std::move(m_slot), transactionDestination());
+        m_result.transaction = RelayTransaction::create(m_group, std::move(m_slot), transactionDestination(), m_job.isWrite);
     finish(std::move(answer));
 }
 
@@ -277,6 +280,13 @@
         m_result.committed = answer.mark;
 }
 
+void RelayRun::recordAcknowledgedWrite(const RelayAnswer& answer)
+{
+    if (!m_destination.isPrimary || !m_sentWrite)
+        return;
+    m_group.acknowledgedWrites().add({ m_job.step.id, AcknowledgedKind::Write, m_destination.target->entry().target.id, m_primaryUse->term(), *m_sentWrite, m_group.loop().now(), answer.mark });
+}
+
 TransactionDestination RelayRun::transactionDestination() const
 {
     if (m_destination.isPrimary)
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -36,6 +36,7 @@
     void statementSucceeded(RelayAnswer);
     TransactionDestination transactionDestination() const;
     void recordSuccess(const RelayAnswer&);
+    void recordAcknowledgedWrite(const RelayAnswer&);
     void primaryAbandoned();
     void refuse(RelayError, std::string_view why);
     void finish(RelayAnswer);
@@ -62,6 +63,8 @@
     std::unique_ptr<Use> m_primaryUse;
     std::string m_preparedName;
     Instant m_sentAt;
+    /// Set for a write that is sent to the primary.
+    std::optional<SentWrite> m_sentWrite;
     /// Whether the statement was sent and is not answered yet.
     bool m_isAwaitingAnswer { false };
     /// Whether a transaction was opened on the connection.
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -31,6 +31,8 @@
     /// Closes the connection when the slot is destroyed, instead of returning it to the pool.
     void discard() { m_connection->discard(); }
     const TargetId& target() const { return m_targetId; }
+    /// See PooledConnection::number().
+    uint64_t connectionNumber() const { return m_connection->number(); }
     /// Whether the connection leads to a peer daemon.
     bool isAtPeer() const { return m_isAtPeer; }
 
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -31,15 +31,16 @@
     RelayTransaction& m_transaction;
 };
 
-std::shared_ptr<RelayTransaction> RelayTransaction::create(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionDestination destination)
+std::shared_ptr<RelayTransaction> RelayTransaction::create(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionDestination destination, bool hasWritten)
 {
-    return std::shared_ptr<RelayTransaction>(new RelayTransaction(group, std::move(slot), destination));
+    return std::shared_ptr<RelayTransaction>(new RelayTransaction(group, std::move(slot), destination, hasWritten));
 }
 
-RelayTransaction::RelayTransaction(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionDestination destination)
+RelayTransaction::RelayTransaction(RelayGroup& group, std::shared_ptr<RelaySlot> slot, TransactionDestination destination, bool hasWritten)
     : m_group(group)
     , m_slot(std::move(slot))
     , m_destination(destination)
+    , m_hasWritten(hasWritten)
 {
     if (m_destination == TransactionDestination::Primary)
         m_primaryUse = std::make_unique<Use>(*this);
@@ -58,6 +59,7 @@
     m_result = {};
     m_isRunning = true;
     m_busyRetries = 0;
+    m_hasWritten = m_hasWritten || m_job.isWrite;
     if (!m_slot)
         return endWithError(RelayError::Aborted, "the transaction was rolled back before this statement");
     SessionSetup setup = planSessionSetup(*m_job.sessionState, m_job.definition, m_slot->sessionState());
@@ -82,6 +84,8 @@
     steps.push_back(m_step);
     if (m_primaryUse)
         m_primaryUse->setWaitingSince(m_sentAt);
+    if (m_primaryUse && isCommit() && m_hasWritten)
+        m_sentCommit = m_group.sentNow(*m_slot);
     const Milliseconds left = std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_sentAt);
     m_slot->run(std::move(steps), left, [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->statementAnswered(std::move(answers)); });
 }
@@ -149,12 +153,20 @@
         m_group.logHistory().addSample(m_sentAt, *answer.mark);
         m_result.committed = answer.mark;
     }
+    recordAcknowledgedCommit(answer);
     auto self = shared_from_this();
     m_primaryUse.reset();
     m_slot.reset();
     finish(std::move(answer));
 }
 
+void RelayTransaction::recordAcknowledgedCommit(const RelayAnswer& answer)
+{
+    if (!m_primaryUse || !m_sentCommit)
+        return;
+    m_group.acknowledgedWrites().add({ m_job.step.id, AcknowledgedKind::Commit, m_slot->target(), m_primaryUse->term(), *m_sentCommit, m_group.loop().now(), answer.mark });
+}
+
 void RelayTransaction::primaryAbandoned()
 {
     if (!m_isRunning)
--- a/src/relay/RelayTransaction.h
+++ b/src/relay/RelayTransaction.h
@@ -21,7 +21,8 @@
 public:
     using Done = std::function<void(RelayResult)>;
 
-    static std::shared_ptr<RelayTransaction> create(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionDestination);
+    /// `hasWritten`: whether the transaction's first statement, which has run, was a write.
+    static std::shared_ptr<RelayTransaction> create(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionDestination, bool hasWritten);
     ~RelayTransaction();
 
     /// Runs the next statement or the commit. An error ends the transaction.
@@ -32,7 +33,7 @@
 private:
     class Use;
 
-    RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionDestination);
+    RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionDestination, bool hasWritten);
 
     void sendStatement();
     void statementAnswered(absl::StatusOr<std::vector<RelayAnswer>>);
@@ -44,6 +45,7 @@
     void finish(RelayAnswer);
     bool isCommit() const { return m_job.step.kind == RelayKind::Commit; }
     bool mayAcceptAnswer() const;
+    void recordAcknowledgedCommit(const RelayAnswer&);
 
     RelayGroup& m_group;
     std::shared_ptr<RelaySlot> m_slot;
@@ -52,9 +54,12 @@
     RelayJob m_job;
     RelayStep m_step;
     std::vector<RelayStep> m_setupSteps;
+    bool m_hasWritten { false };
     bool m_isRunning { false };
     uint32_t m_busyRetries { 0 };
     Instant m_sentAt;
+    /// Set for the commit of a transaction that wrote at the primary.
+    std::optional<SentWrite> m_sentCommit;
     RelayResult m_result;
 };
 
