Tests: a probe under way at the end of a failover test does not reach into the destroyed targets

Cause: FailoverFixture's loop is destroyed after its simulated targets. A probe that is under way then, held by the loop, releases its connection, whose destructor counted itself out at its target: valgrind reports this read of freed memory (SimulatedTargets, TargetProbe).

Change: the destructor leaves the count alone when the targets are gone. No check of a test is changed.

--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -12,12 +12,17 @@
         , m_id(std::move(id))
         , m_organisation(std::move(organisation))
         , m_number(++targets.m_lastConnection)
+        , m_areTargetsAlive(targets.m_alive)
     {
         auto& target = m_targets[m_id];
         target.peakConnections = std::max(target.peakConnections, ++target.connections);
     }
 
-    ~SimulatedConnection() override { --m_targets[m_id].connections; }
+    ~SimulatedConnection() override
+    {
+        if (!m_areTargetsAlive.expired())
+            --m_targets[m_id].connections;
+    }
 
     void run(const TargetBatch& batch, Milliseconds timeout, Done done) override
     {
@@ -125,6 +130,7 @@
     TargetId m_id;
     OrganisationId m_organisation;
     uint64_t m_number;
+    std::weak_ptr<bool> m_areTargetsAlive;
     TransactionState m_state { TransactionState::Idle };
     bool m_hasWritten { false };
     std::map<std::string, std::string> m_values;
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -69,6 +69,8 @@
     EventLoop& m_loop;
     std::map<TargetId, Target> m_targets;
     uint64_t m_lastConnection { 0 };
+    /// A probe that is under way at the end of a test keeps its connection in the loop, which outlives this object.
+    std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
 /// A caller with one session, which collects the session's answers.
