The wait for an unanswered call covers the time until its promotion takes effect

Cause: the record's time was when the call is carried out at the latest; the promotion takes effect up to a second later.

Change: the time includes 1.5 s for the promotion, as that of an accepted call did already.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-    constexpr Milliseconds promotionTime { 300 };
     constexpr Milliseconds replicationInterval { 20 };
 
     std::shared_ptr<const RouteTable> makeRoutes()
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -21,7 +21,7 @@
     Instant until;
 };
 
-/// Fake of the platform's promotions. Each takes effect 300 ms after it was requested.
+/// Fake of the platform's promotions. Each takes effect some time after it was requested.
 class FakePromotions final : public PromotionPort {
 public:
     FakePromotions(EventLoop& loop, SimulatedTargets& targets)
@@ -44,6 +44,8 @@
     Milliseconds carriedOutAfter;
     /// The platform carries calls out once more this long after the first time. 0 for none.
     Milliseconds carriedOutAgainAfter;
+    /// Time from when a call is carried out until the target is primary.
+    Milliseconds promotionTime { 300 };
     /// Called when a target has been promoted.
     std::function<void(const TargetId&)> onPromoted { [](const TargetId&) {} };
     /// Requests are accepted, but no target becomes primary.
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -120,12 +120,12 @@
     bool isPromotionDue() const;
     void requestPromotion();
     void logPromotionAnswer(const TargetId& candidate, uint64_t call, RowVersion version, Instant sentAt, const absl::StatusOr<bool>& accepted);
-    /// Whether a call for the promotion of another target than this one may still be carried out.
+    /// Whether a call for the promotion of another target than this one may still take effect.
     bool isAwaitingOtherPromotion(const TargetId&) const;
     bool mayUnansweredPromotionAct() const;
     /// The same of the call that a record names.
-    bool mayBeCarriedOut(const GroupRecord&) const;
-    /// When the last unanswered call under a record is carried out at the latest, if `next` is to follow it; unset if there is none.
+    bool mayTakeEffect(const GroupRecord&) const;
+    /// When the last unanswered call under a record has taken effect at the latest, if `next` is to follow it; unset if there is none.
     std::optional<Instant> unansweredUntil(const GroupRecord& previous, const GroupRecord& next) const;
     /// Notes the unanswered calls under the known records in the one that follows them.
     void keepUnansweredPromotion(GroupRecord& next) const;
--- a/src/failover/GroupFailoverPromotion.cpp
+++ b/src/failover/GroupFailoverPromotion.cpp
@@ -109,10 +109,10 @@
 
 bool GroupFailover::mayUnansweredPromotionAct() const
 {
-    return m_record && mayBeCarriedOut(*m_record);
+    return m_record && mayTakeEffect(*m_record);
 }
 
-bool GroupFailover::mayBeCarriedOut(const GroupRecord& record) const
+bool GroupFailover::mayTakeEffect(const GroupRecord& record) const
 {
     if (record.unansweredCandidate.isEmpty())
         return false;
@@ -127,7 +127,7 @@
     const Instant now = m_context.loop.now();
     // Of the calls of another daemon nothing is known, so that each of them may be unanswered.
     if (!m_record || !isChangeOwner())
-        return now + PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
+        return now + PromotionPort::maxUnansweredTime;
     std::optional<Instant> until = m_calls.unansweredUntil(now);
     const bool isPromoted = next.phase == GroupPhase::Open && next.primary == previous.candidate;
     if (!isPromoted && m_calls.acceptedUntil())
@@ -151,7 +151,7 @@
     for (const auto* previous : { &m_record, &m_earlierRecord }) {
         if (!*previous)
             continue;
-        if (mayBeCarriedOut(**previous))
+        if (mayTakeEffect(**previous))
             keep((*previous)->unansweredCandidate, (*previous)->unansweredUntil);
         const auto until = unansweredUntil(**previous, next);
         if (until && *until > now && platformTime)
--- a/src/failover/GroupRecord.h
+++ b/src/failover/GroupRecord.h
@@ -34,10 +34,10 @@
     TargetId candidate;
     /// The record was written after the platform had returned from a copy, by a daemon that may not know how far the change had come.
     bool isReinstated { false };
-    /// The target of a call for a promotion to which the platform has not answered, so that it may still be carried out. Until then no other
-    /// target is promoted or used as the primary. Empty if there is none.
+    /// The target of a call for a promotion to which the platform has not answered, so that it may still be carried out. Until it must have
+    /// taken effect, no other target is promoted or used as the primary. Empty if there is none.
     TargetId unansweredCandidate;
-    /// When such a call is carried out at the latest, by the platform's clock.
+    /// When such a call has taken effect at the latest, by the platform's clock.
     Instant unansweredUntil;
 };
 
--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -190,6 +190,36 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against the same at the end of the time in which the platform may carry a call out: its promotion takes effect only after that.
+TEST_CASE("a call that is carried out at the last moment takes effect before another target is used", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    const Milliseconds latest = PromotionPort::maxCallTime + PromotionPort::maxCallDelay - Milliseconds(100);
+    fixture.promotions.carriedOutAfter = latest;
+    fixture.promotions.onSent = [&](const PromotionRequest&) {
+        if (!fixture.promotions.requests.empty()) {
+            fixture.promotions.carriedOutAfter = Milliseconds(0);
+            return;
+        }
+        fixture.loop.after(latest - Milliseconds(1), [&fixture] { fixture.promotions.promotionTime = Milliseconds(1000); });
+        fixture.loop.after(latest + Milliseconds(1), [&fixture] { fixture.promotions.promotionTime = Milliseconds(300); });
+    };
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(3500);
+    const std::string promoted = primaryOf(fixture);
+    REQUIRE(promoted != "one");
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.targets[TargetId("one")].isPrimary = false;
+    fixture.targets[TargetId(promoted)].isDown = true;
+    fixture.runWithTraffic(1000);
+    fixture.targets[TargetId(promoted)].isDown = false;
+    fixture.targets[TargetId(promoted)].isPrimary = false;
+    fixture.runWithTraffic(16'000);
+    checkNoConflict(fixture);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against the loss of the group's log: the candidate of an unanswered call has been started again without its log.
 TEST_CASE("a candidate that has lost its log is not promoted because of an unanswered call", "[failover]")
 {
--- a/src/failover/PromotionCalls.cpp
+++ b/src/failover/PromotionCalls.cpp
@@ -4,13 +4,6 @@
 
 namespace parsleypaddle {
 
-namespace {
-
-    /// A promotion takes effect some hundred milliseconds after the call, and at most one second after it on the known deployments.
-    constexpr Milliseconds maxPromotionTime { 1500 };
-
-}
-
 void PromotionCalls::reset()
 {
     m_firstCounted = m_lastCall + 1;
@@ -35,19 +28,19 @@
     if (outcome == Outcome::Accepted)
         m_acceptedAt = now;
     if (outcome == Outcome::Unanswered)
-        m_unansweredUntil = now + PromotionPort::maxCallDelay;
+        m_unansweredUntil = now + PromotionPort::maxCallDelay + PromotionPort::maxPromotionTime;
 }
 
 std::optional<Instant> PromotionCalls::unansweredUntil(Instant now) const
 {
     if (m_isCallOut && m_lastCall >= m_firstCounted)
-        return now + PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
+        return now + PromotionPort::maxUnansweredTime;
     return m_unansweredUntil;
 }
 
 std::optional<Instant> PromotionCalls::acceptedUntil() const
 {
-    return m_acceptedAt ? std::make_optional(*m_acceptedAt + maxPromotionTime) : std::nullopt;
+    return m_acceptedAt ? std::make_optional(*m_acceptedAt + PromotionPort::maxPromotionTime) : std::nullopt;
 }
 
 }
--- a/src/failover/PromotionCalls.h
+++ b/src/failover/PromotionCalls.h
@@ -27,7 +27,7 @@
     /// When the platform last accepted the promotion.
     std::optional<Instant> acceptedAt() const { return m_acceptedAt; }
 
-    /// When those without an answer are carried out at the latest; unset if there are none.
+    /// When those without an answer have taken effect at the latest; unset if there are none.
     std::optional<Instant> unansweredUntil(Instant now) const;
     /// When the accepted ones have taken effect at the latest; unset if there are none.
     std::optional<Instant> acceptedUntil() const;
--- a/src/failover/PromotionCallsTests.cpp
+++ b/src/failover/PromotionCallsTests.cpp
@@ -8,17 +8,16 @@
 namespace {
 
 constexpr Instant start { 1000 };
-constexpr Milliseconds latest = PromotionPort::maxCallTime + PromotionPort::maxCallDelay;
 
 }
 
-TEST_CASE("a call that is out may be carried out until it is withdrawn, and a while longer", "[failover]")
+TEST_CASE("a call that is out may take effect until some time after it is withdrawn", "[failover]")
 {
     PromotionCalls calls;
     CHECK_FALSE(calls.unansweredUntil(start));
     calls.begin();
     CHECK(calls.isCallOut());
-    CHECK(calls.unansweredUntil(start) == start + latest);
+    CHECK(calls.unansweredUntil(start) == start + PromotionPort::maxUnansweredTime);
 }
 
 TEST_CASE("an answer to a repeated call settles none of the calls before it", "[failover]")
@@ -28,7 +27,7 @@
     CHECK(calls.isLastUnanswered());
     calls.end(calls.begin(), GENERATE(PromotionCalls::Outcome::Accepted, PromotionCalls::Outcome::Refused), start + Milliseconds(20));
     CHECK_FALSE(calls.isLastUnanswered());
-    CHECK(calls.unansweredUntil(start + Milliseconds(20)) == start + PromotionPort::maxCallDelay);
+    CHECK(calls.unansweredUntil(start + Milliseconds(20)) == start + PromotionPort::maxCallDelay + PromotionPort::maxPromotionTime);
 }
 
 TEST_CASE("the answer to a call under an earlier record does not count", "[failover]")
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -179,6 +179,10 @@
     /// How long after a call was withdrawn the platform may still carry it out. The platform's pages say of calls without an answer that
     /// they may be performed "seconds later", and give no limit for promotions.
     static constexpr Milliseconds maxCallDelay { 10'000 };
+    /// A promotion takes effect some hundred milliseconds after it is carried out, and at most one second after it on the known deployments.
+    static constexpr Milliseconds maxPromotionTime { 1500 };
+    /// From the sending of a call without an answer until its promotion takes effect at the latest.
+    static constexpr Milliseconds maxUnansweredTime = maxCallTime + maxCallDelay + maxPromotionTime;
 
     virtual ~PromotionPort() = default;
 
