A lost answer to the write of a record does not hold up the promotion

Callers: during a change of primary beside lost answers of the platform, no primary for 3 s more.

Cause: a failed answer marked the record as uncertain, so that no call was sent, although the record that was written had been received meanwhile.

Change: the record is uncertain from the sending of a write until a record is received, whatever the answer.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -287,6 +287,7 @@
             transaction.removals.push_back({ controlTable, suspicionKey(m_group, it) });
     }
     m_isWriting = true;
+    m_isRecordUncertain = true;
     m_context.log.writeUnlimited("primary_change", { { "group", m_group.value() }, { "phase", std::to_string(static_cast<int>(record.phase)) }, { "primary", record.primary.value() }, { "term", std::to_string(record.term.value()) }, { "candidate", record.candidate.value() }, { "unanswered_candidate", record.unansweredCandidate.value() }, { "expected_version", textOf(m_rowVersion) }, { "why", std::string(why) } });
     const TargetEntry* old = m_record ? find(m_record->primary) : nullptr;
     const bool isReplaced = old && record.phase == GroupPhase::Open && record.primary != m_record->primary;
@@ -295,7 +296,6 @@
         if (alive.expired())
             return;
         m_isWriting = false;
-        m_isRecordUncertain = !answer.ok() || !answer->isApplied;
         endFirstRecord();
         m_context.log.writeUnlimited("primary_change_answered", { { "group", m_group.value() }, { "answer", !answer.ok() ? std::string(answer.status().message()) : answer->isApplied ? "applied"
                                                                                                                                                                                       : "rejected: the record has changed since it was read" } });
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -179,7 +179,7 @@
     bool m_hasReleasedPrimary { true };
     Instant m_releaseDeadline;
     bool m_isWriting { false };
-    /// Whether the platform may hold a later record than this daemon knows, because it rejected a write or did not answer it.
+    /// Whether the platform may hold a later record than this daemon knows: it has written one and has not received any since.
     bool m_isRecordUncertain { false };
     bool m_isReadingLeases { false };
     bool m_isReleasedEverywhere { false };
--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -220,6 +220,24 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against a change that waits for seconds: the answer to the write of the record that names the candidate is lost.
+TEST_CASE("a promotion is requested although the answer to the write of its record is lost", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    for (auto& it : fixture.daemons)
+        it->rows.losesAnswers = true;
+    fixture.setLeaving("one");
+    // Leases are renewed by calls whose answers are lost, too, so the change has to end before they expire.
+    fixture.run(3500);
+    CHECK(fixture.promotions.requests.size() == 1);
+    for (auto& it : fixture.daemons)
+        it->rows.losesAnswers = false;
+    fixture.runWithTraffic(3000);
+    checkNoConflict(fixture);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against the loss of the group's log: the candidate of an unanswered call has been started again without its log.
 TEST_CASE("a candidate that has lost its log is not promoted because of an unanswered call", "[failover]")
 {
