Log and count faults of the line protocol by kind, sender and pending statement

The logs could not tell a message that was cut wrongly from an answer to nothing, a second answer or a connection that a target ended: a lost connection had only a text without the bytes.

What the daemon does with the bytes is unchanged.

--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -42,6 +42,7 @@
 
     /// Whether no statement is running or queued and no transaction is open.
     bool isIdle() const { return !m_isRunning && m_waiting.empty() && m_state == TransactionState::Idle; }
+    const DatabaseId& database() const { return m_database; }
     bool hasUnansweredStatement() const { return m_isRunning || !m_waiting.empty(); }
     bool isInTransaction() const { return m_state != TransactionState::Idle; }
     Instant lastUsed() const { return m_lastUsed; }
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -57,6 +57,11 @@
     LimitsShrunkByFailures,
     SessionCommitsNotRequired,
     EntriesSkipped,
+    UnexpectedMessages,
+    UnaskedAnswers,
+    RepeatedAnswers,
+    ExchangesEndedByPeer,
+    ExchangesUnanswered,
 };
 
 /// The gauges.
