TcpStream: large messages cost their size, not its square, and an answer is never too large to send

Callers of answers above 4 MiB lost their connection, and a message that arrived or left in many pieces was moved in the buffer with each of them.

Change: the buffer's limit applies to what was unsent before, what is left of the input stays where it is while nothing is consumed, and sent bytes are removed at once instead of with each write.

--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -11,8 +11,7 @@
 namespace {
 
     constexpr size_t chunkBytes = 16'384;
-    /// Room for four messages of the platform's line protocol, which are at most 1 MiB each (platform/LineCodec.h). A stream that
-    /// would buffer more is closed, because its peer does not read fast enough.
+    /// A stream that has more unsent bytes when further ones are to be sent is closed, because its peer does not read fast enough.
     constexpr size_t maxUnsentBytes = size_t { 4 } * 1024 * 1024;
     constexpr size_t maxInputBytes = size_t { 2 } * 1024 * 1024;
     /// The kernel closes a connection whose sent bytes stay unacknowledged for this long. A round trip takes a few milliseconds,
@@ -83,10 +82,15 @@
 {
     if (!m_isOpen)
         return false;
-    if (m_unsent.size() + bytes.size() > maxUnsentBytes) {
+    if (unsent() > maxUnsentBytes) {
         closeAndNotify();
         return false;
     }
+    // Removing what was sent only once it is half of the buffer keeps the cost of a large buffer linear.
+    if (m_sent > m_unsent.size() / 2) {
+        m_unsent.erase(0, m_sent);
+        m_sent = 0;
+    }
     m_unsent.append(bytes);
     // While the connection is being opened or the peer is slow, the loop sends the rest once the socket is writable.
     if (m_isWaitingToWrite)
@@ -158,19 +162,22 @@
         const size_t used = m_onReceive(input);
         if (!m_isOpen)
             return true;
-        m_input.insert(0, input, used, std::string::npos);
+        input.erase(0, used);
+        m_input.swap(input);
     }
     return !isEnded && m_input.size() <= maxInputBytes;
 }
 
 bool TcpStream::flush()
 {
-    while (!m_unsent.empty()) {
-        const ssize_t n = ::send(m_socket.impl()->sockfd(), m_unsent.data(), m_unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    while (m_sent < m_unsent.size()) {
+        const ssize_t n = ::send(m_socket.impl()->sockfd(), m_unsent.data() + m_sent, m_unsent.size() - m_sent, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (n < 0)
             return errno == EAGAIN || errno == EINTR;
-        m_unsent.erase(0, static_cast<size_t>(n));
+        m_sent += static_cast<size_t>(n);
     }
+    m_unsent.clear();
+    m_sent = 0;
     return true;
 }
 
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -13,7 +13,7 @@
 
 namespace parsleypaddle {
 
-/// A non-blocking TCP connection on the loop. Bytes that the socket does not yet accept are buffered, up to 4 MiB.
+/// A non-blocking TCP connection on the loop. Bytes that the socket does not yet accept are buffered.
 /// The callbacks may destroy the stream.
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
 public:
@@ -29,18 +29,18 @@
     ~TcpStream();
 
     /// Registers the callbacks and starts to receive. Both are called on the loop's thread. `onClose` is called at most once:
-    /// when the peer closes, on an error, when the connection cannot be opened, when send() would exceed its buffer, or when more
+    /// when the peer closes, on an error, when the connection cannot be opened, when send() finds too many unsent bytes, or when more
     /// than 2 MiB of input stay unconsumed.
     void startReceiving(ReceiveCallback onReceive, CloseCallback onClose);
 
-    /// Sends or buffers the bytes. Returns false if the stream is closed, or if more than 4 MiB would be buffered; it then
+    /// Sends or buffers the bytes. Returns false if the stream is closed, or if more than 4 MiB of earlier ones are unsent; it then
     /// closes the stream and calls `onClose`.
     bool send(std::string_view);
 
     /// Closes at once and discards the bytes that are still buffered. No callback follows.
     void close();
 
-    size_t unsent() const { return m_unsent.size(); }
+    size_t unsent() const { return m_unsent.size() - m_sent; }
 
 private:
     TcpStream(PollLoop&, const Poco::Net::StreamSocket&);
@@ -57,6 +57,8 @@
     CloseCallback m_onClose;
     std::string m_input;
     std::string m_unsent;
+    /// Bytes at the beginning of m_unsent that were sent.
+    size_t m_sent { 0 };
     bool m_isOpen { true };
     bool m_isWaitingToWrite { false };
 };
