--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -45,7 +45,7 @@
 
 void CallerSession::dispatch(const RelayStep& step)
 {
-    static constexpr std::array<std::pair<RelayKind, Handler>, 11> handlers { {
+    static constexpr std::array<std::pair<RelayKind, Handler>, 12> handlers { {
         { RelayKind::Begin, &CallerSession::begin },
         { RelayKind::BeginRead, &CallerSession::begin },
         { RelayKind::Commit, &CallerSession::commit },
@@ -57,6 +57,7 @@
         { RelayKind::Prepare, &CallerSession::prepare },
         { RelayKind::Deallocate, &CallerSession::deallocate },
         { RelayKind::Reset, &CallerSession::reset },
+        { RelayKind::TooLong, &CallerSession::rejectTooLong },
     } };
     m_isRunning = true;
     if (step.requiredMark)
@@ -181,6 +182,11 @@
     replySuccess();
 }
 
+void CallerSession::rejectTooLong(const RelayStep&)
+{
+    reject(RelayError::Malformed, "the statement is longer than 1 MiB");
+}
+
 void CallerSession::rejectUnknown(const RelayStep&)
 {
     reject(RelayError::Malformed, "unknown statement");
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -76,6 +76,7 @@
     void prepare(const RelayStep&);
     void deallocate(const RelayStep&);
     void reset(const RelayStep&);
+    void rejectTooLong(const RelayStep&);
     void rejectUnknown(const RelayStep&);
 
     void send(RelayJob);
--- a/src/targets/RelayStep.h
+++ b/src/targets/RelayStep.h
@@ -31,6 +31,8 @@
     Deallocate,
     /// The text could not be parsed as any other kind.
     Unknown,
+    /// The statement was longer than a message may be. Its text is not kept.
+    TooLong,
 
     // The remaining kinds are sent by daemons only.
 
