--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 27> counterInfos { {
+    constexpr std::array<MetricInfo, 28> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -47,6 +47,7 @@
         { "parsleypaddle_unexpected_messages_total", "Messages of callers, targets and daemons that are not allowed where they stand" },
         { "parsleypaddle_unasked_answers_total", "Times that a target or daemon sent something while no statement was pending" },
         { "parsleypaddle_repeated_answers_total", "Answers with the signature of an earlier answer on the same connection" },
+        { "parsleypaddle_answers_out_of_step_total", "Answers that cannot be answers to the statements in whose place they stand" },
         { "parsleypaddle_exchanges_ended_by_peer_total", "Connections that a target or daemon ended while a statement was pending" },
         { "parsleypaddle_exchanges_unanswered_total", "Connections given up because a pending statement got no answer in time" },
     } };
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -60,6 +60,7 @@
     UnexpectedMessages,
     UnaskedAnswers,
     RepeatedAnswers,
+    AnswersOutOfStep,
     ExchangesEndedByPeer,
     ExchangesUnanswered,
 };
