--- a/tests/platform/whole-path.sh
+++ b/tests/platform/whole-path.sh
@@ -36,6 +36,12 @@
 platform_ask 0 nowhere "READ x" | grep -q '^COMPLETE' && { echo "FAILED: an unknown database is served"; exit 1; }
 echo "ok: an unknown database is refused"
 
+for name in '~parsleypaddle' '~parsleypaddle 00000000000000000000000000000000'; do
+    caller_name=$name caller_open 0 orders && { echo "FAILED: a caller that calls itself a daemon is let in"; exit 1; }
+    [[ $caller_greeting == "ERROR NOAUTH "* ]] || { echo "FAILED: a caller that calls itself a daemon gets $caller_greeting"; exit 1; }
+done
+echo "ok: a caller that calls itself a daemon is refused"
+
 platform_trouble down/one
 check "a write after the primary crashed" platform_writes 0 orders "WRITE card foil"
 check "it is read through another daemon" platform_reads 2 orders card foil
