What was not sent is not in doubt, and a target that is out of step has answered

Cause: one code for closed and for lost connections, one for silent targets and for those that answer out of step.

Change: connection_closed (nothing was sent: statements move on, transactions are aborted, also at their commit) and answers_out_of_step (no sign of an unreachable target). A malformed statement is answered so and not tried elsewhere.

--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -54,6 +54,7 @@
         { ResultCode::TargetLeaving, "target_leaving", "the target is leaving and takes no new work" },
         { ResultCode::TargetUnreachable, "target_unreachable", "no connection to the target could be opened" },
         { ResultCode::PeerUnreachable, "peer_unreachable", "the daemon that owns the target could not be reached" },
+        { ResultCode::ConnectionClosed, "connection_closed", "the connection to the target was closed before anything was sent on it" },
         { ResultCode::Overloaded, "overloaded", "the request was shed before it ran; try again after the hint" },
         { ResultCode::DeadlinePassed, "deadline_passed", "the deadline passed before the request was run" },
         { ResultCode::RetryBudgetSpent, "retry_budget_spent", "a retry was due but the retry budget is spent" },
@@ -72,6 +73,7 @@
         { ResultCode::TargetSilent, "target_silent", "the target did not answer in time" },
         { ResultCode::ConnectionLost, "connection_lost", "the connection to the target was lost in the middle of the work" },
         { ResultCode::PeerSilent, "peer_silent", "the daemon that owns the target did not answer in time" },
+        { ResultCode::AnswersOutOfStep, "answers_out_of_step", "the answers of the target do not fit the statements that it was sent" },
     };
     return codes;
 }
--- a/src/base/ResultCode.h
+++ b/src/base/ResultCode.h
@@ -45,6 +45,7 @@
     TargetLeaving = 2206,
     TargetUnreachable = 2207,
     PeerUnreachable = 2208,
+    ConnectionClosed = 2209,
 
     Overloaded = 2301,
     DeadlinePassed = 2302,
@@ -68,6 +69,7 @@
     TargetSilent = 3003,
     ConnectionLost = 3004,
     PeerSilent = 3005,
+    AnswersOutOfStep = 3006,
 };
 
 /// The stable name and one-line meaning of a result code.
--- a/src/connections/HeldConnection.cpp
+++ b/src/connections/HeldConnection.cpp
@@ -4,6 +4,25 @@
 
 namespace parsleypaddle {
 
+namespace {
+
+    /// Whether the connection must not be used again.
+    bool endsConnection(ResultCode code)
+    {
+        switch (code) {
+        case ResultCode::TargetSilent:
+        case ResultCode::ConnectionLost:
+        case ResultCode::ConnectionClosed:
+        case ResultCode::AnswersOutOfStep:
+        case ResultCode::OutcomeUnknown:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+}
+
 HeldConnection::HeldConnection(std::shared_ptr<PoolCore> core, PoolCore::Entry entry)
     : m_core(std::move(core))
     , m_entry(std::move(entry))
@@ -40,7 +59,7 @@
 {
     m_isRunning = false;
     const ResultCode code = resultCodeOf(status);
-    if (code == ResultCode::TargetSilent || code == ResultCode::ConnectionLost || code == ResultCode::OutcomeUnknown) {
+    if (endsConnection(code)) {
         m_isReusable = false;
         if (code == ResultCode::TargetSilent)
             m_core->closeIdleUnansweredSince(sentAt);
--- a/src/failover/TargetProbe.cpp
+++ b/src/failover/TargetProbe.cpp
@@ -39,7 +39,8 @@
     const Instant startedAt = loop.now();
     runOnNewConnection(connector, target, std::move(step), [&loop, startedAt, done = std::move(done)](const absl::StatusOr<TargetReply>& reply) {
         ProbeResult result;
-        result.hasAnswered = reply.ok() || resultCodeOf(reply.status()) == ResultCode::Overloaded;
+        const ResultCode code = resultCodeOf(reply.status());
+        result.hasAnswered = reply.ok() || code == ResultCode::Overloaded || code == ResultCode::AnswersOutOfStep;
         result.failedAtOnce = !result.hasAnswered && loop.now() - startedAt < maxRefusalTime;
         if (reply.ok() && !reply->answers.empty())
             result.report = reply->answers.back().report;
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -291,6 +291,8 @@
 
 void CallerSession::reply(RelayAnswer answer)
 {
+    // A caller that does not read its answers is disconnected when the next one is sent.
+    const auto self = shared_from_this();
     m_isRunning = false;
     m_lastUsed = m_relay.now();
     answer.state = m_state;
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -28,6 +28,10 @@
     {
         auto& target = m_targets[m_id];
         std::weak_ptr<bool> alive = m_alive;
+        if (target.closedBeforeSending > 0) {
+            --target.closedBeforeSending;
+            return done(makeError(ResultCode::ConnectionClosed, "closed"));
+        }
         if (target.isSilent) {
             m_targets.m_loop.after(timeout, [alive, done] {
                 if (!alive.expired())
@@ -54,6 +58,8 @@
             reply.answers.push_back(run(it, target));
         if (std::exchange(target.losesNextAnswer, false))
             return done(makeError(ResultCode::ConnectionLost, "lost"));
+        if (std::exchange(target.isNextOutOfStep, false))
+            return done(makeError(ResultCode::AnswersOutOfStep, "out of step"));
         done(std::move(reply));
     }
 
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -48,6 +48,10 @@
         bool fails { false };
         /// The next batch runs, but its connection is lost before the answer.
         bool losesNextAnswer { false };
+        /// Open connections turn out to be closed when the next batch is to be sent.
+        uint32_t closedBeforeSending { 0 };
+        /// The next batch runs, but its answers do not fit it.
+        bool isNextOutOfStep { false };
         uint32_t connections { 0 };
         uint32_t peakConnections { 0 };
         uint32_t running { 0 };
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -197,6 +197,9 @@
     case RelayError::InDoubt:
         m_destination.target->recordError(answer.error, m_sentAt);
         return finish(std::move(answer));
+    case RelayError::Malformed:
+        // It would be malformed elsewhere, too.
+        return finish(std::move(answer));
     default:
         return retryOrRefuse(answer);
     }
@@ -206,11 +209,19 @@
 void RelayRun::connectionFailed(const absl::Status& status)
 {
     const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
+    // A connection may close while it is idle, and then says nothing of the target.
+    const bool wasSent = resultCodeOf(status) != ResultCode::ConnectionClosed;
     m_isTransactionOpen = false;
     m_outstanding.reset();
-    m_destination.target->recordLost(m_sentAt);
     m_slot.reset();
-    reportUnreachable();
+    if (wasSent) {
+        m_destination.target->recordLost(m_sentAt);
+        if (resultCodeOf(status) != ResultCode::AnswersOutOfStep)
+            reportUnreachable();
+    } else {
+        m_isAwaitingAnswer = false;
+        m_tried.erase(m_destination.target->entry().target.id);
+    }
     logStatement(m_group, "statement_broken", m_job, m_destination.target->entry().target.id, RelayError::None, std::string(status.message()));
     if (m_isAwaitingAnswer && !isRepeatable())
         return refuse(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -24,7 +24,8 @@
     RelaySlot(const RelaySlot&) = delete;
     RelaySlot& operator=(const RelaySlot&) = delete;
 
-    /// Sends the steps together and calls back with one answer for each. Errors: TargetSilent, ConnectionLost.
+    /// Sends the steps together and calls back with one answer for each. Errors: TargetSilent, ConnectionLost, ConnectionClosed and
+    /// AnswersOutOfStep; see TargetConnection.
     void run(std::vector<RelayStep>, Milliseconds timeout, std::function<void(absl::StatusOr<std::vector<RelayAnswer>>)>);
 
     TargetSessionState& sessionState() { return m_connection->sessionState(); }
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -119,11 +119,13 @@
 
 void RelayTransaction::connectionFailed(const absl::Status& status)
 {
-    if (m_primaryUse)
+    const ResultCode code = resultCodeOf(status);
+    const bool wasSent = code != ResultCode::ConnectionClosed;
+    if (m_primaryUse && wasSent && code != ResultCode::AnswersOutOfStep)
         m_group.observer().primaryFailed(m_group.id());
     m_slot->discard();
-    const bool isSilent = resultCodeOf(status) == ResultCode::TargetSilent;
-    if (isCommit())
+    const bool isSilent = code == ResultCode::TargetSilent;
+    if (isCommit() && wasSent)
         return endWithError(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
     endWithError(RelayError::Aborted, std::string(status.message()));
 }
--- a/src/targets/TargetConnection.h
+++ b/src/targets/TargetConnection.h
@@ -72,9 +72,9 @@
 /// A connection to a target, which runs one batch at a time.
 /// Errors: after TransactionUnknown (no transaction is open on the connection), TermChanged, NoPrimary, TargetBehind,
 /// TargetLeaving, StatementFailed, RequestIdReused and RequestSettled the batch has no effect, except that an open transaction
-/// may have been rolled back. After TargetSilent (no answer before the timeout) and ConnectionLost the batch may have run, and
-/// the connection must not be used again. Errors of single statements of a Relay operation are returned in
-/// TargetReply::answers.
+/// may have been rolled back. After ConnectionClosed nothing was sent. After TargetSilent (no answer before the timeout),
+/// ConnectionLost and AnswersOutOfStep (what the target sent does not fit the batch) the batch may have run. After these four the
+/// connection must not be used again. Errors of single statements of a Relay operation are returned in TargetReply::answers.
 class TargetConnection {
 public:
     using Done = std::function<void(absl::StatusOr<TargetReply>)>;
