A call for a promotion that was not accepted or never sent holds nothing up

Cause: every call without "accepted" or "refused" counted as one that may still be carried out.

Evidence: PROTOCOL.md says of these calls "The platform accepts duties-per-s such calls per second [...] Additional calls receive 429"; a call of which no byte was written can't be carried out at all. Any other answer, 503 included, leaves it open: "A 503 response means that nothing was done" is said of the store.

Change: such errors are marked (UnexecutedCall). They say nothing of earlier calls under the same record, which keep their wait, and a candidate that answers is not rejected while calls are not accepted. promotion_answered says whether the call was executed.

--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -1,6 +1,7 @@
 #include "failover/FailoverFixture.h"
 
 #include "leases/Epoch.h"
+#include "platform_ports/UnexecutedCall.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,6 +11,8 @@
 namespace {
 
     constexpr Milliseconds replicationInterval { 20 };
+    /// From a call until the platform answers that it does not accept it.
+    constexpr Milliseconds answerTime { 5 };
 
     std::shared_ptr<const RouteTable> makeRoutes()
     {
@@ -32,6 +35,8 @@
 {
     const PromotionRequest request { target, leaseHolder, fencingToken, m_loop.now(), until };
     onSent(request);
+    if (rejectsCalls)
+        return (void)m_loop.after(answerTime, [done] { done(makeUnexecutedCallError("too many calls")); });
     const bool isHeldUp = heldUpFor > Milliseconds(0);
     const bool isLate = carriedOutAfter > Milliseconds(0);
     const Done unanswered = [](const absl::StatusOr<bool>&) {};
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -37,6 +37,8 @@
 
     /// Promotions take effect, but the caller gets an error after 1500 ms.
     bool losesAnswers { false };
+    /// The platform answers that it does not accept calls.
+    bool rejectsCalls { false };
     /// Calls are held up on their way for this long, and their callers get an error after 1500 ms. 0 for none.
     Milliseconds heldUpFor;
     /// The platform carries calls out this long after it has received them, although their callers have withdrawn them and got an error
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -117,6 +117,7 @@
     bool isMissingLog(const TargetId& candidate) const;
     void awaitCandidates();
     void monitorPromotion();
+    bool hasPromotionTimedOut() const;
     bool isPromotionDue() const;
     void requestPromotion();
     void logPromotionAnswer(const TargetId& candidate, uint64_t call, RowVersion version, Instant sentAt, const absl::StatusOr<bool>& accepted);
--- a/src/failover/GroupFailoverPromotion.cpp
+++ b/src/failover/GroupFailoverPromotion.cpp
@@ -1,6 +1,7 @@
 #include "failover/GroupFailover.h"
 
 #include "failover/FailoverTimes.h"
+#include "platform_ports/UnexecutedCall.h"
 
 #include <algorithm>
 
@@ -25,13 +26,28 @@
     /// is known to be answered does not delay the next change.
     constexpr Milliseconds answerDelay { 150 };
 
+    PromotionCalls::Outcome outcomeOfPromotion(const absl::StatusOr<bool>& accepted)
+    {
+        if (accepted.ok())
+            return *accepted ? PromotionCalls::Outcome::Accepted : PromotionCalls::Outcome::Refused;
+        return isUnexecutedCall(accepted.status()) ? PromotionCalls::Outcome::Unexecuted : PromotionCalls::Outcome::Unanswered;
+    }
+
+    /// Whether a call of that outcome was carried out, for the log.
+    std::string isExecuted(PromotionCalls::Outcome outcome)
+    {
+        if (outcome == PromotionCalls::Outcome::Unanswered)
+            return "unknown";
+        return outcome == PromotionCalls::Outcome::Accepted ? "yes" : "no";
+    }
+
 }
 
 void GroupFailover::monitorPromotion()
 {
     const Instant now = m_context.loop.now();
     const TargetEntry* entry = find(m_record->candidate);
-    const bool hasFailed = !entry || m_rejectedCandidates.count(m_record->candidate) > 0 || now > std::max(m_recordSince, m_calls.acceptedAt().value_or(Instant())) + promotionTimeout;
+    const bool hasFailed = !entry || m_rejectedCandidates.count(m_record->candidate) > 0 || hasPromotionTimedOut();
     if (hasFailed && (!m_calls.isLastUnanswered() || m_isRecordUncertain)) {
         m_rejectedCandidates.insert(m_record->candidate);
         GroupRecord record = *m_record;
@@ -60,6 +76,14 @@
     });
 }
 
+// While the platform accepts no call, a candidate that answers is not at fault.
+bool GroupFailover::hasPromotionTimedOut() const
+{
+    if (m_calls.isLastUnexecuted() && !m_calls.acceptedAt() && !m_isCandidateUnreachable)
+        return false;
+    return m_context.loop.now() > std::max(m_recordSince, m_calls.acceptedAt().value_or(Instant())) + promotionTimeout;
+}
+
 bool GroupFailover::isPromotionDue() const
 {
     const Instant now = m_context.loop.now();
@@ -82,9 +106,7 @@
     m_context.promotions.promote(m_group, m_record->candidate, m_context.lease.instance(), m_version, until, [this, candidate = m_record->candidate, version = m_version, call, sentAt = now, alive = std::weak_ptr<bool>(m_alive)](const absl::StatusOr<bool>& accepted) {
         if (alive.expired())
             return;
-        PromotionCalls::Outcome outcome = PromotionCalls::Outcome::Unanswered;
-        if (accepted.ok())
-            outcome = *accepted ? PromotionCalls::Outcome::Accepted : PromotionCalls::Outcome::Refused;
+        const PromotionCalls::Outcome outcome = outcomeOfPromotion(accepted);
         m_calls.end(call, outcome, m_context.loop.now());
         logPromotionAnswer(candidate, call, version, sentAt, accepted);
         if (outcome == PromotionCalls::Outcome::Refused && version == m_version)
@@ -99,7 +121,7 @@
         answer = *accepted ? "accepted" : "refused";
     else
         answer = std::string(accepted.status().message());
-    m_context.log.writeUnlimited("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "call", std::to_string(call) }, { "fence", std::to_string(version.value()) }, { "after_ms", std::to_string(static_cast<int64_t>((m_context.loop.now() - sentAt).count())) }, { "still_wanted", version == m_version ? "yes" : "no" }, { "answer", answer } });
+    m_context.log.writeUnlimited("promotion_answered", { { "group", m_group.value() }, { "candidate", candidate.value() }, { "call", std::to_string(call) }, { "fence", std::to_string(version.value()) }, { "after_ms", std::to_string(static_cast<int64_t>((m_context.loop.now() - sentAt).count())) }, { "still_wanted", version == m_version ? "yes" : "no" }, { "answer", answer }, { "executed", isExecuted(outcomeOfPromotion(accepted)) } });
 }
 
 bool GroupFailover::isAwaitingOtherPromotion(const TargetId& target) const
--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 
 using namespace parsleypaddle;
 
@@ -30,9 +31,13 @@
 enum class RepeatedCalls { Unanswered,
     All };
 
-// Calls are answered, lost, carried out up to 6 s late or twice, while owners of changes are killed and cut off and targets crash, fall
+/// Whether the platform rejects some calls.
+enum class RejectedCalls { None,
+    Some };
+
+// Calls are answered, lost, rejected, carried out up to 6 s late or twice, while owners of changes are killed and cut off and targets crash, fall
 // silent and return.
-void runRandomFaults(unsigned seed, RepeatedCalls repeated)
+void runRandomFaults(unsigned seed, RepeatedCalls repeated, RejectedCalls rejected = RejectedCalls::None)
 {
     std::mt19937 random(seed);
     const auto between = [&random](unsigned least, unsigned most) { return static_cast<double>(least + random() % (most - least)); };
@@ -47,6 +52,7 @@
         fixture.promotions.losesAnswers = random() % 4 == 0;
         const bool mayBeRepeated = repeated == RepeatedCalls::All || fixture.promotions.losesAnswers;
         fixture.promotions.carriedOutAgainAfter = mayBeRepeated && random() % 4 == 0 ? Milliseconds(between(100, 6000)) : Milliseconds(0);
+        fixture.promotions.rejectsCalls = rejected == RejectedCalls::Some && random() % 3 == 0;
     };
     for (int step = 0; step < 40; ++step) {
         auto& target = fixture.targets[TargetId(names[random() % names.size()])];
@@ -91,6 +97,7 @@
     fixture.promotions.carriedOutAfter = Milliseconds(0);
     fixture.promotions.losesAnswers = false;
     fixture.promotions.carriedOutAgainAfter = Milliseconds(0);
+    fixture.promotions.rejectsCalls = false;
     for (auto& it : fixture.daemons)
         it->rows.isCut = false;
     for (const auto& it : names) {
@@ -284,6 +291,47 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against seconds without a primary: a call that the platform has not accepted was taken for one that may still be carried out.
+TEST_CASE("a call that the platform has not accepted does not delay the change to another target", "[failover]")
+{
+    const double rejectedFor = GENERATE(20, 800, 6000);
+    CAPTURE(rejectedFor);
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    std::optional<TargetId> candidate;
+    fixture.promotions.rejectsCalls = true;
+    fixture.promotions.onSent = [&](const PromotionRequest& it) { candidate = candidate.value_or(it.target); };
+    fixture.setLeaving("one");
+    while (!candidate)
+        fixture.run(20);
+    fixture.targets[*candidate].isDown = true;
+    fixture.runWithTraffic(rejectedFor);
+    fixture.promotions.rejectsCalls = false;
+    fixture.runWithTraffic(3000);
+    CHECK(fixture.write(0) == RelayError::None);
+    fixture.targets[*candidate].isDown = false;
+    fixture.targets[*candidate].isPrimary = false;
+    fixture.runWithTraffic(16'000);
+    checkNoConflict(fixture);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
+// Guards against the loss of the end of the log: the most complete replica is given up although nothing is wrong with it.
+TEST_CASE("a candidate is not rejected because the platform does not accept calls for its promotion", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    std::set<TargetId> candidates;
+    fixture.promotions.rejectsCalls = true;
+    fixture.promotions.onSent = [&](const PromotionRequest& it) { candidates.insert(it.target); };
+    fixture.setLeaving("one");
+    fixture.runWithTraffic(8000);
+    fixture.promotions.rejectsCalls = false;
+    fixture.runWithTraffic(2000);
+    CHECK(candidates.size() == 1);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against a promotion that takes effect while another primary is in use, at whatever moment a call without an answer is carried out.
 TEST_CASE("under random faults no promotion takes effect while another primary is in use", "[failover]")
 {
@@ -292,6 +340,14 @@
     runRandomFaults(seed, RepeatedCalls::Unanswered);
 }
 
+// Guards against the same if some calls are rejected, and others under the same record have no answer.
+TEST_CASE("under random faults and rejected calls no promotion takes effect while another primary is in use", "[failover]")
+{
+    const auto seed = GENERATE(range(1U, 201U));
+    CAPTURE(seed);
+    runRandomFaults(seed, RepeatedCalls::Unanswered, RejectedCalls::Some);
+}
+
 // Guards against the same if the platform carries a call that it has answered out again seconds later.
 TEST_CASE("under random faults no promotion that the platform repeats takes effect while another primary is in use", "[failover][known-red]")
 {
--- a/src/failover/PromotionCalls.cpp
+++ b/src/failover/PromotionCalls.cpp
@@ -8,6 +8,7 @@
 {
     m_firstCounted = m_lastCall + 1;
     m_isLastUnanswered = false;
+    m_isLastUnexecuted = false;
     m_acceptedAt.reset();
     m_unansweredUntil.reset();
 }
@@ -15,7 +16,6 @@
 uint64_t PromotionCalls::begin()
 {
     m_isCallOut = true;
-    m_isLastUnanswered = true;
     return ++m_lastCall;
 }
 
@@ -24,6 +24,10 @@
     m_isCallOut = false;
     if (call < m_firstCounted)
         return;
+    m_isLastUnexecuted = outcome == Outcome::Unexecuted;
+    // It says nothing of the calls before it.
+    if (m_isLastUnexecuted)
+        return;
     m_isLastUnanswered = outcome == Outcome::Unanswered;
     if (outcome == Outcome::Accepted)
         m_acceptedAt = now;
@@ -33,7 +37,7 @@
 
 std::optional<Instant> PromotionCalls::unansweredUntil(Instant now) const
 {
-    if (m_isCallOut && m_lastCall >= m_firstCounted)
+    if (isCountedCallOut())
         return now + PromotionPort::maxUnansweredTime;
     return m_unansweredUntil;
 }
--- a/src/failover/PromotionCallsTests.cpp
+++ b/src/failover/PromotionCallsTests.cpp
@@ -41,3 +41,20 @@
     CHECK_FALSE(calls.isLastUnanswered());
     CHECK_FALSE(calls.unansweredUntil(start));
 }
+
+TEST_CASE("a call that was not executed neither may take effect nor settles the calls before it", "[failover]")
+{
+    PromotionCalls calls;
+    const bool hasUnanswered = GENERATE(false, true);
+    if (hasUnanswered)
+        calls.end(calls.begin(), PromotionCalls::Outcome::Unanswered, start);
+    const auto until = calls.unansweredUntil(start);
+    CHECK(until.has_value() == hasUnanswered);
+    calls.end(calls.begin(), PromotionCalls::Outcome::Unexecuted, start + Milliseconds(20));
+    CHECK(calls.isLastUnexecuted());
+    CHECK(calls.isLastUnanswered() == hasUnanswered);
+    CHECK(calls.unansweredUntil(start + Milliseconds(20)) == until);
+    calls.begin();
+    CHECK(calls.isLastUnanswered());
+    CHECK(calls.unansweredUntil(start + Milliseconds(40)) == start + Milliseconds(40) + PromotionPort::maxUnansweredTime);
+}
--- a/src/platform_http/PlatformCaller.cpp
+++ b/src/platform_http/PlatformCaller.cpp
@@ -1,6 +1,7 @@
 #include "platform_http/PlatformCaller.h"
 
 #include "base/ResultCode.h"
+#include "platform_ports/UnexecutedCall.h"
 
 #include <memory>
 #include <utility>
@@ -34,7 +35,7 @@
     });
     if (!isTaken) {
         deadline->cancel();
-        m_loop.post([finish] { finish(makeError(ResultCode::PlatformUnavailable, "too many requests to the platform wait already")); });
+        m_loop.post([finish] { finish(makeUnexecutedCallError("too many requests to the platform wait already")); });
     }
 }
 
--- a/src/platform_http/PlatformExchange.cpp
+++ b/src/platform_http/PlatformExchange.cpp
@@ -1,6 +1,7 @@
 #include "platform_http/PlatformExchange.h"
 
 #include "base/ResultCode.h"
+#include "platform_ports/UnexecutedCall.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -47,6 +48,11 @@
         return makeError(ResultCode::PlatformUnavailable, "the platform did not answer: " + why);
     }
 
+    absl::Status unsent(const std::string& why)
+    {
+        return makeUnexecutedCallError("the platform was not called: " + why);
+    }
+
     Poco::Timespan timespanOf(Milliseconds duration)
     {
         constexpr double microsecondsPerMillisecond = 1000;
@@ -82,10 +88,12 @@
 // The kernel goes on sending what a closed connection has not delivered, unless the connection is reset. A process that ends resets it too.
 absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, const TimeLeft& timeLeft, const PlatformRequest& request, ReceivedBytes& received)
 {
+    // A request that was written in part counts as sent.
+    bool isSent = false;
     try {
         const Milliseconds connectTimeout = std::min(timeLeft(), longestConnect);
         if (connectTimeout <= Milliseconds(0))
-            return unavailable("the call was withdrawn before it was sent");
+            return unsent("the call was withdrawn before it was sent");
         const Poco::Net::SocketAddress address(host, port);
         Poco::Net::StreamSocket socket;
         socket.connect(address, timespanOf(connectTimeout));
@@ -93,13 +101,14 @@
         setKeepAlive(socket);
         const Milliseconds timeout = timeLeft();
         if (timeout <= Milliseconds(0))
-            return unavailable("the call was withdrawn before it was sent");
+            return unsent("the call was withdrawn before it was sent");
         dropUndeliveredAfter(socket, timeout);
         // A session over a connected socket does not pass its own timeouts on to it.
         socket.setReceiveTimeout(timespanOf(timeout));
         socket.setSendTimeout(timespanOf(timeout));
         Poco::Net::HTTPClientSession session(socket);
         session.setTimeout(timespanOf(timeout));
+        isSent = true;
         sendRequest(session, address, request);
         Poco::Net::HTTPResponse message;
         std::istream& in = session.receiveResponse(message);
@@ -114,9 +123,9 @@
         socket.setLinger(false, 0);
         return response;
     } catch (const Poco::Exception& ec) {
-        return unavailable(ec.displayText());
+        return isSent ? unavailable(ec.displayText()) : unsent(ec.displayText());
     } catch (const std::exception& ec) {
-        return unavailable(ec.what());
+        return isSent ? unavailable(ec.what()) : unsent(ec.what());
     }
 }
 
--- a/src/platform_http/PlatformExchange.h
+++ b/src/platform_http/PlatformExchange.h
@@ -35,7 +35,8 @@
 
 /// Sends the request and waits for the response; blocks. Each wait for the socket lasts no longer than the time that is left. A call whose
 /// time is over before the request is sent is not sent. One that ends without a whole response is reset, so that what was not delivered
-/// by then does not arrive any more. Counts the bytes of the response's body. PlatformUnavailable when there is none in time.
+/// by then does not arrive any more. Counts the bytes of the response's body. PlatformUnavailable when there is none in time;
+/// isUnexecutedCall() is true of it if no byte of the request was written.
 absl::StatusOr<PlatformResponse> exchangeWithPlatform(const std::string& host, uint16_t port, const TimeLeft&, const PlatformRequest&, ReceivedBytes&);
 
 }
--- a/src/platform_ports/PlatformPorts.h
+++ b/src/platform_ports/PlatformPorts.h
@@ -187,7 +187,8 @@
     virtual ~PromotionPort() = default;
 
     /// `fence` grows with each change of the daemon that holds the right to promote. At `until` the call is withdrawn: what was not delivered
-    /// by then does not arrive any more. An error means that the call may have been delivered, and may be carried out within maxCallDelay.
+    /// by then does not arrive any more. An error means that the call may have been delivered, and may be carried out within maxCallDelay,
+    /// unless isUnexecutedCall() is true of it.
     virtual void promote(const GroupId&, const TargetId&, const InstanceId& holder, RowVersion fence, Instant until, Done) = 0;
 };
 
