--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -316,6 +316,32 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against a call without an answer that is forgotten because a repeated one was not accepted.
+TEST_CASE("a rejected call for a promotion does not settle the unanswered one before it", "[failover]")
+{
+    FailoverFixture fixture(3);
+    fixture.writeFromAllDaemons();
+    std::optional<TargetId> candidate;
+    fixture.promotions.carriedOutAfter = Milliseconds(GENERATE(6000, 8000));
+    fixture.promotions.onSent = [&](const PromotionRequest& it) {
+        fixture.promotions.rejectsCalls = !fixture.promotions.requests.empty();
+        candidate = candidate.value_or(it.target);
+    };
+    fixture.setLeaving("one");
+    while (!candidate)
+        fixture.run(20);
+    fixture.targets[*candidate].isDown = true;
+    fixture.runWithTraffic(3500);
+    fixture.promotions.onSent = [](const PromotionRequest&) {};
+    fixture.promotions.rejectsCalls = false;
+    fixture.promotions.carriedOutAfter = Milliseconds(0);
+    fixture.runWithTraffic(1500);
+    fixture.targets[*candidate].isDown = false;
+    fixture.runWithTraffic(16'000);
+    checkNoConflict(fixture);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against the loss of the end of the log: the most complete replica is given up although nothing is wrong with it.
 TEST_CASE("a candidate is not rejected because the platform does not accept calls for its promotion", "[failover]")
 {
