--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -78,6 +78,14 @@
     watchSocket();
 }
 
+void TcpStream::stopReceiving()
+{
+    if (!m_isOpen || !m_isReceiving)
+        return;
+    m_isReceiving = false;
+    watchSocket();
+}
+
 bool TcpStream::send(std::string_view bytes)
 {
     if (!m_isOpen)
@@ -122,7 +130,8 @@
 
 void TcpStream::watchSocket()
 {
-    const Readiness interest = m_isWaitingToWrite ? Readiness::Read | Readiness::Write : Readiness::Read;
+    const Readiness input = m_isReceiving ? Readiness::Read : Readiness::None;
+    const Readiness interest = m_isWaitingToWrite ? input | Readiness::Write : input;
     m_loop.watch(m_socket.impl()->sockfd(), interest, [weak = weak_from_this()](Readiness ready) {
         if (auto self = weak.lock())
             self->handleEvents(ready);
@@ -139,7 +148,9 @@
             watchSocket();
         }
     }
-    if ((has(ready, Readiness::Read) || has(ready, Readiness::Failure)) && !receive())
+    if (!m_isReceiving && has(ready, Readiness::Failure))
+        return closeAndNotify();
+    if (m_isReceiving && (has(ready, Readiness::Read) || has(ready, Readiness::Failure)) && !receive())
         closeAndNotify();
 }
 
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -33,6 +33,9 @@
     /// than 2 MiB of input stay unconsumed.
     void startReceiving(ReceiveCallback onReceive, CloseCallback onClose);
 
+    /// Leaves further input in the socket. `onClose` is still called on errors, but not when the peer closes.
+    void stopReceiving();
+
     /// Sends or buffers the bytes. Returns false if the stream is closed, or if more than 4 MiB of earlier ones are unsent; it then
     /// closes the stream and calls `onClose`.
     bool send(std::string_view);
@@ -60,6 +63,7 @@
     /// Bytes at the beginning of m_unsent that were sent.
     size_t m_sent { 0 };
     bool m_isOpen { true };
+    bool m_isReceiving { true };
     bool m_isWaitingToWrite { false };
 };
 
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -298,7 +298,10 @@
         m_port->answer(answer);
     if (m_isKeyWithdrawn)
         return endUnauthorized();
+    if (const std::string why = std::exchange(m_pendingAbortReason, {}); !why.empty())
+        endTransaction(why);
     dispatchNextWaiting();
+    closeIfEnded();
 }
 
 void CallerSession::detach()
@@ -329,9 +332,13 @@
 
 void CallerSession::endTransaction(std::string_view why)
 {
-    // A running statement is answered normally; the caller of this function tries again later.
-    if (m_state != TransactionState::Open || m_isRunning)
+    if (m_state != TransactionState::Open)
         return;
+    // A running statement is answered normally.
+    if (m_isRunning) {
+        m_pendingAbortReason = std::string(why);
+        return;
+    }
     dropTransaction();
     m_abortReason = std::string(why);
     m_state = TransactionState::Failed;
@@ -343,4 +350,17 @@
         m_port->close();
 }
 
+void CallerSession::closeAfter(SessionEnd end)
+{
+    m_end = end;
+    closeIfEnded();
+}
+
+void CallerSession::closeIfEnded()
+{
+    const bool isOver = m_end == SessionEnd::AfterStatement || (m_end == SessionEnd::AfterOperation && m_state == TransactionState::Idle);
+    if (m_port && isOver)
+        m_port->closeIfAnswered();
+}
+
 }
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -16,6 +16,11 @@
     /// Sends one answer, which includes the session's transaction state.
     virtual void answer(const RelayAnswer&) = 0;
     virtual void close() = 0;
+    /// Whether parts of answers are not passed on to the operating system yet.
+    virtual bool hasUnsentAnswers() const = 0;
+    /// Reads nothing further from the connection, and closes it if every statement that was read is answered. The session calls this again
+    /// after each answer.
+    virtual void closeIfAnswered() = 0;
 };
 
 /// The kind of client that opened a session.
@@ -25,6 +30,13 @@
     Peer,
 };
 
+/// When a session that is to be closed ends.
+enum class SessionEnd : uint8_t {
+    None,
+    AfterOperation,
+    AfterStatement,
+};
+
 /// A caller's session: its variables, its prepared statements and at most one open transaction. It lives as long as the
 /// caller's connection, and answers statements in the order of their arrival.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
@@ -40,24 +52,30 @@
     /// running statement, if any, has been answered.
     void detach();
 
-    /// Whether no statement is running or queued and no transaction is open.
-    bool isIdle() const { return !m_isRunning && m_waiting.empty() && m_state == TransactionState::Idle; }
+    /// Whether every statement is answered and no transaction is open.
+    bool isIdle() const { return !hasUnansweredStatement() && m_state == TransactionState::Idle; }
     const DatabaseId& database() const { return m_database; }
-    bool hasUnansweredStatement() const { return m_isRunning || !m_waiting.empty(); }
+    bool hasUnansweredStatement() const { return m_isRunning || !m_waiting.empty() || (m_port && m_port->hasUnsentAnswers()); }
     bool isInTransaction() const { return m_state != TransactionState::Idle; }
     Instant lastUsed() const { return m_lastUsed; }
 
     /// Rolls back the open transaction if the session has neither received nor answered a statement for longer than the
     /// configured limit. A transaction whose BEGIN was not sent to a target yet is kept.
     void endIdleTransaction();
-    /// Rolls back the open transaction unless one of its statements is running. The next statement other than
-    /// ROLLBACK is answered with Aborted and `why`.
+    /// Rolls back the open transaction, once its running statement, if any, is answered. The next statement other than ROLLBACK is
+    /// answered with Aborted and `why`.
     void endTransaction(std::string_view why);
     /// Ends the session if its key is not in the routes in force, unless its route is public: rolls back the open transaction, answers
     /// queued statements with Unauthorized and closes the caller's connection, in each case once the running statement is answered.
     void checkKey();
     /// Closes the caller's connection.
     void close();
+    /// Closes the caller's connection once every statement that was read is answered and, unless `end` is AfterStatement, no transaction is
+    /// open. Call it again until the session has ended, because an answer may take time to be sent.
+    void closeAfter(SessionEnd end);
+    /// Whether closeAfter() was called.
+    bool isClosing() const { return m_end != SessionEnd::None; }
+    CallerKind kind() const { return m_kind; }
 
 private:
     using Handler = void (CallerSession::*)(const RelayStep&);
@@ -89,6 +107,7 @@
     void endUnauthorized();
     void statementFinished(const Route&, RelayResult, bool endsTransaction);
     void dropTransaction();
+    void closeIfEnded();
     void replySuccess();
     void reject(RelayError, std::string_view why);
     void reply(RelayAnswer);
@@ -115,8 +134,11 @@
     StatementIdentity m_transactionIdentity;
     /// Why the transaction was rolled back between two statements; empty when it was not or the caller has received the reason.
     std::string m_abortReason;
+    /// Why the transaction is rolled back once its running statement is answered; empty if it is not.
+    std::string m_pendingAbortReason;
     std::deque<RelayStep> m_waiting;
     bool m_isRunning { false };
+    SessionEnd m_end { SessionEnd::None };
     /// Whether the routes in force do not have the session's key.
     bool m_isKeyWithdrawn { false };
     Instant m_lastUsed;
--- a/src/relay/RelayDrain.cpp
+++ b/src/relay/RelayDrain.cpp
@@ -44,17 +44,27 @@
     const auto sessions = m_relay.allSessions();
     if (sessions.empty() || passed >= m_grace * listeningGraceFraction)
         return stopListening();
+    closeSessions(sessions, passed);
+    m_loop.after(stepInterval, [this] { closeNextSessions(); });
+}
+
+// A caller that uses its session without pauses is hardly ever found idle, so its session is closed with an answer. A peer daemon may
+// send its next statement in the same moment, for another caller who would then not know whether it ran.
+void RelayDrain::closeSessions(const std::vector<std::shared_ptr<CallerSession>>& sessions, Milliseconds passed)
+{
+    const auto remaining = std::count_if(sessions.begin(), sessions.end(), [](const auto& it) { return !it->isClosing(); });
     const double stepsLeft = std::max(1.0, (m_grace * transactionGraceFraction - passed).count() / stepInterval.count());
-    size_t sessionsToClose = static_cast<size_t>(static_cast<double>(sessions.size()) / stepsLeft) + 1;
+    size_t sessionsToClose = static_cast<size_t>(static_cast<double>(remaining) / stepsLeft) + 1;
     for (const auto& it : sessions) {
         if (passed >= m_grace * transactionGraceFraction)
             it->endTransaction("the daemon is shutting down");
-        if (it->isIdle() && sessionsToClose > 0) {
-            it->close();
+        const bool mayClose = sessionsToClose > 0 && (it->kind() == CallerKind::Caller || it->isIdle());
+        if (!mayClose && !it->isClosing())
+            continue;
+        if (!it->isClosing())
             --sessionsToClose;
-        }
+        it->closeAfter(SessionEnd::AfterOperation);
     }
-    m_loop.after(stepInterval, [this] { closeNextSessions(); });
 }
 
 void RelayDrain::stopListening()
@@ -69,10 +79,11 @@
 {
     bool isAnyRunning = false;
     for (const auto& it : m_relay.allSessions()) {
-        if (it->hasUnansweredStatement())
-            isAnyRunning = true;
-        else
+        if (it->kind() == CallerKind::Caller)
+            it->closeAfter(SessionEnd::AfterStatement);
+        else if (!it->hasUnansweredStatement())
             it->close();
+        isAnyRunning = isAnyRunning || it->hasUnansweredStatement();
     }
     if (!isAnyRunning || m_loop.now() - m_startedAt >= m_grace * totalGraceFraction)
         return finish();
--- a/src/relay/RelayDrain.h
+++ b/src/relay/RelayDrain.h
@@ -18,8 +18,8 @@
     std::function<void()> onStopped;
 };
 
-/// Closes a relay's sessions before its daemon stops. Idle sessions are closed a few at a time, so that their callers do
-/// not all reconnect to the other daemons at once.
+/// Closes a relay's sessions before its daemon stops. They are closed a few at a time, so that their callers do not all reconnect to the
+/// other daemons at once.
 class RelayDrain {
 public:
     /// `grace`: time from the stop signal until the process is killed.
@@ -27,13 +27,14 @@
 
     bool isDraining() const { return m_isDraining; }
 
-    /// Starts the drain. Idle sessions are closed once the load balancer has stopped sending new connections. Stops listening once
-    /// no session is left, or when most of the grace period has passed; sessions with a running statement are then closed when
-    /// it is answered.
+    /// Starts the drain. Once the load balancer has stopped sending new connections, sessions are closed a few at a time: a caller's at the
+    /// end of its operation, a peer daemon's when it is found idle. Stops listening once no session is left, or when most of the grace
+    /// period has passed; sessions with a running statement are then closed when it is answered.
     void startDraining(DrainCallbacks);
 
 private:
     void closeNextSessions();
+    void closeSessions(const std::vector<std::shared_ptr<CallerSession>>&, Milliseconds passed);
     void stopListening();
     void closeAnsweredSessions();
     void finish();
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -186,6 +186,12 @@
     m_session->runOrQueue(std::move(step));
 }
 
+void TestCaller::closeIfAnswered()
+{
+    isReceiving = false;
+    isClosed = isClosed || !m_session->hasUnansweredStatement();
+}
+
 void TestCaller::disconnect()
 {
     if (auto session = std::exchange(m_session, nullptr))
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -81,6 +81,8 @@
 
     void answer(const RelayAnswer& answer) override { answers.push_back(answer); }
     void close() override { isClosed = true; }
+    bool hasUnsentAnswers() const override { return isSlow; }
+    void closeIfAnswered() override;
 
     void send(RelayKind, const std::string& text = "", const std::string& name = "", const std::string& argument = "");
     /// Sends a statement as another daemon does that forwards it.
@@ -92,6 +94,10 @@
 
     std::vector<RelayAnswer> answers;
     bool isClosed { false };
+    /// False once the session reads no further statements; the test sends none from then on.
+    bool isReceiving { true };
+    /// Whether the connection takes no answers for now.
+    bool isSlow { false };
 
 private:
     std::shared_ptr<CallerSession> m_session;
