--- a/src/relay/ClosedConnectionTests.cpp
+++ b/src/relay/ClosedConnectionTests.cpp
@@ -77,6 +77,8 @@
             outlivesAnswer = !left.expired();
         }
         void close() override { }
+        bool hasUnsentAnswers() const override { return false; }
+        void closeIfAnswered() override { }
 
         std::shared_ptr<CallerSession> session;
         bool outlivesAnswer { false };
