--- a/scripts/lib/platform-fleet.sh
+++ b/scripts/lib/platform-fleet.sh
@@ -2,6 +2,10 @@
 
 platform_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 platform_bin=${PLATFORM_BIN:-$platform_root/build/platform}
+platform_daemon=${PLATFORM_DAEMON:-$platform_bin/parsleypaddled-platform}
+platform_standin_options=()
+# Called once the ports are chosen and the stand-in runs, before the first daemon starts.
+platform_before_daemons() { :; }
 # shellcheck source=scripts/lib/fleet.sh
 source "$platform_root/scripts/lib/fleet.sh"
 
@@ -20,7 +24,7 @@
     fleet_dir=$(mktemp -d)
     trap fleet_stop EXIT
     platform_port=$(platform_free_base)
-    "$platform_bin/parsleypaddle-platform-standin" --port "$platform_port" >"$fleet_dir/standin.log" 2>&1 &
+    "$platform_bin/parsleypaddle-platform-standin" --port "$platform_port" "${platform_standin_options[@]}" >"$fleet_dir/standin.log" 2>&1 &
     fleet_pids[standin]=$!
     fleet_wait 50 grep -q ready "$fleet_dir/standin.log" || return 1
     caller_ports=()
@@ -32,6 +36,9 @@
         caller_ports+=("${ports[$((n * 3))]}")
         ready_ports+=("${ports[$((n * 3 + 1))]}")
         internal_ports+=("${ports[$((n * 3 + 2))]}")
+    done
+    platform_before_daemons || return 1
+    for ((n = 0; n < $1; n++)); do
         platform_start_daemon "$n"
     done
     for ((n = 0; n < $1; n++)); do
@@ -47,7 +54,7 @@
  "internal-port-range":[${internal_ports[$n]},${internal_ports[$n]}],"bounds":{"grace-period-s":6},
  "platform":{"address":"127.0.0.1:$platform_port"},"cloud-api":{"address":"127.0.0.1:$platform_port"}}
 JSON
-    PARSLEYPADDLE_NODE_FILE="$fleet_dir/node-$n.json" "$platform_bin/parsleypaddled-platform" >>"$fleet_dir/daemon-$n.log" 2>&1 &
+    PARSLEYPADDLE_NODE_FILE="$fleet_dir/node-$n.json" "$platform_daemon" >>"$fleet_dir/daemon-$n.log" 2>&1 &
     fleet_pids[daemon-$n]=$!
 }
 
