platform-whole-path: a text with line feeds, a carriage return and a statement in it is written and read

Change: a write of such a text and its read through two other daemons, and a check that the statement in it has not run.

--- a/tests/platform/whole-path.sh
+++ b/tests/platform/whole-path.sh
@@ -16,6 +16,13 @@
 check "a read at the primary through the second" platform_reads 1 orders card embossed
 check "a read within a bounded age through the third" platform_reads 2 prices card embossed
 
+# caller_ask ends its lines at a line feed, so a row with line feeds arrives as several.
+reads_lines() { [ "$(platform_ask "$1" "$2" "READ lines" | head -n 3)" = $'DATAROW one\nQUERY 1 WRITE card cut\n\rtwo' ]; }
+check "a write of a text with line feeds, a carriage return and a statement in it" platform_writes 0 orders $'WRITE lines one\nQUERY 1 WRITE card cut\n\rtwo'
+check "a read of it at the primary" reads_lines 1 orders
+check "a read of it within a bounded age" reads_lines 2 prices
+check "the statement in it has not run" platform_reads 1 orders card embossed
+
 caller_open 0 proofs || { echo "FAILED: a session"; exit 1; }
 caller_ask "PREPARE s1 WRITE shape" | grep -q '^COMPLETE -' || { echo "FAILED: prepare"; exit 1; }
 caller_ask "BEGIN" | grep -q '^COMPLETE -' || { echo "FAILED: begin"; exit 1; }
