Platform scripts give each daemon the two internal ports that it uses

Cause: a daemon serves its subscribers at the port after the first internal one, also where the range has a single port. The scripts gave one port and drew the others at random: the port after daemon-10's, 25418, was the callers' port of daemon-0. Two processes can listen on one port here: two wire-loads at the same ports both started.

Change: internal ports are drawn in pairs, and the targets' ports, like them, from ranges in which no other ports are drawn.

The ports are not seeded, so that no run repeats the collision.

--- a/scripts/lib/platform-fleet.sh
+++ b/scripts/lib/platform-fleet.sh
@@ -9,15 +9,30 @@
 # shellcheck source=scripts/lib/fleet.sh
 source "$platform_root/scripts/lib/fleet.sh"
 
-# Four ports in a row that nobody listens at: the tables and three targets.
+# platform_free_base [FIRST]: four ports in a row that nobody listens at, for the tables and three targets.
 platform_free_base() {
-    local base=$((21000 + (RANDOM % 1000) * 8)) n
+    local base=$((${1:-21000} + (RANDOM % 1000) * 8)) n
     for n in 0 1 2 3; do
-        (exec 3<>"/dev/tcp/127.0.0.1/$((base + n))") 2>/dev/null && { platform_free_base; return; }
+        (exec 3<>"/dev/tcp/127.0.0.1/$((base + n))") 2>/dev/null && { platform_free_base "$@"; return; }
     done
     echo "$base"
 }
 
+# Prints the first ports of N different pairs that nobody listens at: the internal ports of a daemon. The other ports are drawn above them.
+platform_free_pairs() {
+    local count=$1 port
+    local -A taken=()
+    while [ "$count" -gt 0 ]; do
+        port=$((18000 + (RANDOM % 1000) * 2))
+        [ -n "${taken[$port]:-}" ] && continue
+        (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue
+        (exec 3<>"/dev/tcp/127.0.0.1/$((port + 1))") 2>/dev/null && continue
+        taken[$port]=yes
+        echo "$port"
+        count=$((count - 1))
+    done
+}
+
 # platform_start DAEMONS: the stand-in and that many daemons. Sets platform_port, and caller_ports and ready_ports by daemon.
 platform_start() {
     local n
@@ -29,13 +44,12 @@
     fleet_wait 50 grep -q ready "$fleet_dir/standin.log" || return 1
     caller_ports=()
     ready_ports=()
-    internal_ports=()
     local ports
-    mapfile -t ports < <(fleet_free_ports $(($1 * 3)))
+    mapfile -t ports < <(fleet_free_ports $(($1 * 2)))
+    mapfile -t internal_ports < <(platform_free_pairs "$1")
     for ((n = 0; n < $1; n++)); do
-        caller_ports+=("${ports[$((n * 3))]}")
-        ready_ports+=("${ports[$((n * 3 + 1))]}")
-        internal_ports+=("${ports[$((n * 3 + 2))]}")
+        caller_ports+=("${ports[$((n * 2))]}")
+        ready_ports+=("${ports[$((n * 2 + 1))]}")
     done
     platform_before_daemons || return 1
     for ((n = 0; n < $1; n++)); do
@@ -51,7 +65,7 @@
     local n=$1
     cat >"$fleet_dir/node-$n.json" <<JSON
 {"node-name":"daemon-$n","zone":"zone-one","listen":{"frontend":"127.0.0.1:${caller_ports[$n]}","ready":"127.0.0.1:${ready_ports[$n]}"},
- "internal-port-range":[${internal_ports[$n]},${internal_ports[$n]}],"bounds":{"grace-period-s":6},
+ "internal-port-range":[${internal_ports[$n]},$((internal_ports[n] + 1))],"bounds":{"grace-period-s":6},
  "platform":{"address":"127.0.0.1:$platform_port"},"cloud-api":{"address":"127.0.0.1:$platform_port"}}
 JSON
     PARSLEYPADDLE_NODE_FILE="$fleet_dir/node-$n.json" "$platform_daemon" >>"$fleet_dir/daemon-$n.log" 2>&1 &
--- a/tests/platform/any-bytes.sh
+++ b/tests/platform/any-bytes.sh
@@ -51,7 +51,8 @@
 
 for every in "${second_answers[@]}"; do
     echo "seed $seed, $daemons daemons, every ${every}th answer twice (0: none)"
-    targets_at=$(platform_free_base)
+    # Daemons draw their ports before the targets listen, so the targets' are drawn elsewhere.
+    targets_at=$(platform_free_base 10000)
     platform_standin_options=(--targets-at "$targets_at")
     platform_start "$daemons" || fail "the fleet does not start"
     configure
