--- a/src/configuration/CompressedTextTests.cpp
+++ b/src/configuration/CompressedTextTests.cpp
@@ -26,3 +26,15 @@
     const std::string oversized = compressText(std::string(17'000'000, 'x')); // NOLINT(bugprone-string-constructor)
     CHECK(resultCodeOf(decompressText(oversized).status()) == ResultCode::TooLarge);
 }
+
+TEST_CASE("a part of a compressed text is not taken for the whole", "[configuration]")
+{
+    std::string text;
+    for (int n = 0; n < 200; ++n)
+        text += "line " + std::to_string(n * n) + '\n';
+    const std::string compressed = compressText(text);
+    for (size_t n = 1; n < compressed.size(); ++n) {
+        CAPTURE(n);
+        CHECK_FALSE(decompressText(compressed.substr(0, n)).ok());
+    }
+}
