An organisation with the longest name is reported

Cause: the writer of datagrams counted the blank before a name as a part of it, and left out organisations whose encoded name has exactly the 400 bytes that the reader and the header allow.

--- a/src/quotas/QuotaMessages.cpp
+++ b/src/quotas/QuotaMessages.cpp
@@ -56,9 +56,10 @@
 
         void entry(const OrganisationId& organisation, std::initializer_list<double> numbers)
         {
-            std::string text = " " + encodeName(organisation.value());
-            if (text.size() > maxQuotaNameBytes)
+            const std::string name = encodeName(organisation.value());
+            if (name.size() > maxQuotaNameBytes)
                 return;
+            std::string text = " " + name;
             for (const double it : numbers) {
                 if (it == std::floor(it) && std::abs(it) < maxNumber)
                     absl::StrAppend(&text, " ", static_cast<int64_t>(it));
--- a/src/quotas/QuotaMessagesTests.cpp
+++ b/src/quotas/QuotaMessagesTests.cpp
@@ -83,6 +83,20 @@
     CHECK(std::get<QuotaBeat>(*beat).entries.at(0).demand == 4.5);
 }
 
+TEST_CASE("an organisation with the longest name is reported", "[quotas]")
+{
+    QuotaReport report = exampleReport();
+    report.entries.front().organisation = OrganisationId(std::string(maxQuotaNameBytes, 'a'));
+    const auto decoded = roundTrip(report);
+    REQUIRE(decoded);
+    REQUIRE(std::get<QuotaReport>(*decoded).entries.size() == 2);
+    CHECK(std::get<QuotaReport>(*decoded).entries[0].organisation == report.entries[0].organisation);
+    report.entries.front().organisation = OrganisationId(std::string(maxQuotaNameBytes + 1, 'a'));
+    const auto without = roundTrip(report);
+    REQUIRE(without);
+    CHECK(std::get<QuotaReport>(*without).entries.size() == 1);
+}
+
 // Guards against a datagram that the network would fragment, and against a part that confirms claims of a lost one.
 TEST_CASE("many claims are split, and each part covers its own versions", "[quotas]")
 {
