A late answer does not bring a deleted row back into a copy of a table

Cause: a copy applied the changes of an answer that was older than itself. A row that such an answer holds, and that was deleted before the copy read the whole table, is not known to the copy as deleted, and was added again. Subscribers would have been sent it, for example a target that had left. Requests to the platform can be answered late: SharedRows applies the answer to a request that was replaced by a later one. Change: an answer that is older than the copy changes nothing.

--- a/src/distribution/TableCopy.cpp
+++ b/src/distribution/TableCopy.cpp
@@ -44,9 +44,12 @@
 {
     if (answer.isHistoryLost || !m_isComplete || answer.version.era() != m_version.era())
         return;
+    // An answer that arrives late may hold rows that were deleted before the table was read.
+    if (answer.version < m_version)
+        return;
     for (const auto& it : answer.rows)
         applyRow(it);
-    m_version = std::max(m_version, answer.version);
+    m_version = answer.version;
     m_platformTime = std::max(m_platformTime, answer.platformTime);
     limitHistory();
 }
--- a/src/distribution/TableCopyTests.cpp
+++ b/src/distribution/TableCopyTests.cpp
@@ -114,3 +114,15 @@
         CHECK(copy.version() == inEra(2, 12));
     }
 }
+
+// The platform may answer an earlier request late.
+TEST_CASE("an answer that is older than the copy does not bring a deleted row back", "[distribution]")
+{
+    const RowsAnswer late = answer(12, { row("a", 11), row("b", 12) });
+    TableCopy copy;
+    copy.setAll(answer(20, { row("b", 12) }));
+    copy.applyChanges(late);
+    REQUIRE(copy.wholeTable().rows.size() == 1);
+    CHECK(copy.wholeTable().rows[0].key == "b");
+    CHECK(copy.version() == RowVersion(20));
+}
