--- a/review/rig-2/LostCommits.cpp
+++ b/review/rig-2/LostCommits.cpp
@@ -109,6 +109,19 @@
         sleepMs(1500);
     }
 
+    // All three servers live on and reach each other, apart from what i-c receives.
+    void releaseBesideDeaf(Database& database)
+    {
+        database.setDeaf("i-c", true);
+        sleepMs(1000);
+        database.drain("i-b");
+        sleepMs(1000);
+        database.drain("i-a");
+        sleepMs(4000);
+        database.setDeaf("i-c", false);
+        sleepMs(1500);
+    }
+
 }
 
 int runDrainingReplica(const std::string& folder)
@@ -121,4 +134,9 @@
     return runLostCommits(folder, { "sof-a", "plv-a", "pern-a" }, crashBesideCut);
 }
 
+int runPlannedRelease(const std::string& folder)
+{
+    return runLostCommits(folder, { "sof-a", "sof-b", "plv-a" }, releaseBesideDeaf);
+}
+
 }
--- a/review/rig-2/Scenario.h
+++ b/review/rig-2/Scenario.h
@@ -41,5 +41,6 @@
 int runPreparedNames(const std::string& folder);
 int runDrainingReplica(const std::string& folder);
 int runUnreachedReplica(const std::string& folder);
+int runPlannedRelease(const std::string& folder);
 
 }
--- a/review/rig-2/main.cpp
+++ b/review/rig-2/main.cpp
@@ -13,6 +13,7 @@
         { "prepared-names", rig::runPreparedNames },
         { "draining-replica", rig::runDrainingReplica },
         { "unreached-replica", rig::runUnreachedReplica },
+        { "planned-release", rig::runPlannedRelease },
     };
     int result = rig::exitImpossible;
     for (const auto& it : scenarios) {
