--- a/review/rig-2/Client.cpp
+++ b/review/rig-2/Client.cpp
@@ -71,7 +71,9 @@
             break;
         }
     }
-    m_record.write("client " + m_name + " gets for " + m_lastId + " " + (!answer.isComplete ? "no answer" : answer.error.empty() ? "COMPLETE " + answer.signature : "ERROR " + answer.error) + " state " + answer.state);
+    m_record.write("client " + m_name + " gets for " + m_lastId + " " + (!answer.isComplete ? "no answer" : answer.error.empty() ? "COMPLETE " + answer.signature
+                                                                                                                                 : "ERROR " + answer.error)
+        + " state " + answer.state);
     if (answer.isSuccess() && word == "SET")
         m_values[name] = text.substr(rest);
     if (answer.isSuccess() && word == "PREPARE")
--- a/review/rig-2/Database.cpp
+++ b/review/rig-2/Database.cpp
@@ -1,11 +1,56 @@
 #include "Database.h"
 
 #include <algorithm>
+#include <deque>
+#include <utility>
 
 namespace rig {
 
 namespace {
 
+    /// The answers of one connection, in order, and those that are sent a second time.
+    class Answers {
+    public:
+        explicit Answers(std::shared_ptr<Stream> stream)
+            : m_stream(std::move(stream))
+        {
+        }
+
+        bool send(const std::string& text)
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            return m_stream->send(text);
+        }
+
+        /// Sends the text again after the delay, in the order of the calls.
+        static void repeat(const std::shared_ptr<Answers>& self, const std::string& text, int64_t delayMs)
+        {
+            const std::lock_guard<std::mutex> lock(self->m_mutex);
+            self->m_repeats.emplace_back(nowMs() + delayMs, text);
+            if (std::exchange(self->m_isRepeating, true))
+                return;
+            std::thread([weak = std::weak_ptr<Answers>(self)] {
+                for (;;) {
+                    sleepMs(1);
+                    const auto it = weak.lock();
+                    if (!it)
+                        return;
+                    const std::lock_guard<std::mutex> inner(it->m_mutex);
+                    while (!it->m_repeats.empty() && it->m_repeats.front().first <= nowMs()) {
+                        it->m_stream->send(it->m_repeats.front().second);
+                        it->m_repeats.pop_front();
+                    }
+                }
+            }).detach();
+        }
+
+    private:
+        std::shared_ptr<Stream> m_stream;
+        std::mutex m_mutex;
+        std::deque<std::pair<int64_t, std::string>> m_repeats;
+        bool m_isRepeating { false };
+    };
+
     std::string takeWord(std::string& text)
     {
         const size_t blank = text.find(' ');
@@ -201,6 +246,23 @@
     replicate();
 }
 
+void Database::setStuttering(const std::string& id, bool isStuttering)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& it : m_servers) {
+        if (it->id == id)
+            it->isStuttering = isStuttering;
+    }
+    m_record.write("server " + id + (isStuttering ? " stutters: it answers twice" : " answers once"));
+}
+
+std::string Database::signatureOf(const std::string& id)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto it = m_signatures.find(id);
+    return it == m_signatures.end() ? "" : it->second;
+}
+
 void Database::setCut(const std::string& id, bool isCut)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -318,7 +380,8 @@
     const auto position = [&] { return std::to_string(server.term) + "." + std::to_string(server.log.size()); };
     const std::string greeting = "READY I " + position() + "\r\n";
     lock.unlock();
-    if (!stream->send(greeting))
+    const auto answers = std::make_shared<Answers>(stream);
+    if (!answers->send(greeting))
         return;
     while (stream->readLine(line)) {
         const std::string word = takeWord(line);
@@ -330,14 +393,17 @@
         const Reply reply = run(server, session, id, line, lock);
         awaitPath(server, lock);
         const bool isUp = server.isUp;
+        const bool isRepeated = server.isStuttering;
         std::string text;
         for (const auto& it : reply.rows)
             text += "DATAROW " + it + "\r\n";
         text += reply.error.empty() ? "COMPLETE " + reply.signature + "\r\n" : "ERROR " + reply.error + " " + server.id + "\r\n";
         text += std::string("READY ") + session.state + " " + position() + "\r\n";
         lock.unlock();
-        if (!isUp || !stream->send(text))
+        if (!isUp || !answers->send(text))
             return;
+        if (isRepeated)
+            Answers::repeat(answers, text, m_settings.stutterMs);
     }
 }
 
@@ -445,7 +511,7 @@
 Database::Reply Database::runStatement(Server& server, Session& session, const std::string& id, const std::string& word, const std::string& rest, const std::string& text, std::unique_lock<std::mutex>& lock)
 {
     const auto refuse = [](const char* code) { return Reply { {}, "-", code }; };
-    const auto sign = [&] { return "sig." + server.id + "." + std::to_string(++m_lastSignature); };
+    const auto sign = [&] { return m_signatures[id] = "sig." + server.id + "." + std::to_string(++m_lastSignature); };
     constexpr int64_t statusMs = 1;
     if (word == "STATUS")
         return takeSlot(server, lock, statusMs) ? statusOf(server) : refuse("BUSY");
--- a/review/rig-2/Database.h
+++ b/review/rig-2/Database.h
@@ -39,6 +39,8 @@
     uint32_t slots { 3 };
     uint32_t queue { 24 };
     uint32_t maxConnections { 38 };
+    /// By how much a second answer comes later.
+    int64_t stutterMs { 8 };
     int64_t workMs { 5 };
     int64_t heartbeatMs { 1200 };
 };
@@ -60,10 +62,14 @@
     void setDeaf(const std::string& id, bool);
     /// The server's zone is partitioned from the others: nothing reaches the server or leaves it until this is called again with false.
     void setCut(const std::string& id, bool);
+    /// The server stutters: it sends what it answers twice, the second time late.
+    void setStuttering(const std::string& id, bool);
     /// The server reports `draining`, and goes on serving and receiving.
     void drain(const std::string& id);
 
     std::string primary();
+    /// The signature of the statement's success; empty if it has none.
+    std::string signatureOf(const std::string& id);
     /// Ids of the commits in the log of the server.
     std::set<std::string> commitsAt(const std::string& id);
     /// Breaches of the rules that the servers have seen.
@@ -93,6 +99,7 @@
         bool isUp { true };
         bool isDeaf { false };
         bool isCut { false };
+        bool isStuttering { false };
         bool isDraining { false };
         uint64_t term { 1 };
         std::vector<Entry> log;
@@ -148,6 +155,8 @@
     std::vector<Promotion> m_promotions;
     uint64_t m_lastConnection { 0 };
     uint64_t m_lastSignature { 0 };
+    /// By the id of the statement.
+    std::map<std::string, std::string> m_signatures;
 };
 
 }
--- a/review/rig-2/Fleet.cpp
+++ b/review/rig-2/Fleet.cpp
@@ -52,10 +52,13 @@
     std::ofstream out(m_settings.folder + "/" + machine.name + ".json");
     const auto address = [&](uint16_t port) { return machine.host + ":" + std::to_string(port); };
     out << R"({"node-name": ")" << machine.name << R"(", "role": "daemon", "machine-class": "frontend", "serves": ["frontend"],
-  "ip": ")" << machine.host << R"(", "zone": ")" << machine.zone << R"(", "region": "bg-south",
+  "ip": ")"
+        << machine.host << R"(", "zone": ")" << machine.zone << R"(", "region": "bg-south",
   "zones": {"sof-a": "bg-south", "sof-b": "bg-south", "plv-a": "bg-south", "pern-a": "bg-south"},
-  "listen": {"frontend": ")" << address(machine.frontendPort) << R"(", "ready": ")" << address(machine.readyPort) << R"("},
-  "internal-port-range": [)" << machine.internalPort << ", " << machine.internalPort + 15 << R"(], "seeds": [],
+  "listen": {"frontend": ")"
+        << address(machine.frontendPort) << R"(", "ready": ")" << address(machine.readyPort) << R"("},
+  "internal-port-range": [)"
+        << machine.internalPort << ", " << machine.internalPort + 15 << R"(], "seeds": [],
   "bootstrap": true, "failure-counted": false,
   "limits": {"cpu-share": 0.25, "cores": 1, "memory-mb": 260, "file-descriptors": 4300, "link-mbps": 1000.0, "disk-mb": 0},
   "data-directory": null, "discovery": "platform", "entry": "virtual_ip", "heartbeat-ms": 1200,
@@ -63,9 +66,11 @@
   "fault-tolerance": {"machines": 2, "zones": 1, "regions": 0},
   "bounds": {"seed-lag-s": 3, "address-reuse-s": 2, "stability-window-ms": 4000, "ack-timeout-ms": 5000, "catch-up-s": 4, "drain-ms": 7000, "grace-period-s": 6,
     "loss-slack-ms": 200, "config-apply-ms": 3000, "downgrade-slack-ms": 250, "skew-bound-ms": 12000, "recovery-s": 12, "fencing-enforced": false, "thaw-slack-ms": 300},
-  "platform": {"address": ")" << m_settings.store << R"(", "form": "table", "writes-per-s": 400, "reads-per-s": 2000, "transaction-latency-ms": 3.0,
+  "platform": {"address": ")"
+        << m_settings.store << R"(", "form": "table", "writes-per-s": 400, "reads-per-s": 2000, "transaction-latency-ms": 3.0,
     "partition-writes-s": 300, "max-row-bytes": 65536, "cross-partition": true, "history-s": 20, "max-blob-bytes": 8388608, "blob-ms": 25.0, "blob-mb-s": 80.0},
-  "cloud-api": {"address": ")" << m_settings.promotions << R"(", "rate-per-s": 50.0, "duties": ["promotion"], "duties-per-s": 50.0}}
+  "cloud-api": {"address": ")"
+        << m_settings.promotions << R"(", "rate-per-s": 50.0, "duties": ["promotion"], "duties-per-s": 50.0}}
 )";
 }
 
--- a/review/rig-2/PreparedNames.cpp
+++ b/review/rig-2/PreparedNames.cpp
@@ -12,6 +12,11 @@
     constexpr uint32_t shapesPerClient = 4;
 
     struct Load {
+        explicit Load(World& it)
+            : world(it)
+        {
+        }
+
         World& world;
         std::atomic<bool> isStopping { false };
         std::atomic<uint64_t> acknowledged { 0 };
@@ -83,7 +88,7 @@
     World& world = *new World(folder, settings, { "sof-a", "sof-b" });
     if (!world.start())
         return exitImpossible;
-    Load& load = *new Load { world };
+    Load& load = *new Load(world);
     for (uint32_t n = 0; n < clientsPerMachine * world.fleet.size(); ++n)
         std::thread(runClient, std::ref(load), n, n / clientsPerMachine).detach();
     constexpr int64_t calmMs = 10'000;
--- a/review/rig-2/Scenario.h
+++ b/review/rig-2/Scenario.h
@@ -42,5 +42,6 @@
 int runDrainingReplica(const std::string& folder);
 int runUnreachedReplica(const std::string& folder);
 int runPlannedRelease(const std::string& folder);
+int runStutteringServer(const std::string& folder);
 
 }
--- a/review/rig-2/main.cpp
+++ b/review/rig-2/main.cpp
@@ -14,6 +14,7 @@
         { "draining-replica", rig::runDrainingReplica },
         { "unreached-replica", rig::runUnreachedReplica },
         { "planned-release", rig::runPlannedRelease },
+        { "stuttering-server", rig::runStutteringServer },
     };
     int result = rig::exitImpossible;
     for (const auto& it : scenarios) {
