--- a/review/rig-2/Database.cpp
+++ b/review/rig-2/Database.cpp
@@ -437,10 +437,10 @@
 std::string Database::valueAt(const Server& server, const std::string& item) const
 {
     for (size_t n = applied(server); n > 0; --n) {
-        for (const auto& [name, value] : server.log[n - 1].changes) {
-            if (name == item)
-                return value;
-        }
+        const auto& changes = server.log[n - 1].changes;
+        const auto last = std::find_if(changes.rbegin(), changes.rend(), [&item](const auto& it) { return it.first == item; });
+        if (last != changes.rend())
+            return last->second;
     }
     return "none";
 }
