--- a/src/connections/ConnectionPool.h
+++ b/src/connections/ConnectionPool.h
@@ -8,7 +8,7 @@
 class ConnectionPool;
 
 /// A connection that its owner holds exclusively. The destructor returns it to the pool, or closes it if it was
-/// discarded, has failed or still runs a batch.
+/// discarded, has failed or still runs a batch, or its session is not known.
 class PooledConnection {
 public:
     virtual ~PooledConnection() = default;
@@ -16,8 +16,8 @@
     /// Runs one batch; see TargetConnection.
     virtual void run(const TargetBatch&, Milliseconds timeout, TargetConnection::Done) = 0;
 
-    /// The session state that this holder and earlier ones have set up at the target.
-    virtual TargetSessionState& sessionState() = 0;
+    /// The session that this holder and earlier ones have set up at the target.
+    virtual const TargetSession& session() const = 0;
 
     /// Number of the connection among those that its pool has opened. For logs.
     virtual uint64_t number() const = 0;
--- a/src/connections/HeldConnection.cpp
+++ b/src/connections/HeldConnection.cpp
@@ -32,7 +32,7 @@
 // A connection whose batch is still running is closed, because the next holder would receive the answer.
 HeldConnection::~HeldConnection()
 {
-    if (m_isReusable && !m_isRunning) {
+    if (m_isReusable && !m_isRunning && session().isKnown()) {
         m_core->returnConnection(std::move(m_entry));
         return;
     }
@@ -49,7 +49,9 @@
     m_isRunning = true;
     const Instant sentAt = m_core->now();
     // `done` may destroy this object, so no member is used after it.
-    m_entry.connection->run(batch, timeout, [this, sentAt, done = std::move(done)](absl::StatusOr<TargetReply> reply) {
+    m_entry.connection->run(batch, timeout, [this, sentAt, steps = TargetSession::stepsOf(batch.steps), done = std::move(done)](absl::StatusOr<TargetReply> reply) {
+        if (reply.ok())
+            m_entry.connection->session().apply(steps, reply->answers);
         recordResult(reply.status(), sentAt);
         done(std::move(reply));
     });
--- a/src/connections/HeldConnection.h
+++ b/src/connections/HeldConnection.h
@@ -14,7 +14,7 @@
     HeldConnection& operator=(const HeldConnection&) = delete;
 
     void run(const TargetBatch&, Milliseconds timeout, TargetConnection::Done) override;
-    TargetSessionState& sessionState() override { return m_entry.connection->sessionState(); }
+    const TargetSession& session() const override { return m_entry.connection->session(); }
     uint64_t number() const override { return m_entry.number; }
     void discard() override { m_isReusable = false; }
 
--- a/src/relay/CallerSessionState.cpp
+++ b/src/relay/CallerSessionState.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    /// The session of a connection with more prepared statements than this is reset, which bounds its size at the target.
+    /// Prepared statements that a connection keeps, which bounds its memory at the target. Beyond them the one that was not executed for the
+    /// longest time is dropped.
     constexpr size_t maxPreparedStatements = 64;
 
     RelayStep stepOf(RelayKind kind, std::string name, std::string argument)
@@ -19,35 +20,33 @@
     }
 
     /// Whether the connection has a variable that `caller` did not set. Variables can be removed only by a reset.
-    bool hasOtherCallersVariable(const CallerSessionState& caller, const TargetSessionState& session)
+    bool hasOtherCallersVariable(const CallerSessionState& caller, const TargetSession& session)
     {
-        return std::any_of(session.values.begin(), session.values.end(), [&caller](const auto& it) { return caller.values.count(it.first) == 0; });
+        return std::any_of(session.variables().begin(), session.variables().end(), [&caller](const auto& it) { return caller.values.count(it.first) == 0; });
     }
 
 }
 
-SessionSetup planSessionSetup(const CallerSessionState& caller, const std::string& definition, TargetSessionState& session)
+SessionSetup planSessionSetup(const CallerSessionState& caller, const std::string& definition, const TargetSession& session)
 {
     SessionSetup setup;
-    if (hasOtherCallersVariable(caller, session) || session.prepared.size() > maxPreparedStatements) {
+    const bool beginsAnew = hasOtherCallersVariable(caller, session);
+    if (beginsAnew)
         setup.steps.push_back(stepOf(RelayKind::Reset, "", ""));
-        session = {};
-    }
     for (const auto& [name, value] : caller.values) {
-        auto it = session.values.find(name);
-        if (it != session.values.end() && it->second == value)
-            continue;
-        setup.steps.push_back(stepOf(RelayKind::SetValue, name, value));
-        session.values[name] = value;
+        const auto it = session.variables().find(name);
+        if (beginsAnew || it == session.variables().end() || it->second != value)
+            setup.steps.push_back(stepOf(RelayKind::SetValue, name, value));
     }
     if (definition.empty())
         return setup;
-    auto it = session.prepared.find(definition);
-    if (it == session.prepared.end()) {
-        it = session.prepared.emplace(definition, "p" + std::to_string(session.prepared.size())).first;
-        setup.steps.push_back(stepOf(RelayKind::Prepare, it->second, definition));
-    }
-    setup.preparedName = it->second;
+    const std::string* prepared = beginsAnew ? nullptr : session.findPrepared(definition);
+    setup.preparedName = prepared ? *prepared : session.unusedName();
+    if (prepared)
+        return setup;
+    if (!beginsAnew && session.preparedCount() >= maxPreparedStatements)
+        setup.steps.push_back(stepOf(RelayKind::Deallocate, *session.leastRecentlyExecuted(), ""));
+    setup.steps.push_back(stepOf(RelayKind::Prepare, setup.preparedName, definition));
     return setup;
 }
 
--- a/src/relay/CallerSessionState.h
+++ b/src/relay/CallerSessionState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "targets/RelayStep.h"
+#include "targets/TargetSession.h"
 
 #include <map>
 #include <string>
@@ -29,9 +29,8 @@
     std::string preparedName;
 };
 
-/// Returns the statements that give a connection's session at its target the variables of `caller` and, unless `definition`
-/// is empty, the prepared statement with that definition. Updates `session`, the record of the connection's session, as if
-/// all of them had succeeded. The connection must therefore be discarded unless all of them are sent and succeed.
-SessionSetup planSessionSetup(const CallerSessionState& caller, const std::string& definition, TargetSessionState& session);
+/// Returns the statements that give a connection's session at its target the variables of `caller` and, unless `definition` is empty, the
+/// prepared statement with that definition.
+SessionSetup planSessionSetup(const CallerSessionState& caller, const std::string& definition, const TargetSession&);
 
 }
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -16,12 +16,15 @@
     {
         auto& target = m_targets[m_id];
         target.peakConnections = std::max(target.peakConnections, ++target.connections);
+        target.openConnections.insert(m_number);
     }
 
     ~SimulatedConnection() override
     {
-        if (!m_areTargetsAlive.expired())
-            --m_targets[m_id].connections;
+        if (m_areTargetsAlive.expired())
+            return;
+        --m_targets[m_id].connections;
+        m_targets[m_id].openConnections.erase(m_number);
     }
 
     void run(const TargetBatch& batch, Milliseconds timeout, Done done) override
@@ -53,6 +56,8 @@
         auto& target = m_targets[m_id];
         if (target.isDown)
             return done(makeError(ResultCode::ConnectionLost, "down"));
+        if (target.forgetfulConnections.erase(m_number) > 0)
+            m_prepared.clear();
         TargetReply reply;
         for (const auto& it : steps)
             reply.answers.push_back(run(it, target));
@@ -77,11 +82,28 @@
         return answer;
     }
 
-    RelayError errorOf(const RelayStep& step, const SimulatedTargets::Target& target) const
+    static bool isWriteDefinition(const std::string& definition) { return definition.substr(0, 5) == "WRITE"; }
+
+    static bool changesSession(RelayKind kind)
+    {
+        return kind == RelayKind::SetValue || kind == RelayKind::Prepare || kind == RelayKind::Deallocate || kind == RelayKind::Reset;
+    }
+
+    RelayError errorOf(const RelayStep& step, SimulatedTargets::Target& target) const
     {
+        if (m_state == TransactionState::Failed && step.kind != RelayKind::Rollback)
+            return RelayError::Malformed;
+        if (changesSession(step.kind) && target.refusedSessionChanges > 0) {
+            --target.refusedSessionChanges;
+            return RelayError::Busy;
+        }
+        const bool isOfPrepared = step.kind == RelayKind::Execute || step.kind == RelayKind::Deallocate;
+        if (isOfPrepared && m_prepared.count(step.name) == 0)
+            return RelayError::UnknownStatement;
         const bool opensForWrites = step.kind == RelayKind::Begin;
+        const bool isWrite = step.kind == RelayKind::Write || (step.kind == RelayKind::Execute && isWriteDefinition(m_prepared.at(step.name)));
         const bool isStatement = step.kind == RelayKind::Read || step.kind == RelayKind::Write || step.kind == RelayKind::Execute || step.kind == RelayKind::Commit;
-        if (!target.isPrimary && (opensForWrites || step.kind == RelayKind::Write))
+        if (!target.isPrimary && (opensForWrites || isWrite))
             return RelayError::ReadOnly;
         if (step.requiredMark && LogMark { target.term, target.applied } < *step.requiredMark)
             return RelayError::Lagging;
@@ -106,6 +128,14 @@
             return;
         case RelayKind::Reset:
             m_values.clear();
+            m_prepared.clear();
+            return;
+        case RelayKind::Prepare:
+            m_prepared[step.name] = step.argument;
+            target.mostPreparedStatements = std::max(target.mostPreparedStatements, m_prepared.size());
+            return;
+        case RelayKind::Deallocate:
+            m_prepared.erase(step.name);
             return;
         case RelayKind::Status:
             answer.report = RoleReport { target.isPrimary, target.term, LogMark { target.term, target.received } };
@@ -116,12 +146,12 @@
         default:
             break;
         }
-        if (step.kind == RelayKind::Prepare)
-            return;
-        const RecordedStatement statement { step.kind == RelayKind::Execute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, step.requiredMark, step.forwardedFor, m_organisation };
+        const bool isExecute = step.kind == RelayKind::Execute;
+        const std::string definition = isExecute ? m_prepared.at(step.name) : "";
+        const RecordedStatement statement { isExecute ? "EXECUTE " + step.name : step.text, step.id, m_id, m_number, m_state == TransactionState::Open, m_values, definition, step.requiredMark, step.forwardedFor, m_organisation };
         m_targets.executed.push_back(statement);
         answer.rows = { "row" };
-        m_hasWritten = m_hasWritten || step.kind == RelayKind::Write;
+        m_hasWritten = m_hasWritten || step.kind == RelayKind::Write || isWriteDefinition(definition);
         const bool commits = step.kind == RelayKind::Commit || m_state == TransactionState::Idle;
         if (step.kind == RelayKind::Commit)
             m_state = TransactionState::Idle;
@@ -140,6 +170,8 @@
     TransactionState m_state { TransactionState::Idle };
     bool m_hasWritten { false };
     std::map<std::string, std::string> m_values;
+    /// Definitions of the prepared statements, by name.
+    std::map<std::string, std::string> m_prepared;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
 
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -20,6 +20,8 @@
     uint64_t connection { 0 };
     bool wasInTransaction { false };
     std::map<std::string, std::string> values;
+    /// Of the prepared statement that was executed, as its connection has it; empty for other statements.
+    std::string definition;
     std::optional<LogMark> requiredMark;
     std::optional<ForwardedFor> forwardedFor;
     /// The organisation that the connection was opened for.
@@ -52,6 +54,13 @@
         uint32_t closedBeforeSending { 0 };
         /// The next batch runs, but its answers do not fit it.
         bool isNextOutOfStep { false };
+        /// So many of the next statements that change a connection's variables or prepared statements are answered with Busy.
+        uint32_t refusedSessionChanges { 0 };
+        /// The connections lose their prepared statements when they run their next batch.
+        std::set<uint64_t> forgetfulConnections;
+        /// Numbers of the open connections.
+        std::set<uint64_t> openConnections;
+        size_t mostPreparedStatements { 0 };
         uint32_t connections { 0 };
         uint32_t peakConnections { 0 };
         uint32_t running { 0 };
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -129,8 +129,9 @@
     // Use of the primary may have been stopped while the statement waited for a connection.
     if (m_destination.isPrimary && !m_group.mayUsePrimary())
         return primaryAbandoned();
-    SessionSetup setup = planSessionSetup(*m_job.sessionState, m_job.definition, m_slot->sessionState());
+    SessionSetup setup = planSessionSetup(*m_job.sessionState, m_job.definition, m_slot->session());
     m_preparedName = std::move(setup.preparedName);
+    recordSessionSetup(m_group, setup);
     if (m_job.beginKind) {
         RelayStep begin;
         begin.kind = *m_job.beginKind;
@@ -152,12 +153,12 @@
 {
     if (!answers.ok())
         return connectionFailed(answers.status());
-    const auto failed = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
+    const auto failed = findError(*answers);
     if (failed == answers->end())
         return sendStatement();
-    // A refused BEGIN leaves the session unchanged. After any other failure the state of the session is unknown.
-    if (!m_job.beginKind || std::next(failed) != answers->end())
-        m_slot->discard();
+    const bool isBegin = m_job.beginKind && std::next(failed) == answers->end();
+    if (!isBegin)
+        logSessionSetupRefused(m_group, m_job, *m_slot, *failed);
     retryOrRefuse(*failed);
 }
 
@@ -200,6 +201,11 @@
     case RelayError::Malformed:
         // It would be malformed elsewhere, too.
         return finish(std::move(answer));
+    case RelayError::UnknownStatement:
+        // The connection has lost the prepared statement and is closed, so the same target may be tried again on another one.
+        logPreparedStatementLost(m_group, m_job, *m_slot);
+        m_tried.erase(m_destination.target->entry().target.id);
+        return retryOrRefuse(answer);
     default:
         return retryOrRefuse(answer);
     }
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -28,7 +28,7 @@
     /// AnswersOutOfStep; see TargetConnection.
     void run(std::vector<RelayStep>, Milliseconds timeout, std::function<void(absl::StatusOr<std::vector<RelayAnswer>>)>);
 
-    TargetSessionState& sessionState() { return m_connection->sessionState(); }
+    const TargetSession& session() const { return m_connection->session(); }
     /// Closes the connection when the slot is destroyed, instead of returning it to the pool.
     void discard() { m_connection->discard(); }
     const TargetId& target() const { return m_targetId; }
--- a/src/relay/RelayTransaction.cpp
+++ b/src/relay/RelayTransaction.cpp
@@ -60,34 +60,57 @@
     m_isRunning = true;
     m_busyRetries = 0;
     m_hasWritten = m_hasWritten || m_job.isWrite;
+    m_isStatementSent = false;
     if (!m_slot)
         return endWithError(RelayError::Aborted, "the transaction was rolled back before this statement");
-    SessionSetup setup = planSessionSetup(*m_job.sessionState, m_job.definition, m_slot->sessionState());
+    prepareSession();
+}
+
+// The statement is sent only when the session is as its caller expects it. A COMMIT behind a refused step would take effect.
+void RelayTransaction::prepareSession()
+{
+    SessionSetup setup = planSessionSetup(*m_job.sessionState, m_job.definition, m_slot->session());
     m_step = m_job.step;
     if (!setup.preparedName.empty())
         m_step.name = setup.preparedName;
-    m_setupSteps = std::move(setup.steps);
-    const bool hasReset = std::any_of(m_setupSteps.begin(), m_setupSteps.end(), [](const RelayStep& it) { return it.kind == RelayKind::Reset; });
-    // No other session uses the connection during the transaction, so a reset is needed only when the connection holds too
-    // many prepared statements.
-    if (hasReset)
-        return endWithError(RelayError::Aborted, "the transaction's connection holds too many prepared statements; retry the transaction");
-    sendStatement();
+    if (setup.steps.empty())
+        return sendStatement();
+    m_sentAt = m_group.loop().now();
+    if (m_primaryUse)
+        m_primaryUse->setWaitingSince(m_sentAt);
+    recordSessionSetup(m_group, setup);
+    m_slot->run(std::move(setup.steps), timeLeft(), [self = shared_from_this()](const absl::StatusOr<std::vector<RelayAnswer>>& answers) { self->sessionPrepared(answers); });
+}
+
+void RelayTransaction::sessionPrepared(const absl::StatusOr<std::vector<RelayAnswer>>& answers)
+{
+    if (!m_isRunning)
+        return;
+    if (!answers.ok())
+        return connectionFailed(answers.status());
+    const auto refused = findError(*answers);
+    if (refused == answers->end())
+        return sendStatement();
+    logSessionSetupRefused(m_group, m_job, *m_slot, *refused);
+    endWithError(RelayError::Aborted, refused->errorText);
 }
 
 void RelayTransaction::sendStatement()
 {
-    std::vector<RelayStep> steps = std::exchange(m_setupSteps, {});
     m_sentAt = m_group.loop().now();
     if (m_slot->isAtPeer())
         m_step.forwardedFor = m_job.forwardedFor(m_sentAt);
-    steps.push_back(m_step);
     if (m_primaryUse)
         m_primaryUse->setWaitingSince(m_sentAt);
     if (m_primaryUse && isCommit() && m_hasWritten)
         m_sentCommit = m_group.sentNow(*m_slot);
-    const Milliseconds left = std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_sentAt);
-    m_slot->run(std::move(steps), left, [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->statementAnswered(std::move(answers)); });
+    m_isStatementSent = true;
+    m_slot->run({ m_step }, timeLeft(), [self = shared_from_this()](absl::StatusOr<std::vector<RelayAnswer>> answers) { self->statementAnswered(std::move(answers)); });
+}
+
+Milliseconds RelayTransaction::timeLeft() const
+{
+    return std::max(Milliseconds(0), m_job.arrived + m_job.route->statementTimeout - m_group.loop().now());
 }
 
 bool RelayTransaction::mayAcceptAnswer() const
@@ -103,15 +126,11 @@
         m_primaryUse->setWaitingSince(std::nullopt);
     if (!answers.ok())
         return connectionFailed(answers.status());
-    const auto failedStep = std::find_if(answers->begin(), answers->end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
-    if (failedStep != answers->end()) {
-        if (std::next(failedStep) != answers->end())
-            m_slot->discard();
-        return statementFailed(*failedStep);
-    }
-    RelayAnswer& answer = answers->back();
+    RelayAnswer& answer = answers->front();
+    if (answer.error != RelayError::None)
+        return statementFailed(std::move(answer));
     if (!mayAcceptAnswer())
-        return endWithError(isCommit() ? RelayError::InDoubt : RelayError::Aborted, "the lease expired or the term changed before the primary answered");
+        return endWithError(errorOfUnknownOutcome(), "the lease expired or the term changed before the primary answered");
     if (isCommit())
         return transactionCommitted(std::move(answer));
     finish(std::move(answer));
@@ -124,10 +143,8 @@
     if (m_primaryUse && wasSent && code != ResultCode::AnswersOutOfStep)
         m_group.observer().primaryFailed(m_group.id());
     m_slot->discard();
-    const bool isSilent = code == ResultCode::TargetSilent;
-    if (isCommit() && wasSent)
-        return endWithError(isSilent ? RelayError::TimedOut : RelayError::InDoubt, std::string(status.message()));
-    endWithError(RelayError::Aborted, std::string(status.message()));
+    const RelayError error = wasSent ? errorOfUnknownOutcome() : RelayError::Aborted;
+    endWithError(error == RelayError::InDoubt && code == ResultCode::TargetSilent ? RelayError::TimedOut : error, std::string(status.message()));
 }
 
 void RelayTransaction::statementFailed(RelayAnswer answer)
@@ -142,6 +159,8 @@
         });
         return;
     }
+    if (answer.error == RelayError::UnknownStatement)
+        logPreparedStatementLost(m_group, m_job, *m_slot);
     // If the statement may have run, the caller receives its error; otherwise Aborted.
     const bool mayHaveRun = answer.error == RelayError::Failed || answer.error == RelayError::TimedOut || answer.error == RelayError::InDoubt;
     endWithError(mayHaveRun ? answer.error : RelayError::Aborted, answer.errorText);
@@ -174,7 +193,7 @@
     if (!m_isRunning)
         return rollBack();
     m_slot->discard();
-    endWithError(isCommit() ? RelayError::InDoubt : RelayError::Aborted, "the primary is being replaced");
+    endWithError(errorOfUnknownOutcome(), "the primary is being replaced");
 }
 
 void RelayTransaction::rollBack()
--- a/src/relay/RelayTransaction.h
+++ b/src/relay/RelayTransaction.h
@@ -35,6 +35,8 @@
 
     RelayTransaction(RelayGroup&, std::shared_ptr<RelaySlot>, TransactionDestination, bool hasWritten);
 
+    void prepareSession();
+    void sessionPrepared(const absl::StatusOr<std::vector<RelayAnswer>>&);
     void sendStatement();
     void statementAnswered(absl::StatusOr<std::vector<RelayAnswer>>);
     void connectionFailed(const absl::Status&);
@@ -43,7 +45,10 @@
     void primaryAbandoned();
     void endWithError(RelayError, std::string_view why);
     void finish(RelayAnswer);
+    Milliseconds timeLeft() const;
     bool isCommit() const { return m_job.step.kind == RelayKind::Commit; }
+    /// The error of a statement whose outcome is unknown. Nothing of a transaction is kept unless its commit has run.
+    RelayError errorOfUnknownOutcome() const { return isCommit() && m_isStatementSent ? RelayError::InDoubt : RelayError::Aborted; }
     bool mayAcceptAnswer() const;
     void recordAcknowledgedCommit(const RelayAnswer&);
 
@@ -53,9 +58,10 @@
     std::unique_ptr<Use> m_primaryUse;
     RelayJob m_job;
     RelayStep m_step;
-    std::vector<RelayStep> m_setupSteps;
     bool m_hasWritten { false };
     bool m_isRunning { false };
+    /// Whether the running statement itself was sent, after what prepares the session for it.
+    bool m_isStatementSent { false };
     uint32_t m_busyRetries { 0 };
     Instant m_sentAt;
     /// Set for the commit of a transaction that wrote at the primary.
--- a/src/relay/StatementLog.cpp
+++ b/src/relay/StatementLog.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ResultCode.h"
 
+#include <algorithm>
 #include <array>
 
 namespace parsleypaddle {
@@ -64,6 +65,38 @@
                              });
 }
 
+void logSessionSetupRefused(RelayGroup& group, const RelayJob& job, const RelaySlot& slot, const RelayAnswer& refused)
+{
+    group.metrics().count(MetricCounter::SessionSetupsRefused);
+    group.log().write("session_setup_refused", {
+                                                   { "request", job.step.id.value() },
+                                                   { "target", slot.target().value() },
+                                                   { "connection", std::to_string(slot.connectionNumber()) },
+                                                   { "error", errorNames.at(static_cast<size_t>(refused.error)) },
+                                                   { "why", refused.errorText },
+                                                   { "prepared", std::to_string(slot.session().preparedCount()) },
+                                               });
+}
+
+void logPreparedStatementLost(RelayGroup& group, const RelayJob& job, const RelaySlot& slot)
+{
+    group.metrics().count(MetricCounter::PreparedStatementsLost);
+    group.log().write("prepared_statement_lost", {
+                                                     { "request", job.step.id.value() },
+                                                     { "target", slot.target().value() },
+                                                     { "connection", std::to_string(slot.connectionNumber()) },
+                                                     { "definition", job.definition },
+                                                     { "prepared", std::to_string(slot.session().preparedCount()) },
+                                                 });
+}
+
+void recordSessionSetup(RelayGroup& group, const SessionSetup& setup)
+{
+    const bool isDropping = std::any_of(setup.steps.begin(), setup.steps.end(), [](const RelayStep& it) { return it.kind == RelayKind::Deallocate; });
+    if (isDropping)
+        group.metrics().count(MetricCounter::PreparedStatementsDropped);
+}
+
 void recordStatementMetrics(RelayGroup& group, const RelayJob& job, RelayError error)
 {
     RequestMeasure measure;
--- a/src/targets/RelayStep.h
+++ b/src/targets/RelayStep.h
@@ -3,8 +3,8 @@
 #include "base/Time.h"
 #include "groups/LogMark.h"
 
+#include <algorithm>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -127,12 +127,10 @@
     std::optional<RoleReport> report;
 };
 
-/// The session state that a target holds for one connection, as set by the statements sent over it.
-struct TargetSessionState {
-    /// Session variables by name.
-    std::map<std::string, std::string> values;
-    /// Names of the prepared statements, by definition.
-    std::map<std::string, std::string> prepared;
-};
+/// The first answer that is an error; the end if there is none.
+inline std::vector<RelayAnswer>::const_iterator findError(const std::vector<RelayAnswer>& answers)
+{
+    return std::find_if(answers.begin(), answers.end(), [](const RelayAnswer& it) { return it.error != RelayError::None; });
+}
 
 }
--- a/src/targets/TargetConnection.h
+++ b/src/targets/TargetConnection.h
@@ -4,6 +4,7 @@
 #include "groups/TargetStatus.h"
 #include "statements/Rows.h"
 #include "targets/RelayStep.h"
+#include "targets/TargetSession.h"
 
 #include <absl/status/statusor.h>
 #include <functional>
@@ -87,11 +88,12 @@
     /// False once the connection is known to be closed.
     virtual bool isOpen() const { return true; }
 
-    /// The state of the connection's session at the target, maintained by the users of the connection.
-    TargetSessionState& sessionState() { return m_sessionState; }
+    /// The connection's session at the target. The pool applies the answers to it.
+    TargetSession& session() { return m_session; }
+    const TargetSession& session() const { return m_session; }
 
 private:
-    TargetSessionState m_sessionState;
+    TargetSession m_session;
 };
 
 /// Opens connections to targets.
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -21,7 +21,7 @@
     };
 
     // In the order of the enumerators of MetricCounter and MetricGauge.
-    constexpr std::array<MetricInfo, 28> counterInfos { {
+    constexpr std::array<MetricInfo, 31> counterInfos { {
         { "parsleypaddle_promotions_total", "Changes of primary that this daemon completed" },
         { "parsleypaddle_retries_total", "Further attempts of requests" },
         { "parsleypaddle_silent_connections_total", "Connections to targets given up because no answer came" },
@@ -50,6 +50,9 @@
         { "parsleypaddle_answers_out_of_step_total", "Answers that cannot be answers to the statements in whose place they stand" },
         { "parsleypaddle_exchanges_ended_by_peer_total", "Connections that a target or daemon ended while a statement was pending" },
         { "parsleypaddle_exchanges_unanswered_total", "Connections given up because a pending statement got no answer in time" },
+        { "parsleypaddle_session_setups_refused_total", "Times that a target refused a variable or prepared statement of a caller's session" },
+        { "parsleypaddle_prepared_statements_lost_total", "Times that a target did not know a prepared statement that it had confirmed" },
+        { "parsleypaddle_prepared_statements_dropped_total", "Prepared statements dropped on a connection to make room for others" },
     } };
 
     constexpr std::array<MetricInfo, 9> gaugeInfos { {
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -63,6 +63,9 @@
     AnswersOutOfStep,
     ExchangesEndedByPeer,
     ExchangesUnanswered,
+    SessionSetupsRefused,
+    PreparedStatementsLost,
+    PreparedStatementsDropped,
 };
 
 /// The gauges.
--- a/tests/platform/any-bytes.sh
+++ b/tests/platform/any-bytes.sh
@@ -1,19 +1,25 @@
 #!/usr/bin/env bash
 # Real daemons between targets and callers that have a codec of their own and send texts of all bytes: every answer is its caller's own, and
 # targets run what callers sent and nothing else; first with targets that answer once, then with targets that answer twice now and then.
-# Usage: any-bytes.sh [forwarding] [SEED [SECONDS [EVERY...]]]. EVERY: which answers are sent twice, 0 for none. With "forwarding", in a fleet
-# whose targets accept too few connections for every daemon. PLATFORM_DAEMON names the daemon under test, WIRE_LOAD the load.
+# Usage: any-bytes.sh [forwarding] [prepared] [SEED [SECONDS [EVERY...]]]. EVERY: which answers are sent twice, 0 for none. With "forwarding", in a
+# fleet whose targets accept too few connections for every daemon. With "prepared", callers prepare more statements than a connection keeps, and a
+# daemon is killed halfway. PLATFORM_DAEMON names the daemon under test, WIRE_LOAD the load.
 set -uo pipefail
 source "$(dirname "$0")/../../scripts/lib/platform-fleet.sh"
 
 wire_load=${WIRE_LOAD:-$platform_root/build/tests/wire/wire-load}
 daemons=3
 max_connections=34
+load_options=()
 if [ "${1:-}" = forwarding ]; then
     daemons=12
     max_connections=10
     shift
 fi
+if [ "${1:-}" = prepared ]; then
+    load_options=(--prepare-often)
+    shift
+fi
 seed=${1:-$RANDOM}
 seconds=${2:-6}
 shift $(($# < 2 ? $# : 2))
@@ -30,7 +36,7 @@
     local ports
     ports=$(IFS=,; echo "${caller_ports[*]}")
     "$wire_load" --targets-at "$targets_at" --callers-at "$ports" --seed "$seed" --seconds "$seconds" --second-answer-every "$every" \
-        --max-connections "$max_connections" >"$fleet_dir/load.txt" 2>&1 &
+        --max-connections "$max_connections" "${load_options[@]}" >"$fleet_dir/load.txt" 2>&1 &
     fleet_pids[load]=$!
     fleet_wait 50 grep -q ready "$fleet_dir/load.txt"
 }
@@ -60,6 +66,11 @@
     # Daemons learn of each other with the next renewal of the lease rows; until then they count too few to need homes.
     [ "$daemons" -gt 3 ] && sleep 5
     kill -HUP "${fleet_pids[load]}"
+    if [ "${#load_options[@]}" -gt 0 ]; then
+        sleep $((seconds / 2))
+        kill -KILL "${fleet_pids[daemon-1]}"
+        platform_start_daemon 1
+    fi
     wait "${fleet_pids[load]}"
     status=$?
     unset 'fleet_pids[load]'
--- a/tests/wire/load/Caller.cpp
+++ b/tests/wire/load/Caller.cpp
@@ -187,15 +187,16 @@
 
 void Caller::drawOperation()
 {
-    if (m_group.texts.oneIn(25)) {
+    const bool isOften = m_group.preparesOften;
+    if (!isOften && m_group.texts.oneIn(25)) {
         const std::string name = m_group.texts.oneIn(2) ? "locale" : "zone";
         m_steps = { { StatementKind::Set, absl::StrCat("SET ", name, " ", m_group.texts.text(20)) } };
-    } else if (m_group.texts.oneIn(20)) {
-        const std::string name = absl::StrCat("s", m_group.texts.below(1000000));
+    } else if (m_group.texts.oneIn(isOften ? 3 : 20)) {
+        const std::string name = absl::StrCat("s", m_group.texts.below(isOften ? 6 : 1000000));
         Prepared prepared { m_group.texts.oneIn(2), m_group.texts.text(12) };
         m_steps = { { prepared.isWrite ? StatementKind::PrepareWrite : StatementKind::PrepareRead, absl::StrCat("PREPARE ", name, prepared.isWrite ? " WRITE " : " READ ", prepared.shape) } };
         m_prepared[name] = std::move(prepared);
-    } else if (m_group.texts.oneIn(5)) {
+    } else if (m_group.texts.oneIn(isOften ? 2 : 5)) {
         drawTransaction();
     } else {
         m_steps = { drawStep(true) };
@@ -215,7 +216,7 @@
 Caller::Step Caller::drawStep(bool canWrite)
 {
     RandomTexts& texts = m_group.texts;
-    if (!m_prepared.empty() && texts.oneIn(4))
+    if (!m_prepared.empty() && (m_group.preparesOften || texts.oneIn(4)))
         return drawExecute(canWrite);
     if (!canWrite || texts.oneIn(2))
         return { StatementKind::Read, absl::StrCat("READ ", texts.text(20)) };
--- a/tests/wire/load/Caller.h
+++ b/tests/wire/load/Caller.h
@@ -15,6 +15,8 @@
     Ledger& ledger;
     RandomTexts texts;
     std::vector<uint16_t> ports;
+    /// Callers prepare many statements under few names, and set no values: those make daemons clear what a connection has prepared.
+    bool preparesOften { false };
     bool isStopping { false };
     uint64_t lastAttempt { 0 };
     uint64_t served { 0 };
--- a/tests/wire/load/main.cpp
+++ b/tests/wire/load/main.cpp
@@ -13,7 +13,7 @@
 using namespace parsleypaddle;
 using namespace parsleypaddle::wire;
 
-constexpr const char* usage = "usage: wire-load --targets-at PORT --callers-at PORT[,PORT...] [--seed N] [--seconds N] [--callers N] [--second-answer-every N]\n"
+constexpr const char* usage = "usage: wire-load --targets-at PORT --callers-at PORT[,PORT...] [--seed N] [--seconds N] [--callers N] [--second-answer-every N] [--prepare-often]\n"
                               "  -t, --targets-at PORT           serves three targets of standin-group at PORT and the next two ports\n"
                               "  -c, --callers-at PORTS          addresses of daemons on loopback at which callers open sessions\n"
                               "  -s, --seed N                    of texts, operations and delays; 1 by default\n"
@@ -21,6 +21,7 @@
                               "  -n, --callers N                 24 by default\n"
                               "  -2, --second-answer-every N     targets send every Nth answer once more, up to 2 s later; 0, none, by default\n"
                               "  -m, --max-connections N         of a target, from all daemons; 34 by default\n"
+                              "  -p, --prepare-often             callers prepare many statements under few names, and set no values\n"
                               "Callers begin with SIGHUP, so that daemons can start once the targets listen.\n"
                               "The exit status is 2 when an answer, an id or a text was not as sent, and 3 when less than half was served.\n";
 
@@ -32,6 +33,7 @@
     size_t callers { 24 };
     size_t secondAnswerEvery { 0 };
     size_t maxConnections { 34 };
+    bool preparesOften { false };
 };
 
 bool readPorts(const char* text, std::vector<uint16_t>& ports)
@@ -64,6 +66,9 @@
         return absl::SimpleAtoi(optarg, &options.maxConnections);
     case 'n':
         return absl::SimpleAtoi(optarg, &options.callers);
+    case 'p':
+        options.preparesOften = true;
+        return true;
     case '2':
         return absl::SimpleAtoi(optarg, &options.secondAnswerEvery);
     default:
@@ -81,9 +86,10 @@
         { "max-connections", required_argument, nullptr, 'm' },
         { "callers", required_argument, nullptr, 'n' },
         { "second-answer-every", required_argument, nullptr, '2' },
+        { "prepare-often", no_argument, nullptr, 'p' },
         { nullptr, 0, nullptr, 0 },
     };
-    for (int it = 0; (it = getopt_long(argc, argv, "t:c:s:d:m:n:2:", names, nullptr)) != -1;) {
+    for (int it = 0; (it = getopt_long(argc, argv, "t:c:s:d:m:n:2:p", names, nullptr)) != -1;) {
         if (!readOption(it, options))
             return false;
     }
@@ -121,7 +127,7 @@
     PollLoop& loop = **created;
     Ledger ledger;
     Group group { loop, ledger, RandomTexts(options.seed), "standin-group", options.secondAnswerEvery, options.maxConnections };
-    CallerGroup callerGroup { loop, ledger, RandomTexts(options.seed + 1), options.callersAt };
+    CallerGroup callerGroup { loop, ledger, RandomTexts(options.seed + 1), options.callersAt, options.preparesOften };
     std::vector<std::unique_ptr<Caller>> callers;
     const auto begin = [&] {
         while (callers.size() < options.callers) {
