--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -40,6 +40,8 @@
 struct GroupLimits {
     /// Connections that one target accepts from all daemons together.
     uint32_t connections { 0 };
+    /// Number of replicas that must have received a commit before the primary acknowledges it; 0 for none.
+    uint32_t synchronousReplicas { 0 };
 };
 
 /// The routes of the configuration in force. Not modified after the configuration was decoded.
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -14,12 +14,12 @@
     /// From a call until the platform answers that it does not accept it.
     constexpr Milliseconds answerTime { 5 };
 
-    std::shared_ptr<const RouteTable> makeRoutes()
+    std::shared_ptr<const RouteTable> makeRoutes(uint64_t version, uint32_t synchronousReplicas)
     {
         auto table = std::make_shared<RouteTable>();
-        table->version = ConfigurationVersion(1);
+        table->version = ConfigurationVersion(version);
         table->transactionIdleTimeout = Milliseconds(3000);
-        table->groups[GroupId("group")].connections = 40;
+        table->groups[GroupId("group")] = { 40, synchronousReplicas };
         Route route;
         route.database = DatabaseId("orders");
         route.group = GroupId("group");
@@ -121,7 +121,9 @@
     promotions.onPromoted = [this](const TargetId& promoted) {
         const bool isConflict = std::any_of(daemons.begin(), daemons.end(), [&](const auto& it) { return it && mayUseOtherPrimary(*it, promoted); });
         conflictingPromotions += isConflict ? 1 : 0;
+        countLostCommits(promoted);
     };
+    targets.onCommitted = [this](const TargetId& primary) { return replicateCommit(primary); };
     daemons.resize(n);
     for (size_t it = 0; it < n; ++it)
         startDaemon(it, listDelay);
@@ -134,6 +136,7 @@
 {
     promotions.onSent = [](const PromotionRequest&) {};
     promotions.onPromoted = [](const TargetId&) {};
+    targets.onCommitted = [](const TargetId&) { return true; };
     for (auto& it : daemons)
         it->rows.isCut = true;
     loop.advance(Milliseconds(10'000));
@@ -149,7 +152,7 @@
     const std::string name = "daemon-" + std::to_string(daemon);
     daemons[daemon] = std::make_unique<FailoverDaemon>(loop, tables, promotions, targets, name, std::to_string(++m_incarnations));
     FailoverDaemon& it = *daemons[daemon];
-    it.relay.setRoutes(makeRoutes());
+    it.relay.setRoutes(makeRoutes(m_configurations, m_synchronousReplicas));
     it.lease.start();
     it.leaseMonitor.start([&it] { it.lease.setHolderCount(it.leaseMonitor.holderCount()); });
     it.failover.start(it.relay);
@@ -220,6 +223,8 @@
     loop.runUntil([&caller] { return !caller.answers.empty(); }, Milliseconds(3000));
     const RelayError error = caller.answers.empty() ? RelayError::TimedOut : caller.last().error;
     const bool isAcknowledged = error == RelayError::None && targets.committed.size() > commits;
+    if (isAcknowledged)
+        m_lastAcknowledged = std::max(m_lastAcknowledged, caller.last().mark->position);
     if (isAcknowledged && targets[targets.committed.back().target].term < newestTerm)
         ++staleWrites;
     return error;
@@ -277,8 +282,46 @@
     }
 }
 
-// Replicas copy the log of the primary with the highest term, unless they have followed a later one. A primary of a lower term does so
-// only after it was demoted.
+void FailoverFixture::setSynchronousReplicas(uint32_t n)
+{
+    m_synchronousReplicas = n;
+    ++m_configurations;
+    for (auto& it : daemons)
+        it->relay.setRoutes(makeRoutes(m_configurations, n));
+}
+
+// A primary of a lower term follows only after it was demoted.
+bool FailoverFixture::mayReceive(const TargetId& id, const SimulatedTargets::Target& primary)
+{
+    const auto& target = targets[id];
+    return !target.isPrimary && !target.isDown && !target.isSilent && !(primary.term < target.term) && deafTargets.count(id) == 0;
+}
+
+bool FailoverFixture::replicateCommit(const TargetId& id)
+{
+    const auto& primary = targets[id];
+    uint32_t n = 0;
+    for (const char* it : { "one", "two", "three" }) {
+        if (n == m_synchronousReplicas || !mayReceive(TargetId(it), primary))
+            continue;
+        auto& replica = targets[TargetId(it)];
+        replica.term = primary.term;
+        replica.received = primary.received;
+        ++n;
+    }
+    return n == m_synchronousReplicas;
+}
+
+void FailoverFixture::countLostCommits(const TargetId& promoted)
+{
+    const LogPosition received = targets[promoted].received;
+    targets[promoted].applied = received;
+    if (received < m_lastAcknowledged)
+        lostCommits += m_lastAcknowledged.value() - received.value();
+    m_lastAcknowledged = std::min(m_lastAcknowledged, received);
+}
+
+// Replicas copy the log of the primary with the highest term, unless they have followed a later one.
 void FailoverFixture::replicate()
 {
     stepDownReplacedPrimaries();
@@ -289,9 +332,9 @@
             primary = &target;
     }
     for (const char* it : { "one", "two", "three" }) {
-        auto& target = targets[TargetId(it)];
-        if (!primary || target.isPrimary || target.isDown || target.isSilent || primary->term < target.term)
+        if (!primary || !mayReceive(TargetId(it), *primary))
             continue;
+        auto& target = targets[TargetId(it)];
         target.term = primary->term;
         target.applied = primary->applied;
         target.received = primary->applied;
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace parsleypaddle {
@@ -130,15 +131,30 @@
     /// Replaced primaries become replicas a second after the promotion.
     bool doReplacedPrimariesStepDown { false };
 
+    /// Puts a configuration in force with which commits are acknowledged once so many replicas have received them.
+    void setSynchronousReplicas(uint32_t);
+    /// Replicas that receive nothing of the log.
+    std::set<TargetId> deafTargets;
+    /// Number of acknowledged commits that were missing from the log of a target when it was promoted.
+    uint64_t lostCommits { 0 };
+
 private:
     void startDaemon(size_t daemon, double listDelay = 0);
     void publishTargets();
     bool mayUseOtherPrimary(FailoverDaemon&, const TargetId& promoted) const;
     void stepDownReplacedPrimaries();
     void replicate();
+    bool mayReceive(const TargetId&, const SimulatedTargets::Target& primary);
+    /// Gives the commit to replicas, and returns whether it is acknowledged.
+    bool replicateCommit(const TargetId& primary);
+    void countLostCommits(const TargetId& promoted);
 
     std::vector<TargetEntry> m_targetList;
     uint32_t m_incarnations { 0 };
+    uint32_t m_synchronousReplicas { 0 };
+    uint64_t m_configurations { 1 };
+    /// The last commit that a caller was told of and that no promotion has lost.
+    LogPosition m_lastAcknowledged;
 };
 
 }
--- a/src/relay/RelayFixture.cpp
+++ b/src/relay/RelayFixture.cpp
@@ -43,15 +43,15 @@
             return;
         }
         target.peakRunning = std::max(target.peakRunning, ++target.running);
-        m_targets.m_loop.after(target.delay, [this, &target, alive, steps = batch.steps, done] {
+        m_targets.m_loop.after(target.delay, [this, &target, alive, steps = batch.steps, timeout, done] {
             --target.running;
             if (!alive.expired())
-                answer(steps, done);
+                answer(steps, timeout, done);
         });
     }
 
 private:
-    void answer(const std::vector<RelayStep>& steps, const Done& done)
+    void answer(const std::vector<RelayStep>& steps, Milliseconds timeout, const Done& done)
     {
         auto& target = m_targets[m_id];
         if (target.isDown)
@@ -61,6 +61,13 @@
         TargetReply reply;
         for (const auto& it : steps)
             reply.answers.push_back(run(it, target));
+        if (std::exchange(m_isUnacknowledged, false)) {
+            m_targets.m_loop.after(timeout, [alive = std::weak_ptr<bool>(m_alive), done] {
+                if (!alive.expired())
+                    done(makeError(ResultCode::TargetSilent, "the commit is not acknowledged"));
+            });
+            return;
+        }
         if (std::exchange(target.losesNextAnswer, false))
             return done(makeError(ResultCode::ConnectionLost, "lost"));
         if (std::exchange(target.isNextOutOfStep, false))
@@ -160,6 +167,7 @@
         target.applied = target.applied.next();
         target.received = target.applied;
         m_targets.committed.push_back(statement);
+        m_isUnacknowledged = !m_targets.onCommitted(m_id);
     }
 
     SimulatedTargets& m_targets;
@@ -169,6 +177,7 @@
     std::weak_ptr<bool> m_areTargetsAlive;
     TransactionState m_state { TransactionState::Idle };
     bool m_hasWritten { false };
+    bool m_isUnacknowledged { false };
     std::map<std::string, std::string> m_values;
     /// Definitions of the prepared statements, by name.
     std::map<std::string, std::string> m_prepared;
--- a/src/relay/RelayFixture.h
+++ b/src/relay/RelayFixture.h
@@ -70,6 +70,8 @@
     Target& operator[](const TargetId& id) { return m_targets[id]; }
     void connect(const TargetConfiguration&, const OrganisationId&, Milliseconds timeout, Done) override;
 
+    /// Called when a target has committed. A commit for which it returns false is not acknowledged.
+    std::function<bool(const TargetId&)> onCommitted { [](const TargetId&) { return true; } };
     /// Connections that were requested, including those that failed.
     uint64_t connectionAttempts { 0 };
     std::vector<RecordedStatement> executed;
