--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -97,7 +97,7 @@
     , membership(loop, { InstanceId(name), FailureDomainId("domain-one"), name, 0, 0, false })
     , lease(loop, rows, InstanceId(name), incarnation, {})
     , leaseMonitor(loop, rows, rows, InstanceId(name))
-    , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log, [this, &tables] { return targetListVersion.value_or(tables.version()); } })
+    , failover({ loop, rows, promotions, targets, lease, leaseMonitor, log, metrics, [this, &tables] { return targetListVersion.value_or(tables.version()); } })
     , relay(loop, targets, lease, failover, log, metrics, membership)
     , controlWatch(
           loop, rows, controlTable, Milliseconds(5000), [this](const TableWatch::Rows& it) { failover.setRows(it, controlWatch.version()); }, [](const absl::Status&) {})
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -173,14 +173,18 @@
         m_nextIdleTick = now + idleTickInterval;
     m_eraRowWriter.tick();
     bool needsFrequentTicks = false;
+    size_t awaitingLogs = 0;
     for (auto& [group, failover] : m_groups) {
         if (!m_areRowsKnown || (!isIdleTickDue && !failover->needsFrequentTicks()))
             continue;
         if (RelayGroup* relayGroup = m_relay->findGroup(group)) {
+            failover->setSynchronousReplicas(m_relay->synchronousReplicasOf(group));
             failover->tick(*relayGroup);
             needsFrequentTicks = needsFrequentTicks || failover->needsFrequentTicks();
         }
+        awaitingLogs += failover->isAwaitingLogs() ? 1 : 0;
     }
+    m_context.metrics.set(MetricGauge::ChangesAwaitingLogs, static_cast<double>(awaitingLogs));
     confirmEpochIfReleased();
     m_context.loop.cancel(m_timer);
     m_timer = m_context.loop.after(needsFrequentTicks ? frequentTickInterval : m_nextIdleTick - now, [this] { tick(); });
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -50,6 +50,8 @@
     // The record between two changes may be missed, so a release that this daemon has seen counts only while the owner is the same.
     const bool isOwnerNew = !m_record || m_record->owner != record.owner || m_record->ownerIncarnation != record.ownerIncarnation;
     m_isReleasedEverywhere = m_isReleasedEverywhere && !isOwnerNew;
+    if (!m_record || m_record->term != record.term)
+        m_restartedTargets.clear();
     m_record = record;
     m_version = version;
     m_calls.reset();
@@ -70,6 +72,8 @@
         m_missingSince.reset();
         m_leavingSince.reset();
         m_rejectedCandidates.clear();
+        m_awaitingLogsSince.reset();
+        m_lastLoggedLogs.clear();
         return;
     }
     if (wasOpen) {
@@ -94,8 +98,14 @@
         m_isProbeRequested = true;
 }
 
+// A target counts what it reports from its start on.
 void GroupFailover::setTargets(std::vector<TargetEntry> targets)
 {
+    for (const auto& it : targets) {
+        const TargetEntry* known = find(it.target.id);
+        if (known && it.sequence < known->sequence)
+            m_restartedTargets.insert(it.target.id);
+    }
     m_targets = std::move(targets);
     m_areTargetsKnown = true;
 }
@@ -211,7 +221,7 @@
     if (newest == m_probes.end() || !newest->second.report || !newest->second.report->isPrimary)
         return false;
     m_nextProbe = m_context.loop.now() + bootstrapRetryDelay;
-    writeRecord(makeOpenRecord(newest->first, newest->second.report->term), false, "the group has no record yet and this target is primary");
+    writeRecord(makeOpenRecord(newest->first, newest->second.report->term, newest->second.report->received), false, "the group has no record yet and this target is primary");
     return true;
 }
 
@@ -224,6 +234,8 @@
     record.ownerIncarnation = m_context.lease.incarnation();
     record.candidate = TargetId();
     record.isReinstated = false;
+    record.synchronousReplicas = m_synchronousReplicas.value_or(0);
+    record.lastMark.reset();
     writeRecord(std::move(record), true, why);
 }
 
@@ -261,12 +273,13 @@
     writeRecord(std::move(record), true, "the previous owner of the change holds no valid lease", expected);
 }
 
-GroupRecord GroupFailover::makeOpenRecord(const TargetId& primary, Term term) const
+GroupRecord GroupFailover::makeOpenRecord(const TargetId& primary, Term term, const LogMark& termBegin) const
 {
     GroupRecord record;
     record.phase = GroupPhase::Open;
     record.primary = primary;
     record.term = term;
+    record.termBegin = termBegin;
     record.owner = m_context.lease.instance();
     record.ownerIncarnation = m_context.lease.incarnation();
     return record;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -2,12 +2,14 @@
 
 #include "failover/GroupRecord.h"
 #include "failover/LeaseMonitor.h"
+#include "failover/LogEvidence.h"
 #include "failover/PlatformEraState.h"
 #include "failover/PromotionCalls.h"
 #include "failover/TargetProbe.h"
 #include "leases/InstanceLease.h"
 #include "relay/RelayGroup.h"
 #include "telemetry/DecisionLog.h"
+#include "telemetry/Metrics.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +28,7 @@
     InstanceLease& lease;
     LeaseMonitor& leaseMonitor;
     DecisionLog& log;
+    Metrics& metrics;
     /// The version of the platform's tables as of which the target list is known.
     std::function<RowVersion()> targetListVersion;
     /// Number of groups whose first record of an era this daemon prepares now: it probes their targets or writes the record. Shared,
@@ -58,7 +61,8 @@
     /// Sets the daemons that have recorded a suspicion against the primary of the current term.
     void setSuspicions(std::set<InstanceId>);
     void setTargets(std::vector<TargetEntry>);
-
+    /// Sets in how many replicas a commit is before the primary acknowledges it; unset while this daemon does not know the configuration.
+    void setSynchronousReplicas(std::optional<uint32_t> n) { m_synchronousReplicas = n; }
     void primaryFailed() { m_isProbeRequested = true; }
     void primaryAnswered();
 
@@ -79,6 +83,9 @@
     /// Whether this daemon carries out a change, or may be about to because a record is being written.
     bool mayOwnChange() const;
 
+    /// Whether this daemon carries out a change that waits for logs, without which no target may be promoted.
+    bool isAwaitingLogs() const { return m_awaitingLogsSince.has_value(); }
+
     /// The primary according to the last record that this daemon has received.
     PrimaryView knownPrimary() const;
 
@@ -116,6 +123,15 @@
     void chooseCandidate();
     bool isMissingLog(const TargetId& candidate) const;
     void awaitCandidates();
+    void promote(const TargetId& candidate, std::string_view why);
+
+    // Where commits wait for replicas.
+    uint32_t requiredReplicas() const;
+    KnownLogs knownLogs() const;
+    bool promoteCompleteReplica();
+    void chooseCompleteCandidate();
+    std::optional<TargetId> completeReplica(const LogEvidence&) const;
+    void awaitLogs(const KnownLogs&, const LogEvidence&);
     void monitorPromotion();
     bool hasPromotionTimedOut() const;
     bool isPromotionDue() const;
@@ -140,7 +156,7 @@
     bool isChangeOwner() const;
     const TargetEntry* find(const TargetId&) const;
     std::optional<TargetId> mostCompleteReplica() const;
-    GroupRecord makeOpenRecord(const TargetId& primary, Term) const;
+    GroupRecord makeOpenRecord(const TargetId& primary, Term, const LogMark& termBegin) const;
 
     FailoverContext m_context;
     GroupId m_group;
@@ -158,6 +174,9 @@
     /// known.
     Instant m_recordSince;
     std::vector<TargetEntry> m_targets;
+    /// Targets that were seen to start again since the present term began.
+    std::set<TargetId> m_restartedTargets;
+    std::optional<uint32_t> m_synchronousReplicas;
     /// Whether the platform's list of targets is known.
     bool m_areTargetsKnown { false };
     std::set<InstanceId> m_suspicions;
@@ -205,6 +224,8 @@
     std::optional<Instant> m_candidateLeadsSince;
     bool m_isCandidateUnreachable { false };
     bool m_isAwaitingCandidatesLogged { false };
+    std::optional<Instant> m_awaitingLogsSince;
+    std::string m_lastLoggedLogs;
     Instant m_nextProbe;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -35,7 +35,7 @@
     if (m_record->isReinstated && adoptPromotedTarget())
         return;
     if (hasPrimaryRecovered())
-        return writeRecord(makeOpenRecord(m_record->primary, m_record->term), false, "the primary answers again and its term is unchanged");
+        return writeRecord(makeOpenRecord(m_record->primary, m_record->term, m_record->termBegin), false, "the primary answers again and its term is unchanged");
     if (m_isReleasedEverywhere && m_isProbeRoundComplete)
         chooseCandidate();
 }
@@ -50,6 +50,8 @@
         return false;
     if (isAwaitingOtherPromotion(m_record->primary) || (m_record->isReinstated && !isUnreplaced()))
         return false;
+    if (requiredReplicas() > 0 && !isWholeLog(probe->second.report->received, knownLogs()))
+        return false;
     return probe->second.report->isPrimary && probe->second.report->term == m_record->term;
 }
 
@@ -68,7 +70,8 @@
             return;
         m_isReleasedEverywhere = true;
         // Log positions reported earlier may be outdated, since statements could still write until now.
-        m_isProbeRoundComplete = false;
+        abandonProbeRound();
+        m_nextProbe = m_context.loop.now();
         m_context.log.writeUnlimited("primary_released_everywhere", { { "group", m_group.value() }, { "epoch", textOf(epoch) }, { "leases", std::to_string(table->entries.size()) } });
     });
 }
@@ -167,8 +170,13 @@
     logCandidates();
     for (const auto& [id, probe] : m_probes) {
         if (isNewPrimary(id, probe.report) && !isAwaitingOtherPromotion(id))
-            return writeRecord(makeOpenRecord(id, probe.report->term), false, "a target is already primary");
+            return writeRecord(makeOpenRecord(id, probe.report->term, probe.report->received), false, "a target is already primary");
     }
+    // Only the configuration shows whether a promotion needs evidence.
+    if (!m_synchronousReplicas)
+        return;
+    if (requiredReplicas() > 0 && !m_record->isPlanned)
+        return chooseCompleteCandidate();
     auto oldProbe = m_probes.find(m_record->primary);
     const bool isOldStillPrimary = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
     const auto best = mostCompleteReplica();
@@ -177,10 +185,15 @@
     const bool isComplete = !isOldStillPrimary || !(m_probes[*best].report->received < oldProbe->second.report->received);
     if (!isComplete && m_context.loop.now() < m_recordSince + plannedReleaseTimeout + catchUpTimeout)
         return;
+    promote(*best, isComplete ? "the most complete replica; the old primary is not known to hold more log" : "the most complete replica; it lacks the end of the old primary's log");
+}
+
+void GroupFailover::promote(const TargetId& candidate, std::string_view why)
+{
     GroupRecord record = *m_record;
     record.phase = GroupPhase::Promoting;
-    record.candidate = *best;
-    writeRecord(std::move(record), false, isComplete ? "the most complete replica; the old primary is not known to hold more log" : "the most complete replica; it lacks the end of the old primary's log");
+    record.candidate = candidate;
+    writeRecord(std::move(record), false, why);
 }
 
 // No replica answered, or all that did are leaving, were rejected earlier, or may not be promoted before an unanswered call for another
--- a/src/failover/GroupFailoverEra.cpp
+++ b/src/failover/GroupFailoverEra.cpp
@@ -128,7 +128,7 @@
     const auto newest = std::max_element(m_probes.begin(), m_probes.end(), [&term](const auto& a, const auto& b) { return term(a) < term(b); });
     if (newest == m_probes.end() || term(*newest) <= m_record->term || isAwaitingOtherPromotion(newest->first))
         return false;
-    writeRecord(makeOpenRecord(newest->first, term(*newest)), false, "a target was promoted before the platform returned from a copy");
+    writeRecord(makeOpenRecord(newest->first, term(*newest), newest->second.report->received), false, "a target was promoted before the platform returned from a copy");
     return true;
 }
 
--- a/src/failover/GroupFailoverPromotion.cpp
+++ b/src/failover/GroupFailoverPromotion.cpp
@@ -72,7 +72,7 @@
         const Instant leadsSince = m_candidateLeadsSince.value_or(m_context.loop.now());
         m_candidateLeadsSince = leadsSince;
         if (!m_calls.isCallOut() || m_context.loop.now() >= leadsSince + answerDelay)
-            writeRecord(makeOpenRecord(id, result.report->term), false, "the candidate is primary");
+            writeRecord(makeOpenRecord(id, result.report->term, result.report->received), false, "the candidate is primary");
     });
 }
 
--- a/src/failover/GroupRecord.cpp
+++ b/src/failover/GroupRecord.cpp
@@ -21,6 +21,43 @@
         { GroupPhase::Promoting, "promoting" },
     } };
 
+    Json::Value encodeMark(const LogMark& mark)
+    {
+        Json::Value value(Json::objectValue);
+        value["term"] = Json::UInt64(mark.term.value());
+        value["position"] = Json::UInt64(mark.position.value());
+        return value;
+    }
+
+    absl::StatusOr<LogMark> decodeMark(const Json::Value& value, const char* field)
+    {
+        if (!value.isObject() || !value["term"].isUInt64() || !value["position"].isUInt64())
+            return makeError(ResultCode::MissingField, std::string("group record has no term or position in ") + field);
+        return LogMark { Term(value["term"].asUInt64()), LogPosition(value["position"].asUInt64()) };
+    }
+
+    /// Decodes the fields on the logs, which records of earlier versions lack.
+    absl::Status decodeLogs(const Json::Value& value, GroupRecord& record)
+    {
+        for (const char* it : { "term_begin", "last_mark" }) {
+            if (!value.isMember(it))
+                continue;
+            const auto mark = decodeMark(value[it], it);
+            if (!mark.ok())
+                return mark.status();
+            if (std::string_view(it) == "last_mark")
+                record.lastMark = *mark;
+            else
+                record.termBegin = *mark;
+        }
+        if (!value.isMember("synchronous_replicas"))
+            return absl::OkStatus();
+        if (!value["synchronous_replicas"].isUInt())
+            return makeError(ResultCode::MissingField, "group record has synchronous_replicas that are not a number");
+        record.synchronousReplicas = value["synchronous_replicas"].asUInt();
+        return absl::OkStatus();
+    }
+
 }
 
 std::string encodeGroupRecord(const GroupRecord& record)
@@ -38,6 +75,12 @@
         value["unanswered_candidate"] = record.unansweredCandidate.value();
         value["unanswered_until"] = record.unansweredUntil.sinceEpoch();
     }
+    if (record.termBegin != LogMark())
+        value["term_begin"] = encodeMark(record.termBegin);
+    if (record.synchronousReplicas > 0)
+        value["synchronous_replicas"] = record.synchronousReplicas;
+    if (record.lastMark)
+        value["last_mark"] = encodeMark(*record.lastMark);
     return writeJson(value);
 }
 
@@ -73,6 +116,8 @@
         record.unansweredCandidate = TargetId(value["unanswered_candidate"].asString());
         record.unansweredUntil = Instant(value["unanswered_until"].asDouble());
     }
+    if (auto status = decodeLogs(value, record); !status.ok())
+        return status;
     return record;
 }
 
--- a/src/failover/GroupRecord.h
+++ b/src/failover/GroupRecord.h
@@ -2,9 +2,11 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "groups/LogMark.h"
 #include "platform_ports/PlatformPorts.h"
 
 #include <absl/status/statusor.h>
+#include <optional>
 #include <string>
 
 namespace parsleypaddle {
@@ -39,6 +41,12 @@
     TargetId unansweredCandidate;
     /// When such a call has taken effect at the latest, by the platform's clock.
     Instant unansweredUntil;
+    /// The end of the primary's log when the record was opened with it.
+    LogMark termBegin;
+    /// While a change is in progress: in how many replicas a commit of the primary is before it is acknowledged.
+    uint32_t synchronousReplicas { 0 };
+    /// While a change is in progress: the end of the primary's log once no daemon uses it any more. Unset while that is unknown.
+    std::optional<LogMark> lastMark;
 };
 
 std::string encodeGroupRecord(const GroupRecord&);
--- a/src/failover/GroupRecordTests.cpp
+++ b/src/failover/GroupRecordTests.cpp
@@ -48,3 +48,32 @@
     CAPTURE(field);
     CHECK_FALSE(decodeGroupRecord(withField(encodeGroupRecord(makeRecord()), field)).ok());
 }
+
+TEST_CASE("a record keeps what is known of the primary's log, so that another daemon can go on with the change", "[failover]")
+{
+    GroupRecord record = makeRecord();
+    record.termBegin = { Term(3), LogPosition(1200) };
+    record.synchronousReplicas = 1;
+    record.lastMark = LogMark { Term(3), LogPosition(1250) };
+    const auto decoded = decodeGroupRecord(encodeGroupRecord(record));
+    REQUIRE(decoded.ok());
+    CHECK(decoded->termBegin == record.termBegin);
+    CHECK(decoded->synchronousReplicas == 1);
+    CHECK(decoded->lastMark == record.lastMark);
+}
+
+TEST_CASE("a record of an earlier version, without anything on logs, is decoded", "[failover]")
+{
+    const auto decoded = decodeGroupRecord(encodeGroupRecord(makeRecord()));
+    REQUIRE(decoded.ok());
+    CHECK(decoded->termBegin == LogMark());
+    CHECK(decoded->synchronousReplicas == 0);
+    CHECK_FALSE(decoded->lastMark.has_value());
+}
+
+TEST_CASE("a record with an incomplete log mark is rejected", "[failover]")
+{
+    const std::string field = GENERATE(as<std::string> {}, R"("term_begin":7)", R"("last_mark":{"term":3})", R"("last_mark":{"term":3,"position":"x"})", R"("synchronous_replicas":"one")");
+    CAPTURE(field);
+    CHECK_FALSE(decodeGroupRecord(withField(encodeGroupRecord(makeRecord()), field)).ok());
+}
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -119,6 +119,14 @@
     return it == m_groups.end() ? nullptr : it->second.get();
 }
 
+std::optional<uint32_t> Relay::synchronousReplicasOf(const GroupId& group) const
+{
+    if (!m_routes)
+        return std::nullopt;
+    const auto it = m_routes->groups.find(group);
+    return it == m_routes->groups.end() ? 0 : it->second.synchronousReplicas;
+}
+
 RelayGroup& Relay::findOrCreateGroup(const GroupId& group)
 {
     auto& slot = m_groups[group];
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -40,6 +40,8 @@
     /// How long an open transaction may stay idle before it is rolled back.
     Milliseconds transactionIdleTimeout() const { return m_routes->transactionIdleTimeout; }
     RelayGroup* findGroup(const GroupId&);
+    /// In how many replicas a commit of the group is before its primary acknowledges it; unset while the routes are not known.
+    std::optional<uint32_t> synchronousReplicasOf(const GroupId&) const;
 
     /// Decides in whose name statements run.
     CallerIdentification& identification() { return m_identification; }
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -79,6 +79,7 @@
     Subscribers,
     PlatformEra,
     ConfigurationConfirmationAge,
+    ChangesAwaitingLogs,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
