--- a/src/directory/TargetEntry.h
+++ b/src/directory/TargetEntry.h
@@ -19,6 +19,12 @@
     bool isLeaving { false };
     /// When this daemon received the first list that says so; unset if that was the first list with the target.
     std::optional<Instant> leavingSince;
+    /// When its process was started, by the target's own clock; unset if it does not say so.
+    std::optional<Instant> startedAt;
+    /// False while the target is missing from the list, but not for long enough to count as gone.
+    bool isListed { true };
+    /// Whether it was leaving and has removed itself from the list.
+    bool hasLeft { false };
     /// The role that the target reports.
     TargetRole role { TargetRole::Replica };
 };
--- a/src/directory/TargetList.cpp
+++ b/src/directory/TargetList.cpp
@@ -32,6 +32,8 @@
 
 void TargetList::update(Known& known, TargetEntry entry, bool isNew, Instant now)
 {
+    if (isNew || entry.sequence != known.entry.sequence)
+        known.reportedAt = now;
     const bool wasOutdated = known.outdatedSince.has_value();
     const bool isOutdated = !entry.isLeaving && entry.sequence < known.lastLeavingSequence;
     if (!isOutdated)
@@ -58,6 +60,8 @@
             continue;
         }
         targets.push_back(it->second.entry);
+        targets.back().isListed = !missingSince;
+        targets.back().hasLeft = hasLeft(it->second);
         // A target that has restarted counts from the beginning, too, so this is not for long.
         const auto& outdatedSince = it->second.outdatedSince;
         if (outdatedSince && now < *outdatedSince + defaultGracePeriod)
@@ -67,6 +71,14 @@
     return targets;
 }
 
+// A target removes its entry when it has left. The platform removes one after three intervals without a report, also of a target that is cut off
+// and still works.
+bool TargetList::hasLeft(const Known& known) const
+{
+    constexpr double maxIntervalsSinceReport = 2;
+    return known.entry.isLeaving && known.missingSince && *known.missingSince - known.reportedAt < m_reportInterval * maxIntervalsSinceReport;
+}
+
 std::optional<Instant> TargetList::nextExpiry(Instant now) const
 {
     std::optional<Instant> next;
--- a/src/directory/TargetList.h
+++ b/src/directory/TargetList.h
@@ -18,9 +18,11 @@
     /// listed again within two seconds. The other 500 ms are for receiving the new list.
     static constexpr Milliseconds defaultGracePeriod { 2500 };
 
-    /// `gracePeriod` of targets that disappear without having reported that they leave.
-    explicit TargetList(Milliseconds gracePeriod = defaultGracePeriod)
+    /// `gracePeriod` of targets that disappear without having reported that they leave. `reportInterval`: how often targets report; 0 if that
+    /// is not known.
+    explicit TargetList(Milliseconds gracePeriod = defaultGracePeriod, Milliseconds reportInterval = Milliseconds(0))
         : m_gracePeriod(gracePeriod)
+        , m_reportInterval(reportInterval)
     {
     }
 
@@ -40,6 +42,8 @@
     struct Known {
         TargetEntry entry;
         std::optional<Instant> missingSince;
+        /// When the last report of the target arrived here.
+        Instant reportedAt;
         /// Since when a lower sequence than before has been listed for a target that was leaving.
         std::optional<Instant> outdatedSince;
         uint64_t lastLeavingSequence { 0 };
@@ -48,7 +52,10 @@
     static void update(Known&, TargetEntry, bool isNew, Instant now);
     Milliseconds gracePeriodOf(const Known& known) const { return known.entry.isLeaving ? defaultGracePeriod : m_gracePeriod; }
 
+    bool hasLeft(const Known&) const;
+
     Milliseconds m_gracePeriod;
+    Milliseconds m_reportInterval;
     std::map<TargetId, Known> m_known;
 };
 
--- a/src/directory/TargetListTests.cpp
+++ b/src/directory/TargetListTests.cpp
@@ -130,3 +130,36 @@
         CHECK_FALSE(roster.targets(Instant(1000)).front().leavingSince);
     }
 }
+
+// Guards against a target that is taken for ended although it is cut off from the platform only, and still receives from its primary.
+TEST_CASE("a leaving target has left if it disappears sooner than one that has stopped to report", "[directory]")
+{
+    TargetList roster(TargetList::defaultGracePeriod, Milliseconds(1200));
+    TargetEntry leaving = entryOf("one");
+    leaving.isLeaving = true;
+    leaving.sequence = 7;
+    TargetEntry staying = entryOf("two");
+    roster.setListed({ leaving, staying }, Instant(0));
+    leaving.sequence = 8;
+    roster.setListed({ leaving, staying }, Instant(1200));
+    const auto hasLeft = [&roster](Instant now) {
+        std::vector<bool> left;
+        for (const auto& it : roster.targets(now))
+            left.push_back(it.hasLeft);
+        return left;
+    };
+    SECTION("soon after a report")
+    {
+        roster.setListed({}, Instant(1700));
+        CHECK(hasLeft(Instant(1700)) == std::vector<bool> { true, false });
+    }
+    SECTION("three intervals after it")
+    {
+        roster.setListed({}, Instant(4800));
+        CHECK(hasLeft(Instant(4800)) == std::vector<bool> { false, false });
+    }
+    SECTION("while it is listed")
+    {
+        CHECK(hasLeft(Instant(1300)) == std::vector<bool> { false, false });
+    }
+}
--- a/src/failover/FailoverFaultTests.cpp
+++ b/src/failover/FailoverFaultTests.cpp
@@ -79,8 +79,11 @@
 {
     const auto seed = GENERATE(range(1U, 31U));
     CAPTURE(seed);
+    const auto synchronousReplicas = GENERATE(0U, 1U);
+    CAPTURE(synchronousReplicas);
     std::mt19937 random(seed);
     FailoverFixture fixture(5);
+    fixture.setSynchronousReplicas(synchronousReplicas);
     const std::vector<std::string> names { "one", "two", "three" };
     for (int step = 0; step < 25; ++step) {
         const size_t daemon = random() % fixture.daemons.size();
@@ -116,6 +119,7 @@
     }
     CHECK(fixture.staleWrites == 0);
     CHECK(fixture.promotions.areFencingTokensOrdered());
+    CHECK((synchronousReplicas == 0 || fixture.lostCommits == 0));
     // After all faults have ended, writes succeed again.
     for (auto& it : fixture.daemons) {
         it->rows.isCut = false;
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -116,6 +116,7 @@
     for (const std::string name : { "one", "two", "three" }) {
         TargetEntry entry;
         entry.target = { TargetId(name), { name, 1 }, FailureDomainId("domain-" + name), GroupId("group"), false };
+        entry.startedAt = loop.now();
         m_targetList.push_back(entry);
     }
     promotions.onPromoted = [this](const TargetId& promoted) {
@@ -275,7 +276,7 @@
     constexpr Milliseconds stepDownDelay { 1000 };
     if (!doReplacedPrimariesStepDown || loop.now() < promotions.newestTermSince + stepDownDelay)
         return;
-    for (const char* it : { "one", "two", "three" }) {
+    for (const auto& it : m_targetNames) {
         auto& target = targets[TargetId(it)];
         if (target.isPrimary && !target.isDown && !target.isSilent && target.term < promotions.newestTerm)
             target.isPrimary = false;
@@ -297,11 +298,44 @@
     return !target.isPrimary && !target.isDown && !target.isSilent && !(primary.term < target.term) && deafTargets.count(id) == 0;
 }
 
+void FailoverFixture::replaceTarget(const std::string& target, const std::string& successor)
+{
+    auto& old = targets[TargetId(target)];
+    auto& started = targets[TargetId(successor)];
+    started.term = old.term;
+    started.received = old.received;
+    started.applied = old.applied;
+    old.isDown = true;
+    m_targetNames.push_back(successor);
+    for (auto& it : m_targetList) {
+        if (it.target.id != TargetId(target))
+            continue;
+        it.target.id = TargetId(successor);
+        it.isLeaving = false;
+        it.leavingSince.reset();
+    }
+    publishTargets();
+}
+
+void FailoverFixture::restartWithoutLog(const std::string& name)
+{
+    auto& target = targets[TargetId(name)];
+    target.isPrimary = false;
+    target.received = LogPosition(0);
+    target.applied = LogPosition(0);
+    target.isDown = false;
+    for (auto& it : m_targetList) {
+        if (it.target.id == TargetId(name))
+            it.startedAt = loop.now();
+    }
+    publishTargets();
+}
+
 bool FailoverFixture::replicateCommit(const TargetId& id)
 {
     const auto& primary = targets[id];
     uint32_t n = 0;
-    for (const char* it : { "one", "two", "three" }) {
+    for (const auto& it : m_targetNames) {
         if (n == m_synchronousReplicas || !mayReceive(TargetId(it), primary))
             continue;
         auto& replica = targets[TargetId(it)];
@@ -326,12 +360,12 @@
 {
     stepDownReplacedPrimaries();
     const SimulatedTargets::Target* primary = nullptr;
-    for (const char* it : { "one", "two", "three" }) {
+    for (const auto& it : m_targetNames) {
         const auto& target = targets[TargetId(it)];
         if (target.isPrimary && !target.isDown && !target.isSilent && (!primary || primary->term < target.term))
             primary = &target;
     }
-    for (const char* it : { "one", "two", "three" }) {
+    for (const auto& it : m_targetNames) {
         if (!primary || !mayReceive(TargetId(it), *primary))
             continue;
         auto& target = targets[TargetId(it)];
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -133,6 +133,10 @@
 
     /// Puts a configuration in force with which commits are acknowledged once so many replicas have received them.
     void setSynchronousReplicas(uint32_t);
+    /// Ends a target, and lists another one in its place, at its address and with its log.
+    void replaceTarget(const std::string& target, const std::string& successor);
+    /// Starts a target again that has lost its log.
+    void restartWithoutLog(const std::string&);
     /// Replicas that receive nothing of the log.
     std::set<TargetId> deafTargets;
     /// Number of acknowledged commits that were missing from the log of a target when it was promoted.
@@ -149,6 +153,7 @@
     bool replicateCommit(const TargetId& primary);
     void countLostCommits(const TargetId& promoted);
 
+    std::vector<std::string> m_targetNames { "one", "two", "three" };
     std::vector<TargetEntry> m_targetList;
     uint32_t m_incarnations { 0 };
     uint32_t m_synchronousReplicas { 0 };
--- a/src/failover/FailoverManager.cpp
+++ b/src/failover/FailoverManager.cpp
@@ -71,6 +71,7 @@
         firstRecords += failoverOf(group).recordVersion() == RowVersion() ? 1 : 0;
         newest = std::max(newest, it->second.version);
         applyRecord(rows, it->second, group);
+        applyLogRows(rows, failoverOf(group), group);
     }
     if (firstRecords > 0)
         m_context.log.write("primary_records_received", { { "first_records", std::to_string(firstRecords) }, { "newest_version", textOf(newest) }, { "epoch", textOf(m_epoch) } });
@@ -130,6 +131,15 @@
     m_relay->setPrimary(group, failover.knownPrimary());
 }
 
+void FailoverManager::applyLogRows(const std::map<std::string, StoredRow>& rows, GroupFailover& failover, const GroupId& group)
+{
+    const auto rowOf = [&rows](const std::string& key) {
+        const auto it = rows.find(key);
+        return it == rows.end() ? nullptr : &it->second;
+    };
+    failover.setKnownTargets(rowOf(knownTargetsKey(group)));
+}
+
 void FailoverManager::setTargets(const std::vector<TargetEntry>& entries)
 {
     m_areTargetsKnown = true;
@@ -174,6 +184,7 @@
     m_eraRowWriter.tick();
     bool needsFrequentTicks = false;
     size_t awaitingLogs = 0;
+    size_t unlistedLogHolders = 0;
     for (auto& [group, failover] : m_groups) {
         if (!m_areRowsKnown || (!isIdleTickDue && !failover->needsFrequentTicks()))
             continue;
@@ -183,8 +194,11 @@
             needsFrequentTicks = needsFrequentTicks || failover->needsFrequentTicks();
         }
         awaitingLogs += failover->isAwaitingLogs() ? 1 : 0;
+        unlistedLogHolders += isIdleTickDue ? failover->unlistedLogHolders() : 0;
     }
     m_context.metrics.set(MetricGauge::ChangesAwaitingLogs, static_cast<double>(awaitingLogs));
+    if (isIdleTickDue)
+        m_context.metrics.set(MetricGauge::UnlistedLogHolders, static_cast<double>(unlistedLogHolders));
     confirmEpochIfReleased();
     m_context.loop.cancel(m_timer);
     m_timer = m_context.loop.after(needsFrequentTicks ? frequentTickInterval : m_nextIdleTick - now, [this] { tick(); });
--- a/src/failover/FailoverManager.h
+++ b/src/failover/FailoverManager.h
@@ -38,6 +38,7 @@
     void beginEra(PlatformEra);
     void applyEraRow(const std::map<std::string, StoredRow>&);
     void applyRecord(const std::map<std::string, StoredRow>&, const StoredRow&, const GroupId&);
+    static void applyLogRows(const std::map<std::string, StoredRow>&, GroupFailover&, const GroupId&);
     void tick();
     void confirmEpochIfReleased();
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -50,8 +50,7 @@
     // The record between two changes may be missed, so a release that this daemon has seen counts only while the owner is the same.
     const bool isOwnerNew = !m_record || m_record->owner != record.owner || m_record->ownerIncarnation != record.ownerIncarnation;
     m_isReleasedEverywhere = m_isReleasedEverywhere && !isOwnerNew;
-    if (!m_record || m_record->term != record.term)
-        m_restartedTargets.clear();
+    m_logCheck = {};
     m_record = record;
     m_version = version;
     m_calls.reset();
@@ -61,6 +60,10 @@
     m_isAwaitingCandidatesLogged = false;
     m_rowVersion = version;
     m_recordSince = now;
+    if (record.phase == GroupPhase::Open || isOwnerNew) {
+        m_awaitingLogsSince.reset();
+        m_lastLoggedLogs.clear();
+    }
     if (!record.isReinstated)
         m_earlierRecord.reset();
     if (record.phase == GroupPhase::Open) {
@@ -72,8 +75,6 @@
         m_missingSince.reset();
         m_leavingSince.reset();
         m_rejectedCandidates.clear();
-        m_awaitingLogsSince.reset();
-        m_lastLoggedLogs.clear();
         return;
     }
     if (wasOpen) {
@@ -98,13 +99,13 @@
         m_isProbeRequested = true;
 }
 
-// A target counts what it reports from its start on.
 void GroupFailover::setTargets(std::vector<TargetEntry> targets)
 {
     for (const auto& it : targets) {
-        const TargetEntry* known = find(it.target.id);
-        if (known && it.sequence < known->sequence)
-            m_restartedTargets.insert(it.target.id);
+        if (it.hasLeft)
+            m_departedTargets.insert(it.target.id);
+        else if (it.isListed)
+            m_departedTargets.erase(it.target.id);
     }
     m_targets = std::move(targets);
     m_areTargetsKnown = true;
@@ -124,7 +125,7 @@
     // Only holders write a group's first record in an era.
     if (!hasPresentRecord())
         return m_context.lease.holdsRow();
-    return m_record->phase != GroupPhase::Open || m_isProbeRequested || m_leavingSince || m_missingSince;
+    return m_record->phase != GroupPhase::Open || m_isProbeRequested || m_leavingSince || m_missingSince || m_logCheck.isUnderWay;
 }
 
 PrimaryView GroupFailover::knownPrimary() const
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "failover/GroupRecord.h"
+#include "failover/KnownTargets.h"
 #include "failover/LeaseMonitor.h"
 #include "failover/LogEvidence.h"
 #include "failover/PlatformEraState.h"
@@ -63,6 +64,9 @@
     void setTargets(std::vector<TargetEntry>);
     /// Sets in how many replicas a commit is before the primary acknowledges it; unset while this daemon does not know the configuration.
     void setSynchronousReplicas(std::optional<uint32_t> n) { m_synchronousReplicas = n; }
+    /// Applies the row of the group's known targets; null if there is none.
+    void setKnownTargets(const StoredRow*);
+
     void primaryFailed() { m_isProbeRequested = true; }
     void primaryAnswered();
 
@@ -85,6 +89,8 @@
 
     /// Whether this daemon carries out a change that waits for logs, without which no target may be promoted.
     bool isAwaitingLogs() const { return m_awaitingLogsSince.has_value(); }
+    /// Number of targets that are not listed, and whose logs a change of primary may need.
+    size_t unlistedLogHolders() const;
 
     /// The primary according to the last record that this daemon has received.
     PrimaryView knownPrimary() const;
@@ -117,7 +123,12 @@
     void advanceChange();
     bool hasPrimaryRecovered() const;
     void checkRelease();
-    void probeTargets();
+    enum class ProbedTargets : uint8_t {
+        Listed,
+        /// Also those that are missing from the list and whose logs count.
+        All,
+    };
+    void probeTargets(ProbedTargets = ProbedTargets::All);
     bool isNewPrimary(const TargetId&, const std::optional<RoleReport>&) const;
     void logCandidates();
     void chooseCandidate();
@@ -127,11 +138,25 @@
 
     // Where commits wait for replicas.
     uint32_t requiredReplicas() const;
+    /// The targets whose logs count, apart from the primary: listed or not.
+    std::vector<TargetConfiguration> logHolders() const;
+    /// Whether the target's process is another one than that which may hold acknowledged commits.
+    bool hasRestarted(const TargetId&) const;
+    /// The listed target that was started in place of one that has left, and has its log.
+    std::optional<TargetId> successorOf(const TargetId&) const;
     KnownLogs knownLogs() const;
     bool promoteCompleteReplica();
     void chooseCompleteCandidate();
     std::optional<TargetId> completeReplica(const LogEvidence&) const;
     void awaitLogs(const KnownLogs&, const LogEvidence&);
+    void maintainKnownTargets();
+    void checkLogs();
+    void evaluateLogCheck();
+    bool hasReceivedCheckedMark(const TargetId&) const;
+    bool isUnlisted(const TargetId&) const;
+    bool hasEnded(const TargetId&) const;
+    void writeKnownTargets(const KnownTargets&);
+    void logKnownTargets(const KnownTargets&);
     void monitorPromotion();
     bool hasPromotionTimedOut() const;
     bool isPromotionDue() const;
@@ -174,9 +199,12 @@
     /// known.
     Instant m_recordSince;
     std::vector<TargetEntry> m_targets;
-    /// Targets that were seen to start again since the present term began.
-    std::set<TargetId> m_restartedTargets;
+    /// Targets that have removed themselves from the platform's list.
+    std::set<TargetId> m_departedTargets;
     std::optional<uint32_t> m_synchronousReplicas;
+    /// As the row of the control table has them, and its version.
+    KnownTargets m_knownTargets;
+    RowVersion m_knownTargetsVersion;
     /// Whether the platform's list of targets is known.
     bool m_areTargetsKnown { false };
     std::set<InstanceId> m_suspicions;
@@ -195,6 +223,24 @@
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
 
+    /// Rounds of probes of all targets while the primary is in use, by which this daemon finds targets that have ended.
+    struct LogCheck {
+        bool isUnderWay { false };
+        uint32_t rounds { 0 };
+        Instant next;
+        /// What the primary had in the last round.
+        std::optional<LogMark> primaryMark;
+        /// Targets that have ended, with the number of rounds in a row that have shown it.
+        std::map<TargetId, uint32_t> ended;
+        /// Those that need not be known any more.
+        std::set<TargetId> removable;
+    };
+    LogCheck m_logCheck;
+    bool m_isWritingKnownTargets { false };
+    Instant m_nextKnownTargetsWrite;
+    /// Since when the row of known targets has to be changed.
+    std::optional<Instant> m_knownTargetsOutdatedSince;
+
     // Change in progress.
     bool m_hasReleasedPrimary { true };
     Instant m_releaseDeadline;
@@ -214,6 +260,8 @@
     /// Whether a round of probes of all targets is complete and has not been evaluated yet. Only a round that began after every
     /// daemon had released the primary, or while there was no record, sets this.
     bool m_isProbeRoundComplete { false };
+    /// Whether a probe of such a round was answered since the results were last evaluated.
+    bool m_isProbeNew { false };
     std::map<TargetId, ProbeResult> m_probes;
     std::set<TargetId> m_rejectedCandidates;
     std::string m_lastLoggedCandidates;
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -37,7 +37,10 @@
     if (hasPrimaryRecovered())
         return writeRecord(makeOpenRecord(m_record->primary, m_record->term, m_record->termBegin), false, "the primary answers again and its term is unchanged");
     if (m_isReleasedEverywhere && m_isProbeRoundComplete)
-        chooseCandidate();
+        return chooseCandidate();
+    // Evidence may be complete while other targets, such as the old primary, have not answered.
+    if (m_isReleasedEverywhere && std::exchange(m_isProbeNew, false) && requiredReplicas() > 0 && !m_record->isPlanned && !m_record->isReinstated)
+        promoteCompleteReplica();
 }
 
 // Whether the old primary can be used again. Since target and term stay the same, daemons need not have released it.
@@ -76,22 +79,32 @@
     });
 }
 
-void GroupFailover::probeTargets()
+void GroupFailover::probeTargets(ProbedTargets probed)
 {
     if (m_pendingProbes > 0)
         return;
     m_nextProbe = m_context.loop.now() + probeInterval;
-    m_pendingProbes = m_targets.size();
+    std::vector<TargetConfiguration> targets;
+    for (const auto& it : m_targets)
+        targets.push_back(it.target);
+    if (probed == ProbedTargets::All) {
+        for (const auto& it : logHolders()) {
+            if (!find(it.id))
+                targets.push_back(it);
+        }
+    }
+    m_pendingProbes = targets.size();
     ++m_probeRound;
     const bool isAfterRelease = m_isReleasedEverywhere || !m_record;
-    for (const auto& it : m_targets) {
-        const TargetId id = it.target.id;
-        probeTarget(m_context.loop, m_context.connector, it.target, [this, id, isAfterRelease, round = m_probeRound, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
+    for (const auto& it : targets) {
+        const TargetId id = it.id;
+        probeTarget(m_context.loop, m_context.connector, it, [this, id, isAfterRelease, round = m_probeRound, alive = std::weak_ptr<bool>(m_alive)](const ProbeResult& result) {
             if (alive.expired() || round != m_probeRound)
                 return;
             m_probes[id] = result;
             --m_pendingProbes;
             m_isProbeRoundComplete = m_pendingProbes == 0 && isAfterRelease;
+            m_isProbeNew = m_isProbeNew || isAfterRelease;
         });
     }
 }
@@ -102,6 +115,7 @@
     m_pendingProbes = 0;
     m_probes.clear();
     m_isProbeRoundComplete = false;
+    m_isProbeNew = false;
 }
 
 std::optional<TargetId> GroupFailover::mostCompleteReplica() const
@@ -169,7 +183,7 @@
     m_isProbeRoundComplete = false;
     logCandidates();
     for (const auto& [id, probe] : m_probes) {
-        if (isNewPrimary(id, probe.report) && !isAwaitingOtherPromotion(id))
+        if (find(id) && isNewPrimary(id, probe.report) && !isAwaitingOtherPromotion(id))
             return writeRecord(makeOpenRecord(id, probe.report->term, probe.report->received), false, "a target is already primary");
     }
     // Only the configuration shows whether a promotion needs evidence.
--- /dev/null
+++ b/src/failover/KnownTargets.cpp
@@ -0,0 +1,58 @@
+#include "failover/KnownTargets.h"
+
+#include "base/ResultCode.h"
+#include "statements/JsonText.h"
+
+namespace parsleypaddle {
+
+std::string encodeKnownTargets(const KnownTargets& targets)
+{
+    Json::Value entries(Json::arrayValue);
+    for (const auto& [id, target] : targets) {
+        Json::Value entry(Json::objectValue);
+        entry["id"] = id.value();
+        entry["host"] = target.address.host;
+        entry["port"] = target.address.port;
+        if (target.isLeaving)
+            entry["leaving"] = true;
+        if (target.startedAt)
+            entry["started_at"] = target.startedAt->sinceEpoch();
+        entries.append(std::move(entry));
+    }
+    Json::Value value(Json::objectValue);
+    value["targets"] = std::move(entries);
+    return writeJson(value);
+}
+
+absl::StatusOr<KnownTargets> decodeKnownTargets(const std::string& text)
+{
+    const auto object = parseJsonObject(text);
+    if (!object.ok())
+        return makeError(ResultCode::MalformedInput, "row of known targets is not a JSON object");
+    const Json::Value& entries = (*object)["targets"];
+    if (!entries.isArray())
+        return makeError(ResultCode::MissingField, "row of known targets lacks the array targets");
+    KnownTargets targets;
+    for (const auto& it : entries) {
+        const bool isWhole = it.isObject() && it["id"].isString() && it["host"].isString() && it["port"].isUInt() && it["port"].asUInt() <= UINT16_MAX;
+        if (!isWhole)
+            return makeError(ResultCode::MissingField, "known target lacks an id, a host or a port");
+        const bool hasKnownTypes = (it["leaving"].isNull() || it["leaving"].isBool()) && (it["started_at"].isNull() || it["started_at"].isNumeric());
+        if (!hasKnownTypes)
+            return makeError(ResultCode::WrongType, "known target has leaving that is not a flag, or started_at that is not a number");
+        KnownTarget target;
+        target.address = { it["host"].asString(), static_cast<uint16_t>(it["port"].asUInt()) };
+        target.isLeaving = it["leaving"].asBool();
+        if (it.isMember("started_at"))
+            target.startedAt = Instant(it["started_at"].asDouble());
+        targets[TargetId(it["id"].asString())] = target;
+    }
+    return targets;
+}
+
+std::string knownTargetsKey(const GroupId& group)
+{
+    return "targets/" + group.value();
+}
+
+}
--- /dev/null
+++ b/src/failover/KnownTargets.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/Time.h"
+#include "configuration/Configuration.h"
+#include "platform_ports/PlatformPorts.h"
+
+#include <absl/status/statusor.h>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace parsleypaddle {
+
+/// A target that may hold acknowledged commits.
+struct KnownTarget {
+    TargetAddress address;
+    /// Whether it has reported that it leaves. The target that is started in its place, at its address, then has its log.
+    bool isLeaving { false };
+    /// When its process was started, by the target's own clock; unset if it does not say so.
+    std::optional<Instant> startedAt;
+
+    friend bool operator==(const KnownTarget& a, const KnownTarget& b) { return a.address == b.address && a.isLeaving == b.isLeaving && a.startedAt == b.startedAt; }
+};
+
+/// Those of a group. Kept in a row of the control table, because a target counts also while it is missing from the platform's list.
+using KnownTargets = std::map<TargetId, KnownTarget>;
+
+std::string encodeKnownTargets(const KnownTargets&);
+/// MalformedInput for text that is not a JSON object, MissingField for a target without an id, a host or a port, WrongType for other fields.
+absl::StatusOr<KnownTargets> decodeKnownTargets(const std::string&);
+
+/// Key of the row in the control table.
+std::string knownTargetsKey(const GroupId&);
+
+}
--- a/src/failover/SynchronousReplicaTests.cpp
+++ b/src/failover/SynchronousReplicaTests.cpp
@@ -1,5 +1,6 @@
 #include "failover/FailoverFixture.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace parsleypaddle;
@@ -25,6 +26,13 @@
     REQUIRE(fixture.targets[TargetId("three")].received < fixture.targets[TargetId("two")].received);
 }
 
+bool hasLogged(const FailoverFixture& fixture, const std::string& text)
+{
+    return std::any_of(fixture.daemons.begin(), fixture.daemons.end(), [&text](const auto& it) {
+        return std::any_of(it->logLines.begin(), it->logLines.end(), [&text](const std::string& line) { return line.find(text) != std::string::npos; });
+    });
+}
+
 }
 
 // Guards against lost commits after a crash: the replica that had them was passed over because it was leaving (review/7).
@@ -48,3 +56,164 @@
     CHECK(fixture.lostCommits == 0);
     CHECK(fixture.staleWrites == 0);
 }
+
+// Guards against lost commits after a crash: the replica that had them could not be reached and was not waited for (review/8).
+TEST_CASE("no replica is promoted while another one, which cannot be reached, may have received more", "[failover]")
+{
+    const bool isUnlisted = GENERATE(false, true);
+    CAPTURE(isUnlisted);
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.targets[TargetId("two")].isSilent = true;
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(3000);
+    if (isUnlisted)
+        fixture.setListed("two", false);
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.promotions.requests.empty());
+    CHECK(hasLogged(fixture, "promotion_awaits_logs"));
+    CHECK(hasLogged(fixture, R"("missing":"two")"));
+    fixture.deafTargets.clear();
+    fixture.targets[TargetId("two")].isSilent = false;
+    if (isUnlisted)
+        fixture.setListed("two", true);
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.lostCommits == 0);
+    CHECK(fixture.countDaemonsUsing("two") == 3);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.staleWrites == 0);
+}
+
+TEST_CASE("a primary that is back with its log is used again while the log of a replica is missing", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.targets[TargetId("two")].isSilent = true;
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(3000);
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.deafTargets.clear();
+    fixture.runWithTraffic(1500);
+    CHECK(fixture.promotions.requests.empty());
+    CHECK(fixture.countDaemonsUsing("one") == 3);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.lostCommits == 0);
+}
+
+// A replica that has ended as planned is not waited for for ever.
+TEST_CASE("a target that has ended does not count once another replica has received all that the primary had after that", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    fixture.setLeaving("two");
+    fixture.runWithTraffic(500);
+    fixture.targets[TargetId("two")].isDown = true;
+    fixture.setListed("two", false);
+    fixture.runWithTraffic(4000);
+    CHECK(hasLogged(fixture, R"("removed":"two")"));
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.countDaemonsUsing("three") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
+
+TEST_CASE("a target that has ended counts as long as no other replica has received what it had", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.setLeaving("two");
+    fixture.run(100);
+    fixture.targets[TargetId("two")].isDown = true;
+    fixture.setListed("two", false);
+    fixture.run(4000);
+    CHECK_FALSE(hasLogged(fixture, R"("removed":"two")"));
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(4000);
+    CHECK(fixture.promotions.requests.empty());
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.deafTargets.clear();
+    fixture.runWithTraffic(1500);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.lostCommits == 0);
+}
+
+// Guards against a primary that is used without its log: it was started again and holds nothing of before.
+TEST_CASE("a primary that is back without its log is not used again", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.targets[TargetId("two")].isSilent = true;
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(2500);
+    // It replicates its empty log to nobody.
+    fixture.deafTargets.insert(TargetId("two"));
+    fixture.targets[TargetId("one")].received = LogPosition(0);
+    fixture.targets[TargetId("one")].applied = LogPosition(0);
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.run(2000);
+    CHECK(fixture.promotions.requests.empty());
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+    fixture.targets[TargetId("two")].isSilent = false;
+    fixture.run(1500);
+    CHECK(fixture.countDaemonsUsing("two") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
+
+TEST_CASE("a change that began while commits waited for a replica needs evidence although they no longer do", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.targets[TargetId("two")].isSilent = true;
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(2500);
+    fixture.setSynchronousReplicas(0);
+    fixture.runWithTraffic(2000);
+    CHECK(fixture.promotions.requests.empty());
+    fixture.targets[TargetId("two")].isSilent = false;
+    fixture.runWithTraffic(2000);
+    CHECK(fixture.countDaemonsUsing("two") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
+
+// Guards against a wait without end: the only complete replica leaves while its log is waited for, and another target is started in its place.
+TEST_CASE("the log of a target that has left is that of the target which takes its place at its address", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.setLeaving("two");
+    fixture.run(100);
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.targets[TargetId("two")].isSilent = true;
+    fixture.runWithTraffic(4000);
+    fixture.replaceTarget("two", "four");
+    fixture.deafTargets.clear();
+    fixture.runWithTraffic(3000);
+    CHECK(fixture.countDaemonsUsing("four") == 3);
+    CHECK(fixture.lostCommits == 0);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
+// Guards against lost commits: a replica that was started again, without the log that it had acknowledged, passes for one that never had more.
+TEST_CASE("a replica that has lost its log is not evidence, also for a daemon that did not see its restart", "[failover]")
+{
+    FailoverFixture fixture(3);
+    startWriting(fixture);
+    leaveOneReplica(fixture);
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.targets[TargetId("two")].isDown = true;
+    fixture.restartWithoutLog("two");
+    fixture.restart(0, 50);
+    fixture.runWithTraffic(8000);
+    CHECK(fixture.promotions.requests.empty());
+    CHECK(hasLogged(fixture, "two 1.0 restarted"));
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.countDaemonsUsing("one") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -80,6 +80,7 @@
     PlatformEra,
     ConfigurationConfirmationAge,
     ChangesAwaitingLogs,
+    UnlistedLogHolders,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
