Fix planned changes that give up a primary without a complete replica (review/9)

What callers saw: with sync-replicas 1, one replica received nothing, the other one and the primary reported that they leave. Two seconds later the replica that was known to lack the end of the log was promoted, with all targets alive; some 230 commits that callers had been told of were rolled back (LOST).

Cause: a planned change released the primary first and looked for a candidate then. When none had caught up within 2 s, it promoted the best one all the same.

Owner's log: "i-a primary in term 1 received 1.1180, i-b replica in term 1 received 1.1180, i-c replica in term 1 received 1.937", and 1.9 s later the candidate i-c, "it lacks the end of the old primary's log".

Change: planned changes need the same evidence as others. Before daemons release a leaving primary, a replica that stays must have received, in one round of probes, what the primary had in the round before; until then the primary takes new work, for drain-ms less 3 s at most (3 s where commits wait for no replica, as before). If no replica becomes complete within 2 s of the release, the record is opened again with the old primary. Afterwards its mark is known, and the first replica that has it is promoted, a leaving one only if no other has.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -153,6 +153,7 @@
 
 void GroupFailover::tick(RelayGroup& group)
 {
+    m_leavingPrimaryUse = group.leavingPrimaryUse();
     if (!m_hasReleasedPrimary)
         releasePrimary(group);
     // Until the target list has been read, every primary would appear to be missing from it.
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -148,10 +148,15 @@
     bool promoteCompleteReplica();
     void chooseCompleteCandidate();
     std::optional<TargetId> completeReplica(const LogEvidence&) const;
+    bool mayResumePrimary() const;
     void awaitLogs(const KnownLogs&, const LogEvidence&);
+    /// Whether a planned change has to wait, because no replica is close enough to the leaving primary.
+    bool awaitsCloseReplica(const TargetEntry& primary) const;
     void maintainKnownTargets();
     void checkLogs();
     void evaluateLogCheck();
+    /// Whether a replica that stays has received what the primary had in the last round.
+    bool isReplicaClose() const;
     bool hasReceivedCheckedMark(const TargetId&) const;
     bool isUnlisted(const TargetId&) const;
     bool hasEnded(const TargetId&) const;
@@ -223,7 +228,8 @@
     std::optional<Instant> m_missingSince;
     std::optional<Instant> m_leavingSince;
 
-    /// Rounds of probes of all targets while the primary is in use, by which this daemon finds targets that have ended.
+    /// Rounds of probes of all targets while the primary is in use, by which this daemon finds replicas that have received as much as the
+    /// primary, and targets that have ended.
     struct LogCheck {
         bool isUnderWay { false };
         uint32_t rounds { 0 };
@@ -274,6 +280,8 @@
     bool m_isAwaitingCandidatesLogged { false };
     std::optional<Instant> m_awaitingLogsSince;
     std::string m_lastLoggedLogs;
+    /// For how long a primary that has reported that it leaves may be used.
+    Milliseconds m_leavingPrimaryUse;
     Instant m_nextProbe;
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -39,7 +39,7 @@
     if (m_isReleasedEverywhere && m_isProbeRoundComplete)
         return chooseCandidate();
     // Evidence may be complete while other targets, such as the old primary, have not answered.
-    if (m_isReleasedEverywhere && std::exchange(m_isProbeNew, false) && requiredReplicas() > 0 && !m_record->isPlanned && !m_record->isReinstated)
+    if (m_isReleasedEverywhere && std::exchange(m_isProbeNew, false) && requiredReplicas() > 0 && !m_record->isReinstated)
         promoteCompleteReplica();
 }
 
@@ -189,7 +189,7 @@
     // Only the configuration shows whether a promotion needs evidence.
     if (!m_synchronousReplicas)
         return;
-    if (requiredReplicas() > 0 && !m_record->isPlanned)
+    if (requiredReplicas() > 0)
         return chooseCompleteCandidate();
     auto oldProbe = m_probes.find(m_record->primary);
     const bool isOldStillPrimary = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -14,7 +14,11 @@
 
 namespace {
 
-    /// Interval of the checks of targets that may have ended, for the first holder in rank. Others check less often.
+    /// If no replica becomes complete within this time after the release of a primary that is leaving, that primary is used again.
+    constexpr Milliseconds catchUpTimeout { 2000 };
+    /// Interval of the checks for a replica that is close to a leaving primary, for the first holder in rank. Others check less often.
+    constexpr Milliseconds closeReplicaInterval { 100 };
+    /// The same of the checks of targets that may have ended.
     constexpr Milliseconds endedTargetInterval { 500 };
     constexpr uint32_t maxEndedTargetDoublings = 5;
     /// The rows of hundreds of groups, of which all are new when a fleet starts, are written within this time.
@@ -133,6 +137,8 @@
         return;
     const KnownLogs logs = knownLogs();
     const LogEvidence evidence = LogEvidence::evaluate(logs);
+    if (mayResumePrimary())
+        return writeRecord(makeOpenRecord(m_record->primary, m_record->term, m_record->termBegin), false, "no replica has received the whole log of the leaving primary in time, so that it is used again");
     awaitLogs(logs, evidence);
     // Kept for the case that the old primary, or this daemon, ends before a replica is complete.
     if (!logs.oldPrimary || m_record->lastMark == logs.oldPrimary)
@@ -161,6 +167,19 @@
     return best ? std::make_optional(best->target.id) : std::nullopt;
 }
 
+// hasPrimaryRecovered() leaves out primaries that are leaving, and planned changes.
+bool GroupFailover::mayResumePrimary() const
+{
+    const Instant now = m_context.loop.now();
+    const TargetEntry* entry = find(m_record->primary);
+    const auto probe = m_probes.find(m_record->primary);
+    if (!entry || !m_record->candidate.isEmpty() || m_record->isReinstated || probe == m_probes.end() || !probe->second.report || now < m_recordSince + plannedReleaseTimeout + catchUpTimeout)
+        return false;
+    const RoleReport& report = *probe->second.report;
+    const bool mayBeUsed = !entry->isLeaving || (entry->leavingSince && now < *entry->leavingSince + m_leavingPrimaryUse);
+    return mayBeUsed && report.isPrimary && report.term == m_record->term && isWholeLog(report.received, knownLogs()) && !isAwaitingOtherPromotion(m_record->primary);
+}
+
 void GroupFailover::awaitLogs(const KnownLogs& logs, const LogEvidence& evidence)
 {
     const Instant now = m_context.loop.now();
@@ -181,6 +200,17 @@
     m_context.log.writeUnlimited("promotion_awaits_logs", { { "group", m_group.value() }, { "term", std::to_string(m_record->term.value()) }, { "missing", textOf(evidence.missing()) }, { "required", required }, { "known", known }, { "waited_ms", std::to_string(static_cast<int64_t>(waited.count())) } });
 }
 
+bool GroupFailover::awaitsCloseReplica(const TargetEntry& primary) const
+{
+    const bool mayBeUsed = primary.leavingSince && m_context.loop.now() < *primary.leavingSince + m_leavingPrimaryUse;
+    return requiredReplicas() > 0 && mayBeUsed && !isReplicaClose();
+}
+
+bool GroupFailover::isReplicaClose() const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [this](const TargetEntry& it) { return !it.isLeaving && hasReceivedCheckedMark(it.target.id); });
+}
+
 // What a replica has is compared with what the primary had in the round before: commits go on between the probes of one round.
 bool GroupFailover::hasReceivedCheckedMark(const TargetId& target) const
 {
@@ -221,8 +251,10 @@
 
 void GroupFailover::checkLogs()
 {
+    const TargetEntry* primary = find(m_record->primary);
+    const bool isPrimaryLeaving = primary && primary->isLeaving;
     const bool isOneDoubtful = std::any_of(m_knownTargets.begin(), m_knownTargets.end(), [this](const auto& it) { return it.first != m_record->primary && (isUnlisted(it.first) || hasRestarted(it.first)); });
-    if (!isOneDoubtful) {
+    if (!isPrimaryLeaving && !isOneDoubtful) {
         m_logCheck = {};
         return;
     }
@@ -230,11 +262,11 @@
     if (m_logCheck.isUnderWay || m_pendingProbes > 0 || now < m_logCheck.next)
         return;
     // A target that is silent for long is asked less and less often.
-    const Milliseconds interval = endedTargetInterval * std::exp2(std::min(m_logCheck.rounds, maxEndedTargetDoublings));
+    const Milliseconds interval = isPrimaryLeaving ? closeReplicaInterval : endedTargetInterval * std::exp2(std::min(m_logCheck.rounds, maxEndedTargetDoublings));
     m_logCheck.next = now + interval * (1 + m_context.leaseMonitor.rankFor(m_group));
     ++m_logCheck.rounds;
     m_logCheck.isUnderWay = true;
-    probeTargets(ProbedTargets::All);
+    probeTargets(isPrimaryLeaving ? ProbedTargets::Listed : ProbedTargets::All);
 }
 
 void GroupFailover::evaluateLogCheck()
--- a/src/failover/GroupFailoverMonitor.cpp
+++ b/src/failover/GroupFailoverMonitor.cpp
@@ -65,7 +65,8 @@
         return;
     const Milliseconds rankDelay = staggerPerRank * m_context.leaseMonitor.rankFor(m_group);
     const bool isReplaceable = isEraSettled() && !mayUnansweredPromotionAct();
-    if (isHolder && m_leavingSince && now >= *m_leavingSince + rankDelay && (isReplaceable || now >= *m_leavingSince + maxPlannedDelay))
+    const bool isLeavingChangeDue = isHolder && m_leavingSince && now >= *m_leavingSince + rankDelay && (isReplaceable || now >= *m_leavingSince + maxPlannedDelay);
+    if (isLeavingChangeDue && !awaitsCloseReplica(*entry))
         return beginChange(true, "the primary is leaving");
     if (isHolder && m_missingSince && now >= *m_missingSince + rankDelay)
         return beginChange(false, "the primary is missing from the platform's target list");
--- a/src/failover/SynchronousReplicaTests.cpp
+++ b/src/failover/SynchronousReplicaTests.cpp
@@ -1,53 +1,22 @@
-#include "failover/FailoverFixture.h"
-
-#include <algorithm>
-#include <catch2/catch.hpp>
+#include "failover/SynchronousReplicaFixture.h"
 
 using namespace parsleypaddle;
 
 // Changes of primary where commits are acknowledged once a replica has received them: the target that is promoted has every one
 // (review/7 to review/9).
 
-namespace {
-
-/// A group in use, whose commits wait for one replica.
-void startWriting(FailoverFixture& fixture)
-{
-    fixture.setSynchronousReplicas(1);
-    fixture.runWithTraffic(2500);
-    REQUIRE(fixture.write(0) == RelayError::None);
-}
-
-/// Only "two" receives what is written from now on.
-void leaveOneReplica(FailoverFixture& fixture)
-{
-    fixture.deafTargets.insert(TargetId("three"));
-    fixture.runWithTraffic(500);
-    REQUIRE(fixture.targets[TargetId("three")].received < fixture.targets[TargetId("two")].received);
-}
-
-bool hasLogged(const FailoverFixture& fixture, const std::string& text)
-{
-    return std::any_of(fixture.daemons.begin(), fixture.daemons.end(), [&text](const auto& it) {
-        return std::any_of(it->logLines.begin(), it->logLines.end(), [&text](const std::string& line) { return line.find(text) != std::string::npos; });
-    });
-}
-
-}
-
 // Guards against lost commits after a crash: the replica that had them was passed over because it was leaving (review/7).
 TEST_CASE("a primary that crashed is replaced by the only complete replica although that is leaving", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.setMaxLeavingTargetUse(Milliseconds(12'000));
     fixture.setLeaving("two");
-    leaveOneReplica(fixture);
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("one")].isDown = true;
     fixture.writeFromAllDaemons();
     fixture.run(2000);
     CHECK(fixture.lostCommits == 0);
-    REQUIRE_FALSE(fixture.promotions.requests.empty());
-    CHECK(fixture.promotions.requests.front().target == TargetId("two"));
+    CHECK(fixture.countDaemonsUsing("two") == 3);
     // The replica that stays receives again, and takes over as planned.
     fixture.deafTargets.clear();
     fixture.runWithTraffic(2500);
@@ -62,9 +31,8 @@
 {
     const bool isUnlisted = GENERATE(false, true);
     CAPTURE(isUnlisted);
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("two")].isSilent = true;
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(3000);
@@ -72,8 +40,8 @@
         fixture.setListed("two", false);
     fixture.runWithTraffic(2500);
     CHECK(fixture.promotions.requests.empty());
-    CHECK(hasLogged(fixture, "promotion_awaits_logs"));
-    CHECK(hasLogged(fixture, R"("missing":"two")"));
+    CHECK(fixture.hasLogged("promotion_awaits_logs"));
+    CHECK(fixture.hasLogged(R"("missing":"two")"));
     fixture.deafTargets.clear();
     fixture.targets[TargetId("two")].isSilent = false;
     if (isUnlisted)
@@ -87,9 +55,8 @@
 
 TEST_CASE("a primary that is back with its log is used again while the log of a replica is missing", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("two")].isSilent = true;
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(3000);
@@ -105,14 +72,13 @@
 // A replica that has ended as planned is not waited for for ever.
 TEST_CASE("a target that has ended does not count once another replica has received all that the primary had after that", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
+    SynchronousReplicaFixture fixture;
     fixture.setLeaving("two");
     fixture.runWithTraffic(500);
     fixture.targets[TargetId("two")].isDown = true;
     fixture.setListed("two", false);
     fixture.runWithTraffic(4000);
-    CHECK(hasLogged(fixture, R"("removed":"two")"));
+    CHECK(fixture.hasLogged(R"("removed":"two")"));
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(2500);
     CHECK(fixture.countDaemonsUsing("three") == 3);
@@ -121,15 +87,14 @@
 
 TEST_CASE("a target that has ended counts as long as no other replica has received what it had", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.setLeaving("two");
     fixture.run(100);
     fixture.targets[TargetId("two")].isDown = true;
     fixture.setListed("two", false);
     fixture.run(4000);
-    CHECK_FALSE(hasLogged(fixture, R"("removed":"two")"));
+    CHECK_FALSE(fixture.hasLogged(R"("removed":"two")"));
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(4000);
     CHECK(fixture.promotions.requests.empty());
@@ -143,9 +108,8 @@
 // Guards against a primary that is used without its log: it was started again and holds nothing of before.
 TEST_CASE("a primary that is back without its log is not used again", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("two")].isSilent = true;
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(2500);
@@ -165,9 +129,8 @@
 
 TEST_CASE("a change that began while commits waited for a replica needs evidence although they no longer do", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("two")].isSilent = true;
     fixture.targets[TargetId("one")].isDown = true;
     fixture.runWithTraffic(2500);
@@ -183,9 +146,8 @@
 // Guards against a wait without end: the only complete replica leaves while its log is waited for, and another target is started in its place.
 TEST_CASE("the log of a target that has left is that of the target which takes its place at its address", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.setLeaving("two");
     fixture.run(100);
     fixture.targets[TargetId("one")].isDown = true;
@@ -202,16 +164,15 @@
 // Guards against lost commits: a replica that was started again, without the log that it had acknowledged, passes for one that never had more.
 TEST_CASE("a replica that has lost its log is not evidence, also for a daemon that did not see its restart", "[failover]")
 {
-    FailoverFixture fixture(3);
-    startWriting(fixture);
-    leaveOneReplica(fixture);
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
     fixture.targets[TargetId("one")].isDown = true;
     fixture.targets[TargetId("two")].isDown = true;
     fixture.restartWithoutLog("two");
     fixture.restart(0, 50);
     fixture.runWithTraffic(8000);
     CHECK(fixture.promotions.requests.empty());
-    CHECK(hasLogged(fixture, "two 1.0 restarted"));
+    CHECK(fixture.hasLogged("two 1.0 restarted"));
     fixture.targets[TargetId("one")].isDown = false;
     fixture.runWithTraffic(2500);
     CHECK(fixture.countDaemonsUsing("one") == 3);
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/Relay.h"
 
+#include "directory/TargetList.h"
 #include "relay/CallerSession.h"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
         findOrCreateGroup(group);
     setTargets(m_targets);
     applyConnectionShare();
+    applyLeavingPrimaryUse();
     for (const auto& it : allSessions())
         it->checkKey();
     endRouteWaits(true);
@@ -143,6 +145,23 @@
         findOrCreateGroup(group).setConnectionLimit(limits.connections, m_share);
 }
 
+void Relay::setMaxLeavingTargetUse(Milliseconds maxUse)
+{
+    m_maxLeavingTargetUse = maxUse;
+    if (m_routes)
+        applyLeavingPrimaryUse();
+}
+
+// A leaving primary is replaced at once where the most complete replica may be promoted. Where a replica has to have every commit, that may
+// take longer.
+void Relay::applyLeavingPrimaryUse()
+{
+    for (const auto& [group, limits] : m_routes->groups) {
+        const bool isLong = limits.synchronousReplicas > 0 && m_maxLeavingTargetUse > Milliseconds(0);
+        findOrCreateGroup(group).setLeavingPrimaryUse(isLong ? TargetList::gracePeriodFor(m_maxLeavingTargetUse) : Milliseconds(0));
+    }
+}
+
 void Relay::run(RelayJob job)
 {
     RelayGroup& group = findOrCreateGroup(job.route->group);
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -42,6 +42,8 @@
     RelayGroup* findGroup(const GroupId&);
     /// In how many replicas a commit of the group is before its primary acknowledges it; unset while the routes are not known.
     std::optional<uint32_t> synchronousReplicasOf(const GroupId&) const;
+    /// Sets for how long a target may get new work after the platform has listed it as leaving; 0 if that is not known.
+    void setMaxLeavingTargetUse(Milliseconds);
 
     /// Decides in whose name statements run.
     CallerIdentification& identification() { return m_identification; }
@@ -64,6 +66,7 @@
 
 private:
     void applyConnectionShare();
+    void applyLeavingPrimaryUse();
     void endIdleTransactions();
     void endRouteWaits(bool areKnown);
 
@@ -79,6 +82,7 @@
     std::vector<TargetEntry> m_targets;
     OperationQuota* m_quota { nullptr };
     double m_share { 1 };
+    Milliseconds m_maxLeavingTargetUse;
     std::map<GroupId, std::unique_ptr<RelayGroup>> m_groups;
     std::unordered_map<CallerSession*, std::weak_ptr<CallerSession>> m_sessions;
     TimerId m_idleCheckTimer { TimerId::None };
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -25,7 +25,7 @@
     constexpr uint32_t connectionsPerPeer = 8;
     /// How long a primary that will shut down soon may be given new work until the change of primary has begun. It serves for seven
     /// seconds after the platform has received its report, which this daemon may hear of late.
-    constexpr Milliseconds maxLeavingPrimaryUse { 3000 };
+    constexpr Milliseconds defaultLeavingPrimaryUse { 3000 };
     /// Expected duration of a statement at a target without recent answers.
     constexpr Milliseconds defaultDelay { 20 };
     /// Typical duration of a failover when all daemons are healthy: about 600 ms for the promotion, the rest for detection.
@@ -77,9 +77,15 @@
     , m_id(std::move(id))
     , m_membership(membership)
     , m_homeOffset(std::hash<std::string>()(membership.self().instance.value()))
+    , m_leavingPrimaryUse(defaultLeavingPrimaryUse)
 {
 }
 
+void RelayGroup::setLeavingPrimaryUse(Milliseconds use)
+{
+    m_leavingPrimaryUse = std::max(defaultLeavingPrimaryUse, use);
+}
+
 void RelayGroup::setTargets(std::vector<TargetEntry> entries)
 {
     m_entries = std::move(entries);
@@ -236,7 +242,7 @@
     if (!target || !m_primary.isAvailable)
         return std::nullopt;
     const auto& leavingSince = target->entry().leavingSince;
-    if (target->entry().isLeaving && (!leavingSince || m_loop.now() >= *leavingSince + maxLeavingPrimaryUse))
+    if (target->entry().isLeaving && (!leavingSince || m_loop.now() >= *leavingSince + m_leavingPrimaryUse))
         return std::nullopt;
     const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
     const bool isReachable = !target->experience().isAvoided(m_loop.now());
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -64,6 +64,9 @@
     /// `limit`: connections that one target accepts from all daemons, part of which stays in reserve. `share`: this daemon's
     /// part of the rest, between 0 and 1; ignored if only the homes connect to the targets, which divide the rest equally.
     void setConnectionLimit(uint32_t limit, double share);
+    /// Sets for how long a primary may be used after it was listed as leaving, if that is longer than by default.
+    void setLeavingPrimaryUse(Milliseconds);
+    Milliseconds leavingPrimaryUse() const { return m_leavingPrimaryUse; }
     /// If `isAvailable` is false, this daemon starts no further statement or transaction at the primary. Those already started
     /// continue until they end or abandonPrimary() is called.
     void setPrimary(const PrimaryView&);
@@ -153,6 +156,7 @@
     Membership& m_membership;
     /// Hash of this daemon's id, which selects the home at which its search for a destination starts.
     size_t m_homeOffset;
+    Milliseconds m_leavingPrimaryUse;
     /// Maximum number of this daemon's connections to each target.
     uint32_t m_connectionLimit { 1 };
     /// Whether the targets accept enough connections for every daemon to connect to each of them. Otherwise a few daemons,
