Log checks ignore what targets said in earlier rounds

While a primary leaves, only listed targets are asked. A target that is not listed kept the result of an earlier round, and could be counted as ended by a refusal that was long past. Found by reading; no run has shown it. Each round now begins without results. Targets that have removed themselves from the list are remembered only where commits wait for replicas, and as long as the row has them.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -103,7 +103,7 @@
 void GroupFailover::setTargets(std::vector<TargetEntry> targets)
 {
     for (const auto& it : targets) {
-        if (it.hasLeft)
+        if (it.hasLeft && requiredReplicas() > 0)
             m_departedTargets.insert(it.target.id);
         else if (it.isListed)
             m_departedTargets.erase(it.target.id);
--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -65,6 +65,8 @@
     if (row->version.era() != m_knownTargetsVersion.era())
         targets->insert(m_knownTargets.begin(), m_knownTargets.end());
     m_knownTargets = *std::move(targets);
+    for (auto it = m_departedTargets.begin(); it != m_departedTargets.end();)
+        it = m_knownTargets.count(*it) == 0 ? m_departedTargets.erase(it) : std::next(it);
     m_logCheck.removable.clear();
     m_nextKnownTargetsWrite = Instant();
     m_knownTargetsVersion = row->version;
@@ -302,6 +304,8 @@
     m_logCheck.next = now + interval * (1 + m_context.leaseMonitor.rankFor(m_group));
     ++m_logCheck.rounds;
     m_logCheck.isUnderWay = true;
+    // What a target that is not asked in this round said in an earlier one shows nothing any more.
+    m_probes.clear();
     probeTargets(isPrimaryLeaving ? ProbedTargets::Listed : ProbedTargets::All);
 }
 
