Fix a primary that moves to and fro between two targets that leave

What callers saw, with sync-replicas 1: one replica received nothing, the other one and then the primary reported that they leave, and daemons were killed and started again. Up to nine promotions followed each other, each with some 0.4 s without writes. Nothing was lost.

Cause: a leaving replica was promoted if no other was complete, whatever was left of its time, also while the old primary could serve those that stay as the source of the log. Daemons that were started later did not know since when a target leaves, took its time for over, and began the next change at once.

Evidence: the fixture now tells daemons only what the platform's list does. Two targets that leave replace each other without kills as well, once the time of both is over, which rules out that kills alone are the cause.

Change: while the old primary answers, a leaving target takes its place only if the old one may not be used any more, and the new one may for 1.5 s at least (LeavingTargetUse). The row of known targets says since when each one leaves.

--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <limits>
+
 namespace parsleypaddle {
 
 /// A duration in milliseconds, with fractions.
@@ -36,6 +38,9 @@
     {
     }
 
+    /// Later than any time that a clock tells.
+    static constexpr Instant max() { return Instant(std::numeric_limits<double>::max()); }
+
     constexpr double sinceEpoch() const { return m_sinceEpoch; }
 
     friend constexpr Instant operator+(Instant a, Milliseconds b) { return Instant(a.m_sinceEpoch + b.count()); }
--- a/src/failover/FailoverFixture.cpp
+++ b/src/failover/FailoverFixture.cpp
@@ -134,6 +134,7 @@
 
 FailoverDaemon::FailoverDaemon(EventLoop& loop, FakeTables& tables, PromotionPort& promotions, TargetConnector& targets, const std::string& name, const std::string& incarnation, const FailureDomainId& domain)
     : failureDomain(domain)
+    , startedAt(loop.now())
     , rows(loop, tables)
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
     , membership(loop, { InstanceId(name), domain, name, 0, 0, false })
@@ -199,8 +200,7 @@
     it.leaseMonitor.start([&it] { it.lease.setHolderCount(it.leaseMonitor.holderCount()); });
     it.failover.start(it.relay);
     loop.after(Milliseconds(listDelay), [this, &it] {
-        it.failover.setTargets(m_targetList);
-        it.relay.setTargets(m_targetList);
+        publishTargets(it);
     });
     it.controlWatch.start();
 }
@@ -230,11 +230,21 @@
 {
     for (auto& it : daemons) {
         // Null while it is being restarted.
-        if (!it)
-            continue;
-        it->failover.setTargets(m_targetList);
-        it->relay.setTargets(m_targetList);
+        if (it)
+            publishTargets(*it);
+    }
+}
+
+// A daemon that was started since a target reported that it leaves does not learn from the list when that was.
+void FailoverFixture::publishTargets(FailoverDaemon& daemon)
+{
+    std::vector<TargetEntry> list = m_targetList;
+    for (auto& it : list) {
+        if (it.leavingSince && *it.leavingSince <= daemon.startedAt)
+            it.leavingSince.reset();
     }
+    daemon.failover.setTargets(list);
+    daemon.relay.setTargets(list);
 }
 
 void FailoverFixture::setLeaving(const std::string& target)
--- a/src/failover/FailoverFixture.h
+++ b/src/failover/FailoverFixture.h
@@ -96,6 +96,7 @@
     FailoverDaemon(EventLoop&, FakeTables&, PromotionPort&, TargetConnector&, const std::string& name, const std::string& incarnation, const FailureDomainId&);
 
     FailureDomainId failureDomain;
+    Instant startedAt;
     FakeRows rows;
     /// The version as of which the daemon knows the target list; the tables' newest version while unset.
     std::optional<RowVersion> targetListVersion;
@@ -176,6 +177,7 @@
     void startDaemon(size_t daemon, double listDelay = 0);
     TargetEntry makeEntry(const std::string& target) const;
     void publishTargets();
+    void publishTargets(FailoverDaemon&);
     bool mayUseOtherPrimary(FailoverDaemon&, const TargetId& promoted) const;
     void stepDownReplacedPrimaries();
     void replicate();
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -158,6 +158,8 @@
 void GroupFailover::tick(RelayGroup& group)
 {
     m_leavingPrimaryUse = group.leavingPrimaryUse();
+    const TargetEntry* primary = m_record ? find(m_record->primary) : nullptr;
+    group.setPrimaryLeavingSince(primary ? leavingTargetUse().leavingSince(*primary) : std::nullopt);
     if (!m_hasReleasedPrimary)
         releasePrimary(group);
     // Until the target list has been read, every primary would appear to be missing from it.
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -4,6 +4,7 @@
 #include "failover/GroupRecord.h"
 #include "failover/KnownTargets.h"
 #include "failover/LeaseMonitor.h"
+#include "failover/LeavingTargetUse.h"
 #include "failover/LogEvidence.h"
 #include "failover/PlatformEraState.h"
 #include "failover/PromotionCalls.h"
@@ -162,6 +163,9 @@
     std::optional<TargetId> decidedCandidate() const;
     bool mayResumePrimary() const;
     void awaitLogs(const KnownLogs&, const LogEvidence&);
+    /// Whether the primary has answered as such, in the record's term, when it was probed last.
+    bool isPrimaryAnswering() const;
+    LeavingTargetUse leavingTargetUse() const;
     /// Whether a planned change has to wait, because no replica is close enough to the leaving primary.
     bool awaitsCloseReplica(const TargetEntry& primary) const;
     void maintainKnownTargets();
--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -170,9 +170,15 @@
     writeRecord(std::move(record), false, "the end of the old primary's log is known, and no replica has received it yet");
 }
 
-// A replica that is leaving is promoted only if no other one is complete. Those that stay can then catch up from it.
+// A replica that is leaving is promoted only if no other one is complete. Those that stay can then catch up from it. While they can do so from the
+// old primary, it takes the place of that one only when that one may not be used any more, and for as long as it may be used itself. Otherwise two
+// targets that leave would replace each other again and again.
 std::optional<TargetId> GroupFailover::completeReplica(const LogEvidence& evidence) const
 {
+    const LeavingTargetUse use = leavingTargetUse();
+    const TargetEntry* old = find(m_record->primary);
+    const bool isOldUsable = old && use.isUsable(*old);
+    const bool isOldAnswering = isPrimaryAnswering();
     const TargetEntry* best = nullptr;
     for (const auto& it : m_targets) {
         const TargetId& id = it.target.id;
@@ -183,7 +189,9 @@
         // The promotion of the recorded candidate may already have been requested.
         if (id == m_record->candidate)
             return id;
-        if (!best || (best->isLeaving && !it.isLeaving))
+        if (it.isLeaving && isOldAnswering && (isOldUsable || !use.isWorthPromoting(it)))
+            continue;
+        if (!best || use.usableUntil(*best) < use.usableUntil(it))
             best = &it;
     }
     return best ? std::make_optional(best->target.id) : std::nullopt;
@@ -206,9 +214,7 @@
     const auto probe = m_probes.find(m_record->primary);
     if (!entry || !m_record->candidate.isEmpty() || m_record->isReinstated || probe == m_probes.end() || !probe->second.report || now < m_recordSince + plannedReleaseTimeout + catchUpTimeout)
         return false;
-    const RoleReport& report = *probe->second.report;
-    const bool mayBeUsed = !entry->isLeaving || (entry->leavingSince && now < *entry->leavingSince + m_leavingPrimaryUse);
-    return mayBeUsed && report.isPrimary && report.term == m_record->term && isWholeLog(report.received, knownLogs()) && !isAwaitingOtherPromotion(m_record->primary);
+    return leavingTargetUse().isUsable(*entry) && isPrimaryAnswering() && isWholeLog(probe->second.report->received, knownLogs()) && !isAwaitingOtherPromotion(m_record->primary);
 }
 
 void GroupFailover::awaitLogs(const KnownLogs& logs, const LogEvidence& evidence)
@@ -234,8 +240,20 @@
 
 bool GroupFailover::awaitsCloseReplica(const TargetEntry& primary) const
 {
-    const bool mayBeUsed = primary.leavingSince && m_context.loop.now() < *primary.leavingSince + m_leavingPrimaryUse;
-    return requiredReplicas() > 0 && mayBeUsed && !isReplicaClose();
+    // Without the platform's time it is not known how much of the primary's time is left.
+    const bool mayBeUsable = !m_context.lease.platformTime() || leavingTargetUse().isUsable(primary);
+    return requiredReplicas() > 0 && mayBeUsable && !isReplicaClose();
+}
+
+bool GroupFailover::isPrimaryAnswering() const
+{
+    const auto probe = m_probes.find(m_record->primary);
+    return probe != m_probes.end() && probe->second.report && probe->second.report->isPrimary && probe->second.report->term == m_record->term;
+}
+
+LeavingTargetUse GroupFailover::leavingTargetUse() const
+{
+    return { m_knownTargets, m_context.lease, m_context.loop.now(), m_leavingPrimaryUse };
 }
 
 bool GroupFailover::isReplicaClose() const
@@ -255,16 +273,18 @@
 {
     if (m_record->phase == GroupPhase::Open)
         checkLogs();
+    const LeavingTargetUse use = leavingTargetUse();
     KnownTargets targets = m_knownTargets;
     for (const auto& it : m_logCheck.removable)
         targets.erase(it);
     for (const auto& it : m_targets) {
         if (!it.isListed)
             continue;
-        KnownTarget& known = targets.try_emplace(it.target.id, KnownTarget { it.target.address, false, it.startedAt, it.target.failureDomain }).first->second;
+        KnownTarget& known = targets.try_emplace(it.target.id, KnownTarget { it.target.address, false, it.startedAt, std::nullopt, it.target.failureDomain }).first->second;
         known.address = it.target.address;
         known.failureDomain = it.target.failureDomain;
         known.isLeaving = it.isLeaving;
+        known.leavingSince = use.leavingSinceInRow(it, known);
         // Until the log check shows that nothing of the earlier process is needed, the row says when that one was started. The log of a primary
         // in use is whole.
         if (!known.startedAt || it.target.id == m_record->primary)
--- a/src/failover/KnownTargets.cpp
+++ b/src/failover/KnownTargets.cpp
@@ -5,6 +5,18 @@
 
 namespace parsleypaddle {
 
+namespace {
+
+    /// Of the fields that may be missing.
+    bool hasKnownTypes(const Json::Value& target)
+    {
+        const bool hasFlag = target["leaving"].isNull() || target["leaving"].isBool();
+        const bool hasTimes = (target["started_at"].isNull() || target["started_at"].isNumeric()) && (target["leaving_since"].isNull() || target["leaving_since"].isNumeric());
+        return hasFlag && hasTimes && (target["failure_domain"].isNull() || target["failure_domain"].isString());
+    }
+
+}
+
 std::string encodeKnownTargets(const KnownTargets& targets)
 {
     Json::Value entries(Json::arrayValue);
@@ -15,6 +27,8 @@
         entry["port"] = target.address.port;
         if (target.isLeaving)
             entry["leaving"] = true;
+        if (target.leavingSince)
+            entry["leaving_since"] = target.leavingSince->sinceEpoch();
         if (target.startedAt)
             entry["started_at"] = target.startedAt->sinceEpoch();
         entry["failure_domain"] = target.failureDomain.value();
@@ -38,13 +52,13 @@
         const bool isWhole = it.isObject() && it["id"].isString() && it["host"].isString() && it["port"].isUInt() && it["port"].asUInt() <= UINT16_MAX;
         if (!isWhole)
             return makeError(ResultCode::MissingField, "known target lacks an id, a host or a port");
-        const bool hasKnownTypes = (it["leaving"].isNull() || it["leaving"].isBool()) && (it["started_at"].isNull() || it["started_at"].isNumeric())
-            && (it["failure_domain"].isNull() || it["failure_domain"].isString());
-        if (!hasKnownTypes)
-            return makeError(ResultCode::WrongType, "known target has leaving that is not a flag, started_at that is not a number, or failure_domain that is not a text");
+        if (!hasKnownTypes(it))
+            return makeError(ResultCode::WrongType, "known target has leaving that is not a flag, a time that is not a number, or failure_domain that is not a text");
         KnownTarget target;
         target.address = { it["host"].asString(), static_cast<uint16_t>(it["port"].asUInt()) };
         target.isLeaving = it["leaving"].asBool();
+        if (it.isMember("leaving_since"))
+            target.leavingSince = Instant(it["leaving_since"].asDouble());
         if (it.isMember("started_at"))
             target.startedAt = Instant(it["started_at"].asDouble());
         target.failureDomain = FailureDomainId(it["failure_domain"].asString());
--- a/src/failover/SynchronousReleaseTests.cpp
+++ b/src/failover/SynchronousReleaseTests.cpp
@@ -98,3 +98,54 @@
     CHECK(fixture.lostCommits == 0);
     CHECK(fixture.write(0) == RelayError::None);
 }
+
+// Guards against a primary that moves to and fro: one leaving target took the place of another one, each time with a gap, while the replica that stays
+// received nothing (issue 51).
+TEST_CASE("two targets that leave do not replace each other again and again", "[failover]")
+{
+    SynchronousReplicaFixture fixture;
+    fixture.setMaxLeavingTargetUse(Milliseconds(9000));
+    fixture.leaveOneReplica();
+    fixture.setLeaving("two");
+    fixture.run(500);
+    fixture.setLeaving("one");
+    fixture.run(300);
+    SECTION("daemons that are started again learn since when the primary leaves, and use it")
+    {
+        for (size_t n = 0; n < fixture.daemons.size(); ++n) {
+            fixture.restart(n, 300);
+            fixture.runWithTraffic(500);
+        }
+        CHECK(fixture.countDaemonsUsing("one") == 3);
+        CHECK(fixture.write(0) == RelayError::None);
+        CHECK(fixture.promotions.requests.empty());
+    }
+    SECTION("when the time of the primary is over, the other one is no better")
+    {
+        fixture.runWithTraffic(9000);
+        CHECK(fixture.promotions.requests.empty());
+    }
+    fixture.deafTargets.clear();
+    fixture.runWithTraffic(2000);
+    CHECK(fixture.countDaemonsUsing("three") == 3);
+    CHECK(fixture.promotions.requests.size() == 1);
+    CHECK(fixture.write(0) == RelayError::None);
+    CHECK(fixture.lostCommits == 0);
+}
+
+TEST_CASE("a target that leaves later takes the place of one whose time is over, once", "[failover]")
+{
+    SynchronousReplicaFixture fixture;
+    fixture.setMaxLeavingTargetUse(Milliseconds(7000));
+    fixture.leaveOneReplica();
+    fixture.setLeaving("one");
+    fixture.runWithTraffic(2500);
+    fixture.setLeaving("two");
+    // The primary may be used for 4 s.
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.countDaemonsUsing("two") == 3);
+    CHECK(fixture.write(0) == RelayError::None);
+    fixture.runWithTraffic(6000);
+    CHECK(fixture.promotions.requests.size() == 1);
+    CHECK(fixture.lostCommits == 0);
+}
--- a/src/relay/RelayGroup.cpp
+++ b/src/relay/RelayGroup.cpp
@@ -241,7 +241,7 @@
     auto target = primaryTarget();
     if (!target || !m_primary.isAvailable)
         return std::nullopt;
-    const auto& leavingSince = target->entry().leavingSince;
+    const auto leavingSince = target->entry().leavingSince ? target->entry().leavingSince : m_primaryLeavingSince;
     if (target->entry().isLeaving && (!leavingSince || m_loop.now() >= *leavingSince + m_leavingPrimaryUse))
         return std::nullopt;
     const bool isUsable = m_lease.isValid() && tried.count(target->entry().target.id) == 0;
--- a/src/relay/RelayGroup.h
+++ b/src/relay/RelayGroup.h
@@ -66,6 +66,8 @@
     void setConnectionLimit(uint32_t limit, double share);
     /// Sets for how long a primary may be used after it was listed as leaving, if that is longer than by default.
     void setLeavingPrimaryUse(Milliseconds);
+    /// Sets since when the primary leaves, for the case that the list with which this daemon began does not tell; unset if that is not known.
+    void setPrimaryLeavingSince(std::optional<Instant> since) { m_primaryLeavingSince = since; }
     Milliseconds leavingPrimaryUse() const { return m_leavingPrimaryUse; }
     /// If `isAvailable` is false, this daemon starts no further statement or transaction at the primary. Those already started
     /// continue until they end or abandonPrimary() is called.
@@ -157,6 +159,7 @@
     /// Hash of this daemon's id, which selects the home at which its search for a destination starts.
     size_t m_homeOffset;
     Milliseconds m_leavingPrimaryUse;
+    std::optional<Instant> m_primaryLeavingSince;
     /// Maximum number of this daemon's connections to each target.
     uint32_t m_connectionLimit { 1 };
     /// Whether the targets accept enough connections for every daemon to connect to each of them. Otherwise a few daemons,
