Count a daemon that takes the place of a connected process as connected

Cause: the process that was started in the daemon's place counted as connected since its own start, so that the change waited for 3 s after it.

Change: a process that finds a row that its predecessor renewed until just now goes on with the time in that row. A longer pause counts as an interruption, as it does within one process.

The new test "a process that takes the place of one that was connected until just before ..." covers both pauses.

--- a/src/leases/InstanceLease.cpp
+++ b/src/leases/InstanceLease.cpp
@@ -84,6 +84,11 @@
     return std::clamp(renewIntervalPerHolder * m_holderCount, minRenewInterval, maxRenewInterval);
 }
 
+Milliseconds InstanceLease::maxAnswerInterval() const
+{
+    return renewInterval() * renewIntervalsPerInterruption;
+}
+
 Milliseconds InstanceLease::duration() const
 {
     return std::max(minLeaseDuration, renewInterval() * renewIntervalsPerLease);
@@ -177,6 +182,9 @@
             continue;
         const auto row = decodeLeaseRow(it.value);
         const bool isEarlier = row.ok() && row->incarnation != m_incarnation;
+        // The process before this one was connected until just now.
+        if (isEarlier && answer.platformTime - row->requestedAt <= maxAnswerInterval())
+            m_connectedSince = row->connectedSince;
         const bool mayHaveGrants = isEarlier && row->hasGrants && !isExpired(*row, answer.platformTime);
         if (it.key == m_key && mayHaveGrants)
             m_key = leaseKey(m_instance, m_incarnation);
@@ -211,7 +219,7 @@
 
 void InstanceLease::noteInterruption(Instant platformTime)
 {
-    if (!m_platformTime || m_loop.now() - m_platformTimeReceivedAt > renewInterval() * renewIntervalsPerInterruption)
+    if (!m_platformTime || m_loop.now() - m_platformTimeReceivedAt > maxAnswerInterval())
         m_connectedSince = platformTime;
 }
 
--- a/src/leases/InstanceLease.h
+++ b/src/leases/InstanceLease.h
@@ -140,6 +140,8 @@
     /// Begins a new span of connectedness if no call about the row was answered for some time.
     void noteInterruption(Instant platformTime);
     Milliseconds renewInterval() const;
+    /// Time between two answers after which the connection to the platform counts as interrupted.
+    Milliseconds maxAnswerInterval() const;
     Milliseconds duration() const;
 
     EventLoop& m_loop;
--- a/src/leases/InstanceLeaseTests.cpp
+++ b/src/leases/InstanceLeaseTests.cpp
@@ -226,3 +226,36 @@
     // The subscriber is granted nothing more until it has confirmed the epoch, wherever that was written.
     CHECK(fixture.lease.grant(member.instance, "first", RowVersion(), 0) == Milliseconds(0));
 }
+
+TEST_CASE("a row says since when its daemon has been connected to the platform without an interruption", "[leases]")
+{
+    LeaseFixture fixture;
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(20'000));
+    const Instant first = fixture.row().connectedSince;
+    CHECK(fixture.tables.time() - first > Milliseconds(19'900));
+    fixture.rows.isCut = true;
+    fixture.loop.advance(Milliseconds(3000));
+    fixture.rows.isCut = false;
+    const Instant reconnected = fixture.tables.time();
+    fixture.loop.advance(Milliseconds(4000));
+    CHECK(fixture.row().connectedSince >= reconnected);
+}
+
+// Otherwise a crash of a primary beside a daemon that is started again takes seconds longer.
+TEST_CASE("a process that takes the place of one that was connected until just before counts as connected since then", "[leases]")
+{
+    LeaseFixture fixture;
+    fixture.lease.start();
+    fixture.loop.advance(Milliseconds(20'000));
+    const Instant first = fixture.row().connectedSince;
+    fixture.rows.isCut = true;
+    const bool isShort = GENERATE(true, false);
+    fixture.loop.advance(Milliseconds(isShort ? 500 : 3000));
+    FakeRows rows { fixture.loop, fixture.tables };
+    InstanceLease next { fixture.loop, rows, InstanceId("one"), "second", {} };
+    next.start();
+    fixture.loop.advance(Milliseconds(500));
+    REQUIRE(fixture.row().incarnation == "second");
+    CHECK((fixture.row().connectedSince == first) == isShort);
+}
