Ask a primary for its log although it is not listed

Cause: the owner of a change probes the listed targets and the known replicas that are not listed; an unlisted old primary was neither.

Change: it is probed at its known address. Its mark is evidence as always.

Before: "a primary that is reached again is asked for its log although it is not listed" finds no primary 1.5 s after the partition. After: failover-tests pass.

--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -138,6 +138,9 @@
         All,
     };
     void probeTargets(ProbedTargets = ProbedTargets::All);
+    /// The primary, if it is missing from the list and its log counts.
+    std::optional<TargetConfiguration> unlistedPrimary() const;
+    TargetConfiguration configurationOf(const TargetId&, const KnownTarget&) const;
     bool isNewPrimary(const TargetId&, const std::optional<RoleReport>&) const;
     void logCandidates();
     void chooseCandidate();
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -121,6 +121,8 @@
             if (!find(it.id))
                 targets.push_back(it);
         }
+        if (const auto primary = unlistedPrimary())
+            targets.push_back(*primary);
     }
     m_pendingProbes = targets.size();
     ++m_probeRound;
@@ -138,6 +140,20 @@
     }
 }
 
+// The log of a primary that was cut off is known as soon as it is reached again, which may be before its entry is back.
+std::optional<TargetConfiguration> GroupFailover::unlistedPrimary() const
+{
+    if (!m_record || requiredReplicas() == 0 || find(m_record->primary))
+        return std::nullopt;
+    const auto known = m_knownTargets.find(m_record->primary);
+    return known == m_knownTargets.end() ? std::nullopt : std::make_optional(configurationOf(known->first, known->second));
+}
+
+TargetConfiguration GroupFailover::configurationOf(const TargetId& id, const KnownTarget& known) const
+{
+    return { id, known.address, known.failureDomain, m_group, false };
+}
+
 void GroupFailover::abandonProbeRound()
 {
     ++m_probeRound;
--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -93,7 +93,7 @@
     }
     for (const auto& [id, target] : m_knownTargets) {
         if (id != m_record->primary && !find(id) && !successorOf(id))
-            holders.push_back({ id, target.address, target.failureDomain, m_group, false });
+            holders.push_back(configurationOf(id, target));
     }
     return holders;
 }
--- a/src/failover/SynchronousPartitionTests.cpp
+++ b/src/failover/SynchronousPartitionTests.cpp
@@ -84,3 +84,17 @@
     CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") >= 2);
     CHECK(fixture.lostCommits == 0);
 }
+
+// Guards against a wait that is longer than it must be: the entry of a primary that was cut off is back later than the primary.
+TEST_CASE("a primary that is reached again is asked for its log although it is not listed", "[failover]")
+{
+    PartitionFixture fixture;
+    fixture.run(3500);
+    fixture.setListed("one", false);
+    fixture.runWithTraffic(4000);
+    CHECK(fixture.promotions.requests.empty());
+    fixture.reconnectDomain(10'000);
+    fixture.runWithTraffic(1500);
+    CHECK(fixture.countDaemonsUsing("two") + fixture.countDaemonsUsing("three") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
