Accept the connections that wait before a planned stop closes the listener

Cause: the listener was closed while connections with requests on them waited to be accepted; the kernel resets those.

A connection that arrives between the last accept and the close, some microseconds, is still reset.

--- a/src/gateway/GatewayServer.cpp
+++ b/src/gateway/GatewayServer.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <cmath>
 #include <cstring>
+#include <sys/socket.h>
 #include <unistd.h>
 
 // libmicrohttpd parses and writes HTTP. The event loop watches its epoll descriptor, so that its callbacks run on the
@@ -90,8 +91,25 @@
         return;
     m_isDraining = true;
     const int listener = MHD_quiesce_daemon(m_httpDaemon);
-    if (listener >= 0)
-        close(listener);
+    if (listener < 0)
+        return;
+    acceptWaiting(listener);
+    close(listener);
+}
+
+// The kernel resets connections that wait to be accepted when their listener closes, with the requests that were sent on them.
+void Gateway::Server::acceptWaiting(int listener)
+{
+    for (;;) {
+        sockaddr_storage address {};
+        socklen_t length = sizeof(address);
+        auto* caller = reinterpret_cast<sockaddr*>(&address);
+        const int connection = accept4(listener, caller, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connection < 0)
+            break;
+        MHD_add_connection(m_httpDaemon, connection, caller, length);
+    }
+    scheduleRun(Milliseconds(0));
 }
 
 size_t Gateway::Server::connections() const
--- a/src/gateway/GatewayServer.h
+++ b/src/gateway/GatewayServer.h
@@ -28,6 +28,8 @@
         const char* upload, size_t* uploadSize, void** exchange);
     static void onCompleted(void* server, MHD_Connection*, void** exchange, MHD_RequestTerminationCode);
 
+    void acceptWaiting(int listener);
+
     /// Lets libmicrohttpd process its ready sockets, and schedules the next call if it has more work or a timeout.
     void runHttpDaemon();
     void scheduleRun(Milliseconds delay);
--- a/src/gateway/GatewayTests.cpp
+++ b/src/gateway/GatewayTests.cpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -289,6 +290,33 @@
     CHECK(fixture->gateway->requestsInFlight() == 0);
 }
 
+// Guards against requests that are cut off by a planned stop: they were sent on connections that waited to be accepted, which the kernel resets.
+TEST_CASE("a request that waits to be accepted when the gateway stops accepting is answered", "[gateway]")
+{
+    std::string answer;
+    Poco::Net::StreamSocket waiting;
+    std::unique_ptr<GatewayFixture> fixture;
+    fixture = std::make_unique<GatewayFixture>([&](GatewaySettings&, GatewayHandlers& handlers) {
+        handlers.onStatement = [&](const StatementRequest& request, const GatewayFixture::Answer& done) {
+            const std::string text = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            waiting.connect(Poco::Net::SocketAddress("127.0.0.1", fixture->gateway->port()));
+            waiting.sendBytes(text.data(), static_cast<int>(text.size()));
+            fixture->gateway->stopAccepting();
+            done(echoOf(request));
+        };
+    });
+    fixture->run({ [&] {
+        sendRequest(fixture->gateway->port(), "POST", "/v1/statements", statementBody("a"));
+        std::array<char, 64> buf {};
+        try {
+            answer.assign(buf.data(), static_cast<size_t>(waiting.receiveBytes(buf.data(), static_cast<int>(buf.size()))));
+        } catch (const Poco::Exception& ec) {
+            answer = ec.displayText();
+        }
+    } });
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 "));
+}
+
 TEST_CASE("a gateway is created only for an IP address and a free port", "[gateway]")
 {
     GatewayFixture fixture;
--- a/src/net/TcpListener.cpp
+++ b/src/net/TcpListener.cpp
@@ -37,14 +37,20 @@
     m_loop.unwatch(m_socket.impl()->sockfd());
 }
 
+void TcpListener::acceptWaiting()
+{
+    for (int n = 0; n < backlog && acceptNext(); ++n) { }
+}
+
 // Accepts one connection per loop iteration; the socket stays readable while more are waiting.
-void TcpListener::acceptNext()
+bool TcpListener::acceptNext()
 {
     try {
         m_onAccept(TcpStream::adopt(m_loop, m_socket.acceptConnection()));
+        return true;
     } catch (const Poco::Exception&) {
         // The caller closed the connection before it was accepted, or no file descriptor is free; the next iteration retries.
-        return;
+        return false;
     }
 }
 
--- a/src/net/TcpListener.h
+++ b/src/net/TcpListener.h
@@ -17,10 +17,14 @@
     static absl::StatusOr<std::unique_ptr<TcpListener>> create(PollLoop&, const std::string& host, uint16_t port, AcceptCallback);
     ~TcpListener();
 
+    /// Accepts the connections that wait. To be called before the listener is destroyed, since the kernel resets those that are left.
+    void acceptWaiting();
+
 private:
     TcpListener(PollLoop&, const Poco::Net::ServerSocket&, AcceptCallback);
 
-    void acceptNext();
+    /// False if none was accepted.
+    bool acceptNext();
 
     PollLoop& m_loop;
     Poco::Net::ServerSocket m_socket;
