Fix a change of primary that never ends when its candidate is gone

What callers would see: a group without a primary for good, also where commits wait for no replica.

Cause: the candidate was seen as primary while the call for its promotion was unanswered, and left the list within the 150 ms for which the owner waits for the answer. It was not probed any more and counted as leading for good, so that the owner neither repeated the call nor gave the candidate up. A trial with a line in monitorPromotion() shows this state, and rules out a lost lease and a call that is still out.

Change: a candidate without an entry does not count as leading.

Before: "a change goes on when the candidate ends between its promotion and the answer to the call" finds no primary 25 s later, with sync-replicas 0 and 1.

--- a/src/failover/GroupFailoverPromotion.cpp
+++ b/src/failover/GroupFailoverPromotion.cpp
@@ -55,6 +55,9 @@
         record.phase = GroupPhase::Closing;
         return writeRecord(std::move(record), false, "the promotion was refused, or the candidate is no longer listed, has lost its log or did not become primary in time");
     }
+    // It is not probed any more, so that nothing else would show that it does not lead.
+    if (!entry)
+        m_candidateLeadsSince.reset();
     if (isPromotionDue())
         requestPromotion();
     if (!entry || m_isProbing || now < m_nextProbe)
--- a/src/failover/LatePromotionTests.cpp
+++ b/src/failover/LatePromotionTests.cpp
@@ -358,6 +358,33 @@
     CHECK(fixture.write(0) == RelayError::None);
 }
 
+// Guards against a group without a primary for good: a candidate was seen as primary before its call was answered, and then left the list.
+TEST_CASE("a change goes on when the candidate ends between its promotion and the answer to the call", "[failover]")
+{
+    const uint32_t synchronousReplicas = GENERATE(0U, 1U);
+    const double unlistedAfter = GENERATE(range(10, 170, 10));
+    CAPTURE(synchronousReplicas, unlistedAfter);
+    FailoverFixture fixture(3);
+    fixture.setSynchronousReplicas(synchronousReplicas);
+    fixture.runWithTraffic(2500);
+    fixture.promotions.losesAnswers = true;
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.writeFromAllDaemons();
+    const auto isOneLeading = [&fixture](const char* name) { return fixture.targets[TargetId(name)].isPrimary; };
+    fixture.loop.runUntil([&] { return isOneLeading("two") || isOneLeading("three"); }, Milliseconds(5000));
+    const std::string candidate = isOneLeading("two") ? "two" : "three";
+    REQUIRE(isOneLeading(candidate.c_str()));
+    fixture.run(unlistedAfter);
+    fixture.setListed(candidate, false);
+    fixture.run(100);
+    fixture.targets[TargetId(candidate)].isDown = true;
+    fixture.promotions.losesAnswers = false;
+    fixture.runWithTraffic(5000);
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.runWithTraffic(20'000);
+    CHECK(fixture.write(0) == RelayError::None);
+}
+
 // Guards against a promotion that takes effect while another primary is in use, at whatever moment a call without an answer is carried out.
 TEST_CASE("under random faults no promotion takes effect while another primary is in use", "[failover]")
 {
