Count a neighbour of the primary as connected only until its last renewal

What callers would see, with sync-replicas 1: lost commits, if the primary's failure domain is cut off just after its first daemon has released the primary, and before the second one has.

Cause: a daemon in the primary's failure domain with a lease that has not expired was taken as a sign that the domain is connected now. The lease shows that for its last renewal only.

Change: the sign counts if the daemon has renewed its lease after the last use out of the platform's reach had ended. Conversely, a daemon that has released the primary while connected, and ended since, does not hold the change up.

Before: "a daemon in the primary's failure domain shows nothing for the time after its last renewal" and "a daemon that has released the primary and ended since then is not disconnected" fail by construction (the code took neither time into account; they were not run on it).

--- a/src/failover/DisconnectedUsers.cpp
+++ b/src/failover/DisconnectedUsers.cpp
@@ -12,9 +12,17 @@
     /// it was used alone.
     constexpr Milliseconds maxUnnoticedTime { 30'000 };
 
+    /// Whether the daemon has released the primary, and had been connected for long enough when it was last heard of.
     bool isConnected(const LeaseTable::Entry& entry, const LeaseTable& table, RowVersion epoch)
     {
-        return entry.version > epoch && !isExpired(entry.lease, table.platformTime) && entry.lease.connectedSince + listingTime <= table.platformTime;
+        const Instant heardAt = isExpired(entry.lease, table.platformTime) ? entry.lease.requestedAt : table.platformTime;
+        return entry.version > epoch && entry.lease.connectedSince + listingTime <= heardAt;
+    }
+
+    /// When the daemon has used the primary out of the platform's reach at the latest.
+    Instant endOfUse(const LeaseTable::Entry& entry, RowVersion epoch)
+    {
+        return entry.version > epoch ? entry.lease.connectedSince : entry.lease.requestedAt + entry.lease.duration;
     }
 
     bool hasEndedBefore(const LeaseRow& lease, Instant time)
@@ -24,20 +32,22 @@
 
 }
 
-// Failure domains are cut off as a whole. So if a daemon in the primary's one has been connected all the time, then so was each target to which
-// the primary may have replicated.
+// Failure domains are cut off as a whole. So if a daemon in the primary's one has been connected until the use had ended, then so was each target
+// to which the primary may have replicated.
 std::vector<InstanceId> findDisconnectedUsers(const LeaseTable& table, const EndedUse& use)
 {
     std::vector<InstanceId> disconnected;
+    Instant usedUntil;
     for (const auto& it : table.entries) {
-        const bool isInDomain = !use.primaryDomain.isEmpty() && it.lease.addresses.failureDomain == use.primaryDomain;
-        const bool hasReached = isConnected(it, table, use.epoch);
-        if (hasReached && isInDomain)
-            return {};
-        if (!hasReached && !hasEndedBefore(it.lease, use.beganAt))
-            disconnected.push_back(it.instance);
+        if (isConnected(it, table, use.epoch) || hasEndedBefore(it.lease, use.beganAt))
+            continue;
+        disconnected.push_back(it.instance);
+        usedUntil = std::max(usedUntil, endOfUse(it, use.epoch));
     }
-    return disconnected;
+    const bool wasDomainConnected = !use.primaryDomain.isEmpty() && std::any_of(table.entries.begin(), table.entries.end(), [&](const LeaseTable::Entry& it) {
+        return it.lease.addresses.failureDomain == use.primaryDomain && isConnected(it, table, use.epoch) && it.lease.requestedAt >= usedUntil;
+    });
+    return wasDomainConnected ? std::vector<InstanceId>() : disconnected;
 }
 
 }
--- a/src/failover/DisconnectedUsersTests.cpp
+++ b/src/failover/DisconnectedUsersTests.cpp
@@ -70,6 +70,22 @@
     CHECK(find({ connected, expired, neighbour }, "").size() == 1);
 }
 
+// Guards against a failure domain that is cut off just after its first daemon has released the primary.
+TEST_CASE("a daemon in the primary's failure domain shows nothing for the time after its last renewal", "[failover]")
+{
+    const Lease neighbour { "c", "north", 60, now - 600, 0 };
+    CHECK(find({ connected, expired, neighbour }).size() == 1);
+    const Lease reconnected { "a", "north", 61, now - 100, now - 1500 };
+    CHECK(find({ connected, reconnected, neighbour }).empty());
+    CHECK(find({ connected, reconnected, { "c", "north", 60, now - 1600, 0 } }).size() == 1);
+}
+
+TEST_CASE("a daemon that has released the primary and ended since then is not disconnected", "[failover]")
+{
+    CHECK(find({ connected, { "a", "north", 51, now - 6500, 0 } }).empty());
+    CHECK(find({ connected, { "a", "north", 51, now - 6500, now - 8000 } }).size() == 1);
+}
+
 // Rows of instances that were removed for good stay in the table.
 TEST_CASE("a lease that had expired long before the change began does not count", "[failover]")
 {
