Remember a restart of a replica after it has left the list

What callers would see, with sync-replicas 1: lost commits.

Cause: that a replica was started again was known by comparing the row of known targets with the replica's entry. The replica left the list, still answered probes, and its empty log counted as one that never had more. Ruled out: a row that takes over the new start too early.

Change: the row says that a target was started again, until another replica has received what the primary had after it.

Before: "a replica that has lost its log is not evidence after it has left the list" loses 61 commits.

--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -101,8 +101,10 @@
 bool GroupFailover::hasRestarted(const TargetId& target) const
 {
     const auto known = m_knownTargets.find(target);
+    if (known == m_knownTargets.end())
+        return false;
     const TargetEntry* entry = find(target);
-    return known != m_knownTargets.end() && entry && known->second.startedAt && entry->startedAt && *known->second.startedAt != *entry->startedAt;
+    return known->second.hasRestarted || (entry && known->second.startedAt && entry->startedAt && *known->second.startedAt != *entry->startedAt);
 }
 
 std::optional<TargetId> GroupFailover::successorOf(const TargetId& target) const
@@ -280,15 +282,18 @@
     for (const auto& it : m_targets) {
         if (!it.isListed)
             continue;
-        KnownTarget& known = targets.try_emplace(it.target.id, KnownTarget { it.target.address, false, it.startedAt, std::nullopt, it.target.failureDomain }).first->second;
+        KnownTarget& known = targets.try_emplace(it.target.id, KnownTarget { it.target.address, false, it.startedAt, false, std::nullopt, it.target.failureDomain }).first->second;
         known.address = it.target.address;
         known.failureDomain = it.target.failureDomain;
         known.isLeaving = it.isLeaving;
         known.leavingSince = use.leavingSinceInRow(it, known);
         // Until the log check shows that nothing of the earlier process is needed, the row says when that one was started. The log of a primary
         // in use is whole.
-        if (!known.startedAt || it.target.id == m_record->primary)
+        if (!known.startedAt || it.target.id == m_record->primary) {
             known.startedAt = it.startedAt;
+            known.hasRestarted = false;
+        }
+        known.hasRestarted = known.hasRestarted || (it.startedAt && it.startedAt != known.startedAt);
     }
     if (targets == m_knownTargets) {
         m_knownTargetsOutdatedSince.reset();
--- a/src/failover/KnownTargets.cpp
+++ b/src/failover/KnownTargets.cpp
@@ -10,9 +10,9 @@
     /// Of the fields that may be missing.
     bool hasKnownTypes(const Json::Value& target)
     {
-        const bool hasFlag = target["leaving"].isNull() || target["leaving"].isBool();
+        const bool hasFlags = (target["leaving"].isNull() || target["leaving"].isBool()) && (target["restarted"].isNull() || target["restarted"].isBool());
         const bool hasTimes = (target["started_at"].isNull() || target["started_at"].isNumeric()) && (target["leaving_since"].isNull() || target["leaving_since"].isNumeric());
-        return hasFlag && hasTimes && (target["failure_domain"].isNull() || target["failure_domain"].isString());
+        return hasFlags && hasTimes && (target["failure_domain"].isNull() || target["failure_domain"].isString());
     }
 
 }
@@ -31,6 +31,8 @@
             entry["leaving_since"] = target.leavingSince->sinceEpoch();
         if (target.startedAt)
             entry["started_at"] = target.startedAt->sinceEpoch();
+        if (target.hasRestarted)
+            entry["restarted"] = true;
         entry["failure_domain"] = target.failureDomain.value();
         entries.append(std::move(entry));
     }
@@ -53,7 +55,7 @@
         if (!isWhole)
             return makeError(ResultCode::MissingField, "known target lacks an id, a host or a port");
         if (!hasKnownTypes(it))
-            return makeError(ResultCode::WrongType, "known target has leaving that is not a flag, a time that is not a number, or failure_domain that is not a text");
+            return makeError(ResultCode::WrongType, "known target has a flag that is not a boolean, a time that is not a number, or failure_domain that is not a text");
         KnownTarget target;
         target.address = { it["host"].asString(), static_cast<uint16_t>(it["port"].asUInt()) };
         target.isLeaving = it["leaving"].asBool();
@@ -61,6 +63,7 @@
             target.leavingSince = Instant(it["leaving_since"].asDouble());
         if (it.isMember("started_at"))
             target.startedAt = Instant(it["started_at"].asDouble());
+        target.hasRestarted = it["restarted"].asBool();
         target.failureDomain = FailureDomainId(it["failure_domain"].asString());
         targets[TargetId(it["id"].asString())] = target;
     }
--- a/src/failover/KnownTargets.h
+++ b/src/failover/KnownTargets.h
@@ -18,6 +18,8 @@
     bool isLeaving { false };
     /// When its process was started, by the target's own clock; unset if it does not say so.
     std::optional<Instant> startedAt;
+    /// Whether its process was started again since then, so that it may have lost its log.
+    bool hasRestarted { false };
     /// Since when it leaves, by the platform's clock; unset if it does not leave, or no daemon knows since when.
     std::optional<Instant> leavingSince;
     /// Empty if unknown, as of a row that a daemon of an earlier version has written.
@@ -25,7 +27,8 @@
 
     friend bool operator==(const KnownTarget& a, const KnownTarget& b)
     {
-        return a.address == b.address && a.isLeaving == b.isLeaving && a.leavingSince == b.leavingSince && a.startedAt == b.startedAt && a.failureDomain == b.failureDomain;
+        return a.address == b.address && a.isLeaving == b.isLeaving && a.leavingSince == b.leavingSince && a.startedAt == b.startedAt && a.hasRestarted == b.hasRestarted
+            && a.failureDomain == b.failureDomain;
     }
 };
 
--- a/src/failover/SynchronousReplicaTests.cpp
+++ b/src/failover/SynchronousReplicaTests.cpp
@@ -179,6 +179,25 @@
     CHECK(fixture.lostCommits == 0);
 }
 
+// Guards against lost commits: the start is in the target's entry, and was forgotten with it.
+TEST_CASE("a replica that has lost its log is not evidence after it has left the list", "[failover]")
+{
+    SynchronousReplicaFixture fixture;
+    fixture.leaveOneReplica();
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.targets[TargetId("two")].isDown = true;
+    fixture.run(1000);
+    fixture.restartWithoutLog("two");
+    fixture.run(1500);
+    fixture.setListed("two", false);
+    fixture.runWithTraffic(5000);
+    CHECK(fixture.promotions.requests.empty());
+    fixture.targets[TargetId("one")].isDown = false;
+    fixture.runWithTraffic(2500);
+    CHECK(fixture.countDaemonsUsing("one") == 3);
+    CHECK(fixture.lostCommits == 0);
+}
+
 // Guards against lost commits: a call for a promotion is repeated for a candidate that was started again, without its log, since the first one.
 TEST_CASE("a call for a promotion is not repeated when the candidate has lost its log", "[failover]")
 {
