--- a/review/stand-in-3/Fleet.cpp
+++ b/review/stand-in-3/Fleet.cpp
@@ -96,20 +96,22 @@
     char path[] = "/tmp/standin-3-XXXXXX";
     folder = mkdtemp(path);
     const int base = freeBase();
+    // A network of its own on the loopback interface, so that several runs do not meet at the port in the deploy file.
+    const std::string network = "127." + std::to_string(10 + std::random_device {}() % 240) + ".";
     service = std::make_unique<Service>("huvo11a", m_options.servers, record);
     const std::vector<std::string> zones { "sof-a", "sof-b", "plv-a" };
     for (size_t n = 0; n < zones.size(); ++n)
-        service->addServer("i-" + newId().substr(0, 8), zones[n], "127.0.3." + std::to_string(11 + n), base);
-    store = std::make_unique<Store>("127.0.3.1", base, [this](const std::string& id, const std::string& holder, uint64_t fence) { return service->promote(id, holder, fence); });
+        service->addServer("i-" + newId().substr(0, 8), zones[n], network + "3." + std::to_string(11 + n), base);
+    store = std::make_unique<Store>(network + "3.1", base, [this](const std::string& id, const std::string& holder, uint64_t fence) { return service->promote(id, holder, fence); });
     configure();
     service->start(*store);
     for (int n = 0; n < m_options.daemons; ++n) {
         Daemon::Settings settings;
         settings.zone = zones[static_cast<size_t>(n) % zones.size()];
         settings.name = "frontend-" + settings.zone + "-" + std::to_string(1 + n / static_cast<int>(zones.size()));
-        settings.ip = "127.0.4." + std::to_string(1 + n);
+        settings.ip = network + "4." + std::to_string(1 + n);
         settings.port = base;
-        settings.platform = "127.0.3.1:" + std::to_string(base);
+        settings.platform = network + "3.1:" + std::to_string(base);
         settings.zones = zones;
         settings.folder = folder;
         settings.command = m_options.arguments;
--- a/review/stand-in-3/cases/LogReader.cpp
+++ b/review/stand-in-3/cases/LogReader.cpp
@@ -5,6 +5,7 @@
 // with callers that go on. With TROUBLE=1 the readers are stopped (SIGSTOP) at that moment.
 #include "Fleet.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
@@ -62,6 +63,7 @@
 
     void start()
     {
+        std::thread([this] { balance(); }).detach();
         for (size_t daemon = 0; daemon < m_fleet.daemons.size(); ++daemon) {
             for (int n = 0; n < callersPerDaemon; ++n)
                 std::thread([this, daemon, n] { call(daemon, n); }).detach();
@@ -85,9 +87,33 @@
 private:
     static constexpr int callersPerDaemon = 60;
 
-    void call(size_t daemon, int number)
+    /// Asks each daemon once a second whether it is ready; after two misses it gets no new connections until it is ready again.
+    void balance()
+    {
+        std::vector<int> misses(m_fleet.daemons.size(), 0);
+        for (;; sleepMs(1000)) {
+            for (size_t n = 0; n < misses.size(); ++n) {
+                misses[n] = m_fleet.daemons[n]->isReady() ? 0 : misses[n] + 1;
+                m_isOut[n] = misses[n] >= 2;
+            }
+        }
+    }
+
+    /// The daemon of the caller's zone, or another one if that is out of rotation; all count if none is in rotation.
+    size_t choose(size_t own, int number) const
+    {
+        for (size_t n = 0; n < m_fleet.daemons.size(); ++n) {
+            const size_t daemon = m_isOut[own] ? (own + static_cast<size_t>(number) + n) % m_fleet.daemons.size() : own;
+            if (!m_isOut[daemon])
+                return daemon;
+        }
+        return own;
+    }
+
+    void call(size_t own, int number)
     {
         for (int n = 0;; ++n) {
+            const size_t daemon = choose(own, number);
             const int64_t at = nowMs();
             const bool isWrite = n % 5 == 0;
             const std::string database = number % 3 == 0 ? m_fleet.ordersDatabase : number % 3 == 1 ? m_fleet.proofsDatabase : m_fleet.pricesDatabase;
@@ -105,6 +131,7 @@
 
     Fleet& m_fleet;
     Record& m_record;
+    std::array<std::atomic<bool>, 3> m_isOut {};
     std::mutex m_mutex;
     std::vector<std::pair<int64_t, Outcome::Kind>> m_outcomes;
 };
