--- a/review/stand-in-3/StandIn.cpp
+++ b/review/stand-in-3/StandIn.cpp
@@ -13,6 +13,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -565,6 +566,7 @@
         return error("READONLY");
     if (m_busy >= m_service.m_options.slots + 24)
         return error("BUSY");
+    const int64_t arrivedAt = nowMs();
     ++m_busy;
     const int64_t turns = 1 + (m_busy - 1) / m_service.m_options.slots;
     lock.unlock();
@@ -575,13 +577,16 @@
         return "";
     if (mustLead && !m_isPrimary)
         return error("READONLY");
-    ++m_service.m_runs[id];
     if (!isWrite && !isCommit) {
         std::string value;
-        for (size_t n = 0; n < applied(); ++n) {
+        ReadRun run { id, m_id, arrivedAt, {} };
+        const size_t count = applied();
+        for (size_t n = 0; n < count; ++n) {
+            run.log.emplace_back(m_log[n].term, m_log[n].number);
             for (const auto& it : m_log[n].changes)
                 value = it.first == fields.at(itemAt) ? it.second : value;
         }
+        m_service.m_reads.push_back(std::move(run));
         return complete("DATAROW " + value + "\r\n", true);
     }
     if (isWrite)
@@ -604,7 +609,7 @@
         if (m_isDown)
             return "";
     }
-    m_service.m_acknowledged.insert(mark);
+    m_service.m_acknowledged.emplace(mark, nowMs());
     m_service.m_record.line("commit " + std::to_string(mark.first) + "." + std::to_string(mark.second) + " acknowledged by " + m_id + " for statement " + id);
     return complete("", true);
 }
@@ -704,8 +709,9 @@
         uint64_t term = 0;
         for (const auto& it : m_servers)
             term = std::max(term, it->m_term);
-        for (const auto& it : m_acknowledged) {
-            const bool isHeld = std::any_of(server.m_log.begin(), server.m_log.end(), [&](const Commit& commit) { return std::make_pair(commit.term, commit.number) == it; });
+        for (const auto& [it, at] : m_acknowledged) {
+            const auto& mark = it;
+            const bool isHeld = std::any_of(server.m_log.begin(), server.m_log.end(), [&](const Commit& commit) { return std::make_pair(commit.term, commit.number) == mark; });
             if (!isHeld)
                 m_lost.push_back(std::to_string(it.first) + "." + std::to_string(it.second) + " is not in the log of " + server.m_id);
         }
@@ -770,6 +776,14 @@
     m_record.line("server " + id + (isCut ? " is cut off from the store" : " reaches the store again"));
 }
 
+std::vector<std::string> Service::ids() const
+{
+    std::vector<std::string> ids;
+    for (const auto& it : m_servers)
+        ids.push_back(it->m_id);
+    return ids;
+}
+
 std::string Service::primary()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -797,11 +811,37 @@
     return m_lost;
 }
 
-size_t Service::runs(const std::string& statementId)
+size_t Service::reads()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_reads.size();
+}
+
+std::vector<std::string> Service::staleReads(int64_t margin)
 {
+    const std::string leader = primary();
     std::lock_guard<std::mutex> lock(m_mutex);
-    const auto it = m_runs.find(statementId);
-    return it == m_runs.end() ? 0 : it->second;
+    std::vector<std::pair<std::pair<uint64_t, uint64_t>, int64_t>> kept;
+    for (const auto& it : m_servers) {
+        if (it->m_id != leader)
+            continue;
+        for (const auto& commit : it->m_log) {
+            const auto found = m_acknowledged.find({ commit.term, commit.number });
+            if (found != m_acknowledged.end())
+                kept.emplace_back(found->first, found->second);
+        }
+    }
+    std::vector<std::string> stale;
+    for (const auto& read : m_reads) {
+        for (const auto& [mark, at] : kept) {
+            if (at >= read.arrivedAt - margin || std::find(read.log.begin(), read.log.end(), mark) != read.log.end())
+                continue;
+            stale.push_back("read " + read.id + " ran at " + read.server + ", whose log ended at " + (read.log.empty() ? "-" : std::to_string(read.log.back().first) + "." + std::to_string(read.log.back().second)) + ", without commit " + std::to_string(mark.first) + "."
+                + std::to_string(mark.second) + ", which was acknowledged " + std::to_string(read.arrivedAt - at) + " ms before and is kept");
+            break;
+        }
+    }
+    return stale;
 }
 
 Daemon::Daemon(Settings settings)
@@ -866,6 +906,8 @@
     m_pid = fork();
     if (m_pid != 0)
         return;
+    // Also if the test is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(output, 1);
     dup2(output, 2);
     execv(arguments[0], arguments.data());
--- a/review/stand-in-3/StandIn.h
+++ b/review/stand-in-3/StandIn.h
@@ -120,6 +120,14 @@
     int maxConnections { 38 };
 };
 
+/// A read that a server has run, and the positions of the commits that its log had.
+struct ReadRun {
+    std::string id;
+    std::string server;
+    int64_t arrivedAt { 0 };
+    std::vector<std::pair<uint64_t, uint64_t>> log;
+};
+
 class Service;
 
 /// One database server.
@@ -171,6 +179,7 @@
     void setDeaf(const std::string& id, bool isDeaf);
     void setCutFromStore(const std::string& id, bool isCut);
     std::string primary();
+    std::vector<std::string> ids() const;
     /// The position that the server holds, for the record.
     std::string position(const std::string& id);
     const std::string& name() const { return m_name; }
@@ -178,8 +187,10 @@
 
     /// Commits that a promotion has dropped although they were acknowledged, as text.
     std::vector<std::string> lostCommits();
-    /// Statements that were run, by id.
-    size_t runs(const std::string& statementId);
+    /// Reads that ran on a log without a commit which was acknowledged at least `margin` ms before the read arrived, and which is in the log of
+    /// the present primary, as text.
+    std::vector<std::string> staleReads(int64_t margin);
+    size_t reads();
 
 private:
     friend class Server;
@@ -197,9 +208,9 @@
     Store* m_store { nullptr };
     uint64_t m_signature { 0 };
     /// Positions that were acknowledged, by term and number.
-    std::set<std::pair<uint64_t, uint64_t>> m_acknowledged;
+    std::map<std::pair<uint64_t, uint64_t>, int64_t> m_acknowledged;
     std::vector<std::string> m_lost;
-    std::map<std::string, size_t> m_runs;
+    std::vector<ReadRun> m_reads;
 };
 
 /// A daemon of the system, started with the command of the deploy file.
--- a/review/stand-in-3/cases/LogReader.cpp
+++ b/review/stand-in-3/cases/LogReader.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -35,6 +36,9 @@
     const int output = open(file.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
     const int pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        // A stopped process is continued when its process group becomes orphaned, as when the shell ends that runs the case.
+        setsid();
         close(pipe[1]);
         char chunk[16384];
         for (ssize_t n = read(pipe[0], chunk, sizeof(chunk)); n > 0; n = read(pipe[0], chunk, sizeof(chunk)))
@@ -190,10 +194,16 @@
     int readyDaemons = 0;
     for (const auto& it : fleet.daemons)
         readyDaemons += it->isReady() ? 1 : 0;
+    for (const auto& it : readers)
+        kill(it.pid, SIGCONT);
+    sleepMs(3000);
+    int resumedDaemons = 0;
+    for (const auto& it : fleet.daemons)
+        resumedDaemons += it->isReady() ? 1 : 0;
     const auto text = [](const Counts& it) { return std::to_string(it.served) + " of " + std::to_string(it.asked) + " served, " + std::to_string(it.unanswered) + " not answered in 2.5 s"; };
     record.line("before the fault: " + text(before));
     record.line("later than 12 s after the machines were back: " + text(after));
-    record.line(std::to_string(readyDaemons) + " of " + std::to_string(fleet.daemons.size()) + " daemons answer their readiness question");
+    record.line(std::to_string(readyDaemons) + " of " + std::to_string(fleet.daemons.size()) + " daemons answer their readiness question; 3 s after all readers read again: " + std::to_string(resumedDaemons));
     const bool wasServed = before.served * 4 >= before.asked && before.asked > 0;
     const bool isServed = after.served * 4 >= after.asked && after.asked > 0;
     record.line(!wasServed ? "the case could not run" : isServed ? "RECOVER held" : "RECOVER is broken");
