--- a/src/distribution/DistributionFixture.h
+++ b/src/distribution/DistributionFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/VirtualLoop.h"
+#include "directory/RoutedRows.h"
 #include "directory/TableWatch.h"
 #include "distribution/SourceRole.h"
 #include "failover/PlatformEraState.h"
@@ -38,6 +39,8 @@
     std::map<std::string, DistributionDaemon*> processes;
     /// Hosts that are cut off from all others: what is sent to them or by them is lost, without a sign.
     std::set<std::string> silentHosts;
+    /// Whether daemons that the platform does not answer call it through others.
+    bool forwardsCalls { false };
     /// Bandwidth of each host's link; 0 for unlimited.
     double bytesPerSecond { 0 };
     /// Makes the present channels of a host silent for good, while new ones work.
@@ -62,6 +65,28 @@
     std::map<std::string, Instant> m_sentAt;
 };
 
+/// A daemon's ways to the platform's tables: its own, and through the other daemons of a FakePeerNetwork.
+class FakePathRows final : public PathRows {
+public:
+    FakePathRows(DistributionDaemon& daemon, PlatformRows& direct)
+        : m_daemon(daemon)
+        , m_direct(direct)
+    {
+    }
+
+    void readAll(const Path&, const std::string& table, PlatformRows::RowsDone) override;
+    void watch(const Path&, const std::string& table, RowVersion after, Milliseconds wait, PlatformRows::RowsDone) override;
+    void transact(const Path&, const RowsTransaction&, PlatformRows::TransactionDone) override;
+
+private:
+    /// Makes the call over the path, and answers it with an error if that takes longer than `timeout`.
+    template <typename Answer>
+    void call(const Path&, Milliseconds timeout, std::function<void(absl::StatusOr<Answer>)> done, std::function<void(PlatformRows&, std::function<void(absl::StatusOr<Answer>)>)> send);
+
+    DistributionDaemon& m_daemon;
+    PlatformRows& m_direct;
+};
+
 /// One process of a daemon with the parts that read the platform and hold leases. It stops using primaries as soon as it sees that
 /// a change has begun.
 class DistributionDaemon final : public PeerConnector {
@@ -78,6 +103,9 @@
     std::string name;
     NodeLoop loop;
     FakeRows rows;
+    FakePathRows pathRows;
+    PlatformPathSelector paths;
+    RoutedRows routedRows;
     std::vector<std::string> logLines;
     DecisionLog log;
     SharedRows sharedRows;
--- a/src/distribution/DistributionFixtureTests.cpp
+++ b/src/distribution/DistributionFixtureTests.cpp
@@ -1,5 +1,6 @@
 #include "distribution/DistributionFixture.h"
 
+#include "base/ResultCode.h"
 #include "directory/WatchTimes.h"
 
 #include <algorithm>
@@ -9,6 +10,9 @@
 
 namespace {
 
+    constexpr const char* platformHost = "platform";
+    constexpr Milliseconds hopDelay { 1 };
+
     PlatformEraState eraOf(const TableWatch::Rows& rows, RowVersion asOf)
     {
         PlatformEraState state { asOf.era(), std::nullopt, Instant() };
@@ -20,15 +24,60 @@
 
 }
 
+// The answer is lost if the process that forwards it ends.
+template <typename Answer>
+void FakePathRows::call(const Path& path, Milliseconds timeout, std::function<void(absl::StatusOr<Answer>)> done, std::function<void(PlatformRows&, std::function<void(absl::StatusOr<Answer>)>)> send)
+{
+    if (path.isDirect)
+        return send(m_direct, std::move(done));
+    const auto pending = std::make_shared<std::function<void(absl::StatusOr<Answer>)>>(std::move(done));
+    const auto finish = [pending](const absl::StatusOr<Answer>& answer) {
+        if (const auto function = std::exchange(*pending, nullptr))
+            function(answer);
+    };
+    const absl::Status lost = makeError(ResultCode::PlatformUnavailable, "no answer");
+    const std::string host = path.address.host;
+    const bool isSilent = m_daemon.network.silentHosts.count(host) > 0 || m_daemon.network.silentHosts.count(m_daemon.name) > 0;
+    m_daemon.loop.after(timeout, [finish, lost] { finish(lost); });
+    if (isSilent)
+        return;
+    m_daemon.loop.after(hopDelay, [this, host, finish, lost, send = std::move(send)] {
+        auto it = m_daemon.network.processes.find(host);
+        if (it == m_daemon.network.processes.end())
+            return finish(lost);
+        it->second->loop.run([this, &forwarder = *it->second, finish, send] {
+            send(forwarder.rows, [this, finish](const absl::StatusOr<Answer>& answer) { m_daemon.loop.after(hopDelay, [finish, answer] { finish(answer); }); });
+        });
+    });
+}
+
+void FakePathRows::readAll(const Path& path, const std::string& table, PlatformRows::RowsDone done)
+{
+    call<RowsAnswer>(path, platformCallTimeout, std::move(done), [table](PlatformRows& rows, PlatformRows::RowsDone answered) { rows.readAll(table, std::move(answered)); });
+}
+
+void FakePathRows::watch(const Path& path, const std::string& table, RowVersion after, Milliseconds wait, PlatformRows::RowsDone done)
+{
+    call<RowsAnswer>(path, wait + platformCallTimeout, std::move(done), [table, after, wait](PlatformRows& rows, PlatformRows::RowsDone answered) { rows.watch(table, after, wait, std::move(answered)); });
+}
+
+void FakePathRows::transact(const Path& path, const RowsTransaction& transaction, PlatformRows::TransactionDone done)
+{
+    call<TransactionAnswer>(path, platformCallTimeout, std::move(done), [transaction](PlatformRows& rows, PlatformRows::TransactionDone answered) { rows.transact(transaction, std::move(answered)); });
+}
+
 DistributionDaemon::DistributionDaemon(VirtualLoop& shared, FakeTables& tables, FakePeerNetwork& network, const std::string& name, const std::string& domain, const std::string& incarnation, uint64_t seed, Milliseconds configurationBound)
     : network(network)
     , name(name)
     , loop(shared)
     , rows(loop, tables)
+    , pathRows(*this, rows)
+    , paths({ platformHost, 0 }, seed)
+    , routedRows(loop, pathRows, paths)
     , log(loop, name, [this](const std::string& line) { logLines.push_back(line); })
-    , sharedRows(loop, rows, log, testConfigurationTable, { controlTable, leaseTable })
-    , lease(loop, rows, InstanceId(name), incarnation, { FailureDomainId(domain), name, 1, 2, 3, 0.12 })
-    , leaseMonitor(loop, rows, sharedRows, InstanceId(name))
+    , sharedRows(loop, routedRows, log, testConfigurationTable, { controlTable, leaseTable })
+    , lease(loop, routedRows, InstanceId(name), incarnation, { FailureDomainId(domain), name, 1, 2, 3, 0.12 })
+    , leaseMonitor(loop, routedRows, sharedRows, InstanceId(name))
     , service(loop, sharedRows, lease, log)
     , role({ loop, leaseMonitor, lease, sharedRows, service, *this, log, [] { return true; }, configurationBound }, seed)
     , controlWatch(
@@ -52,7 +101,7 @@
         controlWatch.beginEra(era);
         configurationWatch.beginEra(era);
     });
-    rows.onReachedAgain([this](Instant sent) {
+    routedRows.onReachedAgain([this](Instant sent) {
         controlWatch.replaceOlderRequest(sent);
         configurationWatch.replaceOlderRequest(sent);
     });
@@ -63,6 +112,11 @@
 void DistributionDaemon::start(bool isFirstStart)
 {
     leaseMonitor.start([this] {
+        std::vector<TargetAddress> forwarders;
+        for (const auto& it : leaseMonitor.peers())
+            forwarders.push_back({ it.addresses.host, it.addresses.platformProxyPort });
+        if (network.forwardsCalls)
+            paths.setPeers(std::move(forwarders));
         lease.setHolderCount(leaseMonitor.holderCount());
         role.reconsider();
     });
