--- a/src/distribution/ConfirmationAgeTests.cpp
+++ b/src/distribution/ConfirmationAgeTests.cpp
@@ -1,3 +1,4 @@
+#include "distribution/ConfirmationMonitor.h"
 #include "distribution/DistributionFixture.h"
 
 #include <catch2/catch.hpp>
@@ -88,3 +89,23 @@
     for (const auto& it : fixture.daemons)
         CHECK(it->configuration == 1);
 }
+
+TEST_CASE("a daemon logs once that nothing confirms its configuration, and once that something does again", "[distribution]")
+{
+    DistributionFixture fixture(24, 2);
+    DistributionDaemon& holder = *fixture.daemons[fixture.holderWithSubscribers()];
+    ConfirmationMonitor monitor(fixture.loop, holder.sharedRows, holder.log, testConfigurationBound);
+    monitor.start();
+    fixture.run(10'000);
+    CHECK_FALSE(holder.hasLogged("configuration_unconfirmed"));
+    for (const auto& it : fixture.daemons)
+        it->rows.isCut = true;
+    fixture.run(testConfigurationBound.count() + 5000);
+    CHECK(holder.hasLogged("configuration_unconfirmed"));
+    CHECK_FALSE(holder.hasLogged("configuration_confirmed"));
+    for (const auto& it : fixture.daemons)
+        it->rows.isCut = false;
+    fixture.run(5000);
+    CHECK(holder.hasLogged("configuration_confirmed"));
+    CHECK(holder.sharedRows.ageBeforeConfirmation() < testConfigurationBound);
+}
--- a/src/distribution/SharedRows.cpp
+++ b/src/distribution/SharedRows.cpp
@@ -111,7 +111,19 @@
 {
     m_platformAnsweredAt = m_loop.now();
     if (table == m_configurationTable)
-        m_configurationConfirmedAt = m_loop.now();
+        confirmConfiguration(m_loop.now());
+}
+
+void SharedRows::confirmThroughSource(Instant answeredAt)
+{
+    if (answeredAt > m_configurationConfirmedAt)
+        confirmConfiguration(answeredAt);
+}
+
+void SharedRows::confirmConfiguration(Instant confirmedAt)
+{
+    m_ageBeforeConfirmation = m_loop.now() - m_configurationConfirmedAt;
+    m_configurationConfirmedAt = confirmedAt;
 }
 
 void SharedRows::applyPlatformAnswer(const TableRequest& request, const absl::StatusOr<RowsAnswer>& answer)
--- a/src/distribution/SharedRows.h
+++ b/src/distribution/SharedRows.h
@@ -51,10 +51,12 @@
     Milliseconds platformAge() const { return m_loop.now() - m_platformAnsweredAt; }
 
     /// Notes that the platform answered the source's request for the configuration at the given time.
-    void confirmThroughSource(Instant answeredAt) { m_configurationConfirmedAt = std::max(m_configurationConfirmedAt, answeredAt); }
+    void confirmThroughSource(Instant answeredAt);
     /// Time since the platform last answered a request for the configuration of this daemon or its source: changes made before are known
     /// here, or on their way. An answer to another call says nothing, because the response that reports a change may be lost.
     Milliseconds confirmationAge() const { return m_loop.now() - m_configurationConfirmedAt; }
+    /// The age just before the last confirmation: for how long a change that the confirming answer brought can have been missing here.
+    Milliseconds ageBeforeConfirmation() const { return m_ageBeforeConfirmation; }
 
 private:
     enum class Way {
@@ -80,6 +82,7 @@
     void dispatchAll(const std::string& except);
     void complete(uint64_t id, const absl::StatusOr<RowsAnswer>&);
     void notePlatformAnswer(const std::string& table);
+    void confirmConfiguration(Instant);
     void applyPlatformAnswer(const TableRequest&, const absl::StatusOr<RowsAnswer>&);
     void updateCopy(const TableRequest&, const RowsAnswer&);
     void refresh(const std::string& table, Copy&);
@@ -98,6 +101,7 @@
     uint64_t m_lastId { 0 };
     Instant m_platformAnsweredAt;
     Instant m_configurationConfirmedAt;
+    Milliseconds m_ageBeforeConfirmation;
     std::function<void(const std::string&)> m_copyChanged { [](const std::string&) {} };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
