Failing test: configurations in force too late while the platform does not answer some daemons

Random shares of 91 daemons are left without answers, with all sources of one failure domain among them, while a configuration is written every 0.3 s.

--- /dev/null
+++ b/src/distribution/ConfigurationBoundTests.cpp
@@ -0,0 +1,79 @@
+#include "distribution/DistributionFixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace parsleypaddle;
+
+namespace {
+
+constexpr Milliseconds changeInterval { 300 };
+
+/// Writes a configuration at regular intervals and measures how late the daemons of a fixture have each of them.
+class ConfigurationClock {
+public:
+    explicit ConfigurationClock(DistributionFixture& fixture)
+        : m_fixture(fixture)
+        , m_writtenAt { Instant(), Instant() }
+    {
+    }
+
+    /// Lets the time pass. Returns the longest time for which a daemon that runs was without a configuration that was written in it.
+    Milliseconds run(Milliseconds span)
+    {
+        constexpr Milliseconds step { 20 };
+        Milliseconds greatest;
+        for (const Instant end = m_fixture.loop.now() + span; m_fixture.loop.now() < end;) {
+            if (m_fixture.loop.now() >= m_nextChange) {
+                m_fixture.writeConfiguration(static_cast<int>(m_writtenAt.size()));
+                m_writtenAt.push_back(m_fixture.loop.now());
+                m_nextChange = m_fixture.loop.now() + changeInterval;
+            }
+            m_fixture.run(step.count());
+            for (const auto& it : m_fixture.daemons)
+                greatest = std::max(greatest, it ? delayOf(*it) : Milliseconds(0));
+        }
+        return greatest;
+    }
+
+private:
+    Milliseconds delayOf(const DistributionDaemon& daemon) const
+    {
+        const auto next = static_cast<size_t>(daemon.configuration) + 1;
+        return next < m_writtenAt.size() ? m_fixture.loop.now() - m_writtenAt[next] : Milliseconds(0);
+    }
+
+    DistributionFixture& m_fixture;
+    /// When each configuration was written, by its number.
+    std::vector<Instant> m_writtenAt;
+    Instant m_nextChange;
+};
+
+}
+
+// Guards against old configurations in force: the platform left all sources of a failure domain without answers, and the time until they
+// found another way to it, together with the time until their subscribers left them, exceeded the bound.
+TEST_CASE("while the platform does not answer some of the daemons, each change is in force everywhere within its bound", "[distribution][known-red]")
+{
+    const auto seed = static_cast<uint64_t>(GENERATE(1, 2, 8, 9));
+    const double share = GENERATE(0.35, 0.5);
+    CAPTURE(seed, share);
+    std::mt19937_64 random(seed);
+    DistributionFixture fixture(91, 4, seed);
+    fixture.network.forwardsCalls = true;
+    fixture.run(10'000 + static_cast<double>(random() % 2000));
+    ConfigurationClock clock(fixture);
+    clock.run(Milliseconds(1000));
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = std::uniform_real_distribution<double>()(random) < share;
+    // All sources of one failure domain.
+    for (const size_t it : fixture.holders()) {
+        if (it % 4 == seed % 4)
+            fixture.daemons[it]->rows.isCut = true;
+    }
+    CHECK(clock.run(Milliseconds(9000)).count() <= testConfigurationBound.count());
+    for (auto& it : fixture.daemons)
+        it->rows.isCut = false;
+    CHECK(clock.run(Milliseconds(5000)).count() <= testConfigurationBound.count());
+}
