Follow the configuration until a stopping daemon has stopped

What callers saw: requests at a daemon that was stopped were handled by a configuration older than the promised 5 s; it may go on for the whole grace period of 6 s. Cause: SourceRole took no further part after stopServing(): a subscriber whose source stopped with it did not look for another one. It now searches on, and reads the tables itself if it finds none, without a lease row. A source that was stepping down no longer serves again when its own source is lost during the stop.

--- a/src/distribution/ConfigurationBoundTests.cpp
+++ b/src/distribution/ConfigurationBoundTests.cpp
@@ -77,3 +77,24 @@
         it->rows.isCut = false;
     CHECK(clock.run(Milliseconds(5000)).count() <= testConfigurationBound.count());
 }
+
+// Guards against old configurations in force: a daemon that lost its source while it stopped did not look for another one, and went on serving
+// its callers' sessions for up to the grace period.
+TEST_CASE("daemons that stop together receive changes until they have stopped", "[distribution]")
+{
+    const auto seed = static_cast<uint64_t>(GENERATE(range(1, 6)));
+    const bool stopsWholeDomain = GENERATE(false, true);
+    CAPTURE(seed, stopsWholeDomain);
+    DistributionFixture fixture(40, 2, seed);
+    fixture.network.forwardsCalls = true;
+    fixture.run(10'000);
+    ConfigurationClock clock(fixture);
+    const auto holders = fixture.holders();
+    for (size_t it = 0; it < fixture.daemons.size(); it += 2) {
+        const bool isHolder = std::find(holders.begin(), holders.end(), it) != holders.end();
+        if (stopsWholeDomain || isHolder || it % 8 == 0)
+            fixture.daemons[it]->role.stopServing();
+    }
+    CHECK(clock.run(Milliseconds(6000)).count() <= testConfigurationBound.count());
+    CHECK(fixture.holders().size() >= 3);
+}
--- a/src/distribution/SourceRole.cpp
+++ b/src/distribution/SourceRole.cpp
@@ -144,7 +144,7 @@
 {
     if (m_state == State::SteppingDown)
         return cancelStepDown();
-    if (m_state == State::Holding || m_isStopping)
+    if (m_state == State::Holding)
         return;
     m_state = State::Searching;
     m_hasWaited = true;
@@ -157,7 +157,7 @@
 void SourceRole::readLeases(Milliseconds delay)
 {
     const Instant at = m_context.loop.now() + delay;
-    if (m_isReading || m_isStopping || (m_nextRead && *m_nextRead <= at))
+    if (m_isReading || m_hasLeft || (m_nextRead && *m_nextRead <= at))
         return;
     m_nextRead = at;
     m_context.loop.cancel(m_timer);
@@ -174,7 +174,7 @@
 void SourceRole::applyLeases(const absl::StatusOr<LeaseTable>& table)
 {
     m_isReading = false;
-    if (m_isStopping || isHolder())
+    if (m_hasLeft || isHolder())
         return;
     if (!table.ok()) {
         m_hasOwnPath = false;
@@ -188,12 +188,14 @@
     m_failedReads = 0;
     m_ownPathFailedAt.reset();
     if (m_state == State::Searching)
-        return search(*table);
+        return m_isStopping ? searchWhileStopping() : search(*table);
     // This daemon is subscribed, and the platform answers it.
     if (m_client.moveFromStale()) {
         m_hasOwnPath = false;
         return;
     }
+    if (m_isStopping)
+        return;
     const bool hadOwnPath = std::exchange(m_hasOwnPath, m_client.isStale());
     if (m_hasOwnPath && hadOwnPath)
         return hold("no source reaches the platform");
@@ -220,6 +222,18 @@
     hold("too few holders were found");
 }
 
+// Callers keep using this daemon for seconds, and a change may become due meanwhile. A lease row of its own would outlive this process.
+void SourceRole::searchWhileStopping()
+{
+    const auto reachable = reachableHolders();
+    if (!reachable.empty() && m_exhaustions < maxExhaustions) {
+        m_client.setCandidates(reachable);
+        return m_client.start();
+    }
+    m_context.log.write("role_direct", { { "why", "no source was found while this daemon stops" } });
+    m_context.rows.usePlatform();
+}
+
 void SourceRole::hold(std::string_view why)
 {
     m_context.log.write("role_holder", { { "why", std::string(why) }, { "holders", std::to_string(holders().size()) }, { "daemons", std::to_string(m_context.leaseMonitor.liveDaemonCount()) } });
@@ -297,7 +311,7 @@
 void SourceRole::cancelStepDown()
 {
     m_state = State::Holding;
-    m_context.service.setServing(true);
+    m_context.service.setServing(!m_isStopping);
     leaveSourceOnceHolding();
 }
 
@@ -315,12 +329,13 @@
 void SourceRole::stopServing()
 {
     m_isStopping = true;
-    m_context.loop.cancel(m_timer);
     m_context.service.setServing(false);
 }
 
 void SourceRole::leave()
 {
+    m_hasLeft = true;
+    m_context.loop.cancel(m_timer);
     m_client.stop();
 }
 
--- a/src/distribution/SourceRole.h
+++ b/src/distribution/SourceRole.h
@@ -39,7 +39,8 @@
     void start(bool isFirstStart);
     /// Checks the role. To be called after the leases were read.
     void reconsider();
-    /// Sends the subscribers elsewhere, because this daemon is about to stop. The role does not change any more.
+    /// Sends the subscribers elsewhere, because this daemon is about to stop. It becomes no holder any more, but follows the platform's
+    /// tables until leave() is called.
     void stopServing();
     /// Leaves the source. To be called after the lease was released.
     void leave();
@@ -61,6 +62,7 @@
     void readLeases(Milliseconds delay);
     void applyLeases(const absl::StatusOr<LeaseTable>&);
     void search(const LeaseTable&);
+    void searchWhileStopping();
     void hold(std::string_view why);
     void attach();
     void completeStepDown();
@@ -85,6 +87,7 @@
     /// Whether this daemon has waited for a random time before it becomes a holder.
     bool m_hasWaited { false };
     bool m_isStopping { false };
+    bool m_hasLeft { false };
     /// When the leases are read next; unset while a read is answered or none is due.
     std::optional<Instant> m_nextRead;
     bool m_isReading { false };
