Deny a database only while the configuration is confirmed

Cause: where the configuration has no organisations, a daemon denied whatever its configuration lacked, however old that was; the check existed for organisations only. Now every daemon answers BUSY, with a time to come back, once nothing has confirmed its configuration for config-apply-ms, for new sessions and for statements of open ones.

--- a/src/relay/CallerIdentification.cpp
+++ b/src/relay/CallerIdentification.cpp
@@ -56,7 +56,7 @@
         return makeUnconfirmedRefusal();
     const Organisation* organisation = m_organisations->findByKey(key.m_text);
     if (!organisation)
-        return mayDeny() ? makeRefusal(RelayError::Unauthorized, "the key is not known") : makeUnconfirmedRefusal();
+        return isConfirmed() ? makeRefusal(RelayError::Unauthorized, "the key is not known") : makeUnconfirmedRefusal();
     identity.caller = organisation->id;
     identity.organisation = organisation->id;
     identity.limit = organisation->limit;
--- a/src/relay/CallerIdentification.h
+++ b/src/relay/CallerIdentification.h
@@ -32,8 +32,10 @@
 struct RevocationRule {
     /// Whether they are refused. Otherwise they are served under the configuration that is held.
     bool isFailClosed { false };
-    /// How long the configuration counts as confirmed. Also without isFailClosed, nothing is denied as unknown after that.
+    /// How long the configuration counts as confirmed. Also without isFailClosed, no key is denied as unknown after that.
     Milliseconds limit { 5000 };
+    /// Within which a change of the configuration is promised to be in force. What has not been confirmed for longer denies no database.
+    Milliseconds configurationBound { 5000 };
 };
 
 /// In whose name a statement runs, or why it must not run.
@@ -70,13 +72,15 @@
     bool accepts(const CallerKey& key, const Route& route) const { return isOpenToAll(route) || m_organisations->findByKey(key.m_text); }
     /// Whether statements of organisations are refused now, because the configuration is not confirmed.
     bool isClosed() const { return m_revocation.isFailClosed && m_organisations && !isConfirmed(); }
-    /// Whether what the configuration lacks may be denied. A version that adds it may be in force while this daemon cannot receive it.
-    bool mayDeny() const { return !m_organisations || isConfirmed(); }
+    /// Whether a database that the configuration lacks may be denied. A version that adds it may be in force while this daemon cannot receive
+    /// it.
+    bool mayDenyDatabase() const { return isConfirmedWithin(m_revocation.configurationBound) && (!m_organisations || isConfirmed()); }
     /// Whether statements on the route run without an organisation's key.
     bool isOpenToAll(const Route& route) const { return !m_organisations || route.isPublic; }
 
 private:
-    bool isConfirmed() const { return !m_configurationAge || m_configurationAge() <= m_revocation.limit; }
+    bool isConfirmed() const { return isConfirmedWithin(m_revocation.limit); }
+    bool isConfirmedWithin(Milliseconds limit) const { return !m_configurationAge || m_configurationAge() <= limit; }
     OrganisationId nameOf(const CallerKey&) const;
 
     std::shared_ptr<const OrganisationDirectory> m_organisations;
--- a/src/relay/CallerIdentificationTests.cpp
+++ b/src/relay/CallerIdentificationTests.cpp
@@ -101,7 +101,7 @@
     const Route route = routeThatIsPublic(false);
     const auto errorOf = [&](bool isFailClosed, double milliseconds) {
         age = Milliseconds(milliseconds);
-        identification.setRevocation({ isFailClosed, Milliseconds(5000) }, [&age] { return age; });
+        identification.setRevocation({ isFailClosed, Milliseconds(5000), Milliseconds(5000) }, [&age] { return age; });
         return identification.identify(CallerKey("k1"), route).error;
     };
     CHECK(errorOf(false, 60'000) == RelayError::None);
@@ -123,11 +123,29 @@
     identification.setRevocation({}, [&age] { return age; });
     const Route route = routeThatIsPublic(false);
     CHECK(identification.identify(CallerKey("k2"), route).error == RelayError::Unauthorized);
-    CHECK(identification.mayDeny());
+    CHECK(identification.mayDenyDatabase());
     age = Milliseconds(5001);
     CHECK(identification.identify(CallerKey("k2"), route).error == RelayError::Busy);
     CHECK(identification.identify(CallerKey("k1"), route).error == RelayError::None);
-    CHECK_FALSE(identification.mayDeny());
+    CHECK_FALSE(identification.mayDenyDatabase());
     identification.setOrganisations(nullptr);
-    CHECK(identification.mayDeny());
+    CHECK_FALSE(identification.mayDenyDatabase());
+    age = Milliseconds(5000);
+    CHECK(identification.mayDenyDatabase());
+}
+
+// The promise for changes of the configuration may be shorter than that for keys.
+TEST_CASE("a database is denied only while the configuration was confirmed within the time of a change", "[relay]")
+{
+    const bool hasOrganisations = GENERATE(false, true);
+    Milliseconds age(3000);
+    CallerIdentification identification;
+    identification.setOrganisations(hasOrganisations ? acmeWith("k1") : nullptr);
+    identification.setRevocation({ false, Milliseconds(5000), Milliseconds(3000) }, [&age] { return age; });
+    CHECK(identification.mayDenyDatabase());
+    age = Milliseconds(3001);
+    CHECK_FALSE(identification.mayDenyDatabase());
+    // Keys have their own limit.
+    if (hasOrganisations)
+        CHECK(identification.identify(CallerKey("k2"), routeThatIsPublic(false)).error == RelayError::Unauthorized);
 }
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -92,7 +92,7 @@
         return reject(RelayError::Malformed, "a transaction is already open");
     m_transactionRoute = currentRoute();
     if (!m_transactionRoute)
-        return reject(RelayError::UnknownDatabase, m_database.value());
+        return rejectDatabase();
     // A forwarded transaction is identified with its first statement.
     if (m_kind == CallerKind::Caller) {
         RelayJob job;
@@ -192,6 +192,12 @@
     reject(RelayError::Malformed, "unknown statement");
 }
 
+void CallerSession::rejectDatabase()
+{
+    const RelayAnswer answer = m_relay.refuseDatabase(m_database);
+    reject(answer.error, answer.errorText);
+}
+
 // Copies the state, because running statements share the state with which they were sent.
 CallerSessionState& CallerSession::mutableSessionState()
 {
@@ -210,7 +216,7 @@
 {
     job.route = m_state == TransactionState::Open ? m_transactionRoute : currentRoute();
     if (!job.route)
-        return reject(RelayError::UnknownDatabase, m_database.value());
+        return rejectDatabase();
     job.sessionState = m_sessionState;
     job.lastCommit = m_commits.lastIn(job.route->group);
     job.isForwarded = m_kind == CallerKind::Peer;
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -96,6 +96,7 @@
     void reset(const RelayStep&);
     void rejectTooLong(const RelayStep&);
     void rejectUnknown(const RelayStep&);
+    void rejectDatabase();
 
     void send(RelayJob);
     StatementIdentity identify(const std::optional<ForwardedFor>&, const Route&) const;
--- a/src/relay/CallerSessionTests.cpp
+++ b/src/relay/CallerSessionTests.cpp
@@ -239,6 +239,28 @@
     CHECK(caller.last().error == RelayError::UnknownDatabase);
 }
 
+// Guards against false denials: where there are no organisations, a daemon denied databases that had been added while nothing confirmed its
+// configuration.
+TEST_CASE("a database without a route is refused as busy while the configuration is not confirmed", "[relay]")
+{
+    RelayFixture scene;
+    Milliseconds age(5001);
+    scene.relay.identification().setRevocation({}, [&age] { return age; });
+    CHECK(scene.relay.checkSession(DatabaseId("added"), CallerKey(), CallerKind::Caller).error == RelayError::Busy);
+    TestCaller caller(scene.relay, "orders");
+    auto table = std::make_shared<RouteTable>();
+    table->version = ConfigurationVersion(2);
+    scene.relay.setRoutes(table);
+    caller.send(RelayKind::Read, "READ 1");
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::Busy);
+    age = Milliseconds(5000);
+    caller.send(RelayKind::Begin);
+    scene.run(50);
+    CHECK(caller.last().error == RelayError::UnknownDatabase);
+    CHECK(scene.relay.checkSession(DatabaseId("added"), CallerKey(), CallerKind::Caller).error == RelayError::UnknownDatabase);
+}
+
 // Guards against interrupted statements: a stopping daemon rolls back open transactions while one of them runs a statement.
 TEST_CASE("a transaction is not rolled back while one of its statements is running", "[relay]")
 {
--- a/src/relay/OrganisationLimitTests.cpp
+++ b/src/relay/OrganisationLimitTests.cpp
@@ -115,7 +115,7 @@
     scene.setPublic("prices");
     scene.setOrganisations(2, { entryOf("acme", { "k-acme-1" }) });
     Milliseconds age(0);
-    scene.relay.identification().setRevocation({ true, Milliseconds(5000) }, [&age] { return age; });
+    scene.relay.identification().setRevocation({ true, Milliseconds(5000), Milliseconds(5000) }, [&age] { return age; });
     TestCaller caller(scene.relay, "orders", "k-acme-1");
     TestCaller inTransaction(scene.relay, "orders", "k-acme-1");
     TestCaller open(scene.relay, "prices", "k-acme-1");
--- a/src/relay/Relay.cpp
+++ b/src/relay/Relay.cpp
@@ -52,14 +52,10 @@
 
 RelayAnswer Relay::checkSession(const DatabaseId& database, const CallerKey& key, CallerKind kind) const
 {
-    RelayAnswer answer;
     const auto route = routeOf(database);
-    if (!route) {
-        const bool mayDeny = m_identification.mayDeny();
-        answer.error = mayDeny ? RelayError::UnknownDatabase : RelayError::Busy;
-        answer.errorText = mayDeny ? database.value() : "this daemon cannot confirm which databases exist now";
-        return answer;
-    }
+    if (!route)
+        return refuseDatabase(database);
+    RelayAnswer answer;
     if (kind == CallerKind::Peer)
         return answer;
     const StatementIdentity identity = m_identification.identify(key, *route);
@@ -70,6 +66,15 @@
     return answer;
 }
 
+RelayAnswer Relay::refuseDatabase(const DatabaseId& database) const
+{
+    const bool mayDeny = m_identification.mayDenyDatabase();
+    RelayAnswer answer;
+    answer.error = mayDeny ? RelayError::UnknownDatabase : RelayError::Busy;
+    answer.errorText = mayDeny ? database.value() : "this daemon cannot confirm which databases exist now; come back in 1000 ms";
+    return answer;
+}
+
 void Relay::awaitRoutes(std::function<void(bool areKnown)> done)
 {
     if (m_routes)
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -37,6 +37,8 @@
     void awaitRoutes(std::function<void(bool areKnown)> done);
     const RouteTable* routes() const { return m_routes.get(); }
     std::shared_ptr<const Route> routeOf(const DatabaseId&) const;
+    /// The answer for a database without a route: UnknownDatabase, or Busy while the configuration is not confirmed.
+    RelayAnswer refuseDatabase(const DatabaseId&) const;
     /// How long an open transaction may stay idle before it is rolled back.
     Milliseconds transactionIdleTimeout() const { return m_routes->transactionIdleTimeout; }
     RelayGroup* findGroup(const GroupId&);
