Do not promote a target with a branch of the log that was rolled back

Cause: mostCompleteReplica() compares the ends of logs by term and position of the record's own term only; where each term began was kept for the last one, and used only with sync-replicas.

A log of an earlier term counts up to the earliest beginning of a later one, also where commits wait for replicas and where a missing log is looked for. A target whose log goes beyond that is not promoted. If only such targets answer, the change waits for the primary, another replica, or an operator (--promote, which now works without sync-replicas too).

--- a/src/failover/FailoverTests.cpp
+++ b/src/failover/FailoverTests.cpp
@@ -353,3 +353,35 @@
         CHECK(fixture.staleWrites == 0);
     }
 }
+
+// Guards against lost commits: a primary that was replaced came back with commits that had been rolled back, its successor crashed before it had
+// followed it, and it was promoted again as the most complete replica. What the successor had acknowledged was gone.
+TEST_CASE("a primary that was replaced is not promoted again with a branch of the log that was rolled back", "[failover]")
+{
+    const bool isOtherReplicaUp = GENERATE(true, false);
+    CAPTURE(isOtherReplicaUp);
+    FailoverFixture fixture(3);
+    fixture.runWithTraffic(500);
+    fixture.deafTargets = { TargetId("two"), TargetId("three") };
+    fixture.runWithTraffic(500);
+    fixture.targets[TargetId("one")].isDown = true;
+    fixture.runWithTraffic(3000);
+    const TargetId successor = fixture.countDaemonsUsing("two") == 3 ? TargetId("two") : TargetId("three");
+    const TargetId other = successor == TargetId("two") ? TargetId("three") : TargetId("two");
+    REQUIRE(fixture.countDaemonsUsing(successor.value()) == 3);
+    fixture.deafTargets.insert(TargetId("one"));
+    fixture.targets[other].isDown = !isOtherReplicaUp;
+    fixture.targets[successor].isDown = true;
+    auto& old = fixture.targets[TargetId("one")];
+    old.isDown = false;
+    old.isPrimary = false;
+    fixture.runWithTraffic(6000);
+    CHECK(fixture.promotions.requests.back().target != TargetId("one"));
+    CHECK(fixture.countDaemonsUsing("one") == 0);
+    // The other replica only lacks the end of the log. Without it, the group waits for its primary.
+    CHECK(fixture.countDaemonsUsing(other.value()) == (isOtherReplicaUp ? 3 : 0));
+    fixture.targets[successor].isDown = false;
+    fixture.runWithTraffic(3000);
+    CHECK(fixture.countDaemonsUsing(isOtherReplicaUp ? other.value() : successor.value()) == 3);
+    CHECK(fixture.write(0) == RelayError::None);
+}
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -291,6 +291,9 @@
     record.primary = primary;
     record.term = term;
     record.termBegin = termBegin;
+    if (m_record)
+        record.history = m_record->history;
+    record.history.add(term, termBegin.position);
     record.owner = m_context.lease.instance();
     record.ownerIncarnation = m_context.lease.incarnation();
     return record;
--- a/src/failover/GroupFailoverChange.cpp
+++ b/src/failover/GroupFailoverChange.cpp
@@ -174,6 +174,9 @@
         if (!isEligible || probe == m_probes.end() || !probe->second.report)
             continue;
         const LogMark received = probe->second.report->received;
+        // Its promotion would bring back commits that were rolled back.
+        if (m_record->history.hasLeftBranch(received))
+            continue;
         // With equal logs the recorded candidate is preferred, since its promotion may already have been requested.
         const bool isPreferred = id == m_record->candidate && !(received < most);
         if (best && !isPreferred && !(most < received))
@@ -191,7 +194,7 @@
     const LogMark received = m_probes.at(candidate).report->received;
     return mayUnansweredPromotionAct() && std::any_of(m_probes.begin(), m_probes.end(), [this, received](const auto& it) {
         const TargetEntry* entry = find(it.first);
-        return it.first != m_record->primary && entry && !entry->isLeaving && it.second.report && received < it.second.report->received;
+        return it.first != m_record->primary && entry && !entry->isLeaving && it.second.report && received < m_record->history.keptPart(it.second.report->received);
     });
 }
 
@@ -204,7 +207,7 @@
         if (!probe.report)
             text += probe.hasAnswered ? " overloaded" : " unreachable";
         else
-            text += std::string(probe.report->isPrimary ? " primary" : " replica") + " in term " + std::to_string(probe.report->term.value()) + " received " + textOf(probe.report->received);
+            text += std::string(probe.report->isPrimary ? " primary" : " replica") + " in term " + std::to_string(probe.report->term.value()) + " received " + textOf(probe.report->received) + (m_record->history.hasLeftBranch(probe.report->received) ? ", rolled back from " + textOf(m_record->history.keptPart(probe.report->received)) : "");
         if (m_rejectedCandidates.count(id) > 0)
             text += " rejected";
     }
@@ -239,6 +242,8 @@
     auto oldProbe = m_probes.find(m_record->primary);
     const bool isOldStillPrimary = oldProbe != m_probes.end() && oldProbe->second.report && oldProbe->second.report->isPrimary;
     const auto best = mostCompleteReplica();
+    if (const auto decided = decidedCandidate(); decided && !best)
+        return promote(*decided, std::nullopt, "an operator has decided to promote it, although it may lack acknowledged commits");
     if (!best || isMissingLog(*best))
         return awaitCandidates();
     const bool isComplete = !isOldStillPrimary || !(m_probes[*best].report->received < oldProbe->second.report->received);
--- a/src/failover/GroupFailoverLogs.cpp
+++ b/src/failover/GroupFailoverLogs.cpp
@@ -133,7 +133,7 @@
     for (const auto& it : logHolders()) {
         const auto probe = m_probes.find(it.id);
         const bool isKnown = probe != m_probes.end() && probe->second.report;
-        logs.others.push_back({ it.id, isKnown ? std::make_optional(probe->second.report->received) : std::nullopt, hasRestarted(it.id) || isSuccessor(it.id) });
+        logs.others.push_back({ it.id, isKnown ? std::make_optional(m_record->history.keptPart(probe->second.report->received)) : std::nullopt, hasRestarted(it.id) || isSuccessor(it.id) });
     }
     const auto primary = m_probes.find(successorOf(m_record->primary).value_or(m_record->primary));
     const bool hasAnswered = primary != m_probes.end() && primary->second.report && isWholeLog(primary->second.report->received, logs);
@@ -188,6 +188,8 @@
         const bool isEligible = id != m_record->primary && m_rejectedCandidates.count(id) == 0 && !isAwaitingOtherPromotion(id);
         if (!isEligible || probe == m_probes.end() || !probe->second.report || !evidence.covers(probe->second.report->received))
             continue;
+        if (m_record->history.hasLeftBranch(probe->second.report->received))
+            continue;
         // The promotion of the recorded candidate may already have been requested.
         if (id == m_record->candidate)
             return id;
--- a/src/failover/GroupRecord.cpp
+++ b/src/failover/GroupRecord.cpp
@@ -36,6 +36,23 @@
         return LogMark { Term(value["term"].asUInt64()), LogPosition(value["position"].asUInt64()) };
     }
 
+    absl::Status decodeHistory(const Json::Value& value, GroupRecord& record)
+    {
+        // A record of an earlier version knows the beginning of its own term only.
+        if (!value.isMember("term_begins") && record.termBegin != LogMark())
+            record.history.add(record.term, record.termBegin.position);
+        const Json::Value begins = value.get("term_begins", Json::Value(Json::arrayValue));
+        if (!begins.isArray())
+            return makeError(ResultCode::WrongType, "group record has term_begins that are not a list");
+        for (const auto& it : begins) {
+            const auto mark = decodeMark(it, "term_begins");
+            if (!mark.ok())
+                return mark.status();
+            record.history.add(mark->term, mark->position);
+        }
+        return absl::OkStatus();
+    }
+
     /// Decodes the fields on the logs, which records of earlier versions lack.
     absl::Status decodeLogs(const Json::Value& value, GroupRecord& record)
     {
@@ -50,6 +67,8 @@
             else
                 record.termBegin = *mark;
         }
+        if (auto status = decodeHistory(value, record); !status.ok())
+            return status;
         if (value.isMember("began_at") && !value["began_at"].isNumeric())
             return makeError(ResultCode::MissingField, "group record has began_at that is not a time");
         record.beganAt = Instant(value["began_at"].asDouble());
@@ -80,6 +99,8 @@
     }
     if (record.termBegin != LogMark())
         value["term_begin"] = encodeMark(record.termBegin);
+    for (const LogMark& it : record.history.begins())
+        value["term_begins"].append(encodeMark(it));
     if (record.synchronousReplicas > 0)
         value["synchronous_replicas"] = record.synchronousReplicas;
     if (record.lastMark)
--- a/src/failover/GroupRecord.h
+++ b/src/failover/GroupRecord.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "groups/LogMark.h"
+#include "groups/TermHistory.h"
 #include "platform_ports/PlatformPorts.h"
 
 #include <absl/status/statusor.h>
@@ -43,6 +44,8 @@
     Instant unansweredUntil;
     /// The end of the primary's log when the record was opened with it.
     LogMark termBegin;
+    /// Where this term and those before it began.
+    TermHistory history;
     /// While a change is in progress: in how many replicas a commit of the primary is before it is acknowledged.
     uint32_t synchronousReplicas { 0 };
     /// While a change is in progress: a mark that covers every commit that the primary has acknowledged. Unset while none is known.
--- a/src/failover/GroupRecordTests.cpp
+++ b/src/failover/GroupRecordTests.cpp
@@ -53,11 +53,14 @@
 {
     GroupRecord record = makeRecord();
     record.termBegin = { Term(3), LogPosition(1200) };
+    record.history.add(Term(2), LogPosition(900));
+    record.history.add(Term(3), LogPosition(1200));
     record.synchronousReplicas = 1;
     record.lastMark = LogMark { Term(3), LogPosition(1250) };
     const auto decoded = decodeGroupRecord(encodeGroupRecord(record));
     REQUIRE(decoded.ok());
     CHECK(decoded->termBegin == record.termBegin);
+    CHECK(decoded->history.begins() == record.history.begins());
     CHECK(decoded->synchronousReplicas == 1);
     CHECK(decoded->lastMark == record.lastMark);
 }
