Write the log on a thread of its own

Now LineWriter queues up to 2 MiB of lines and writes them on its own thread; further ones are dropped, counted (metric parsleypaddle_log_lines_lost) and reported before the next line that is written (log_lines_lost). A closed pipe costs the log only. The end of a process waits 200 ms for the log.

LineWriterTests: a pipe that nobody reads, and a closed one. telemetry-tests passed.

--- a/src/telemetry/DecisionLog.h
+++ b/src/telemetry/DecisionLog.h
@@ -14,7 +14,7 @@
 using LogField = std::pair<const char*, std::string>;
 
 /// Logs each decision as one line of JSON. Lines beyond the rate limit are dropped and counted, so that a high rate of
-/// decisions does not slow the loop down. Each line is written synchronously: a sink that blocks also blocks the loop.
+/// decisions does not slow the loop down. A sink that blocks also blocks the loop.
 class DecisionLog {
 public:
     using Sink = std::function<void(const std::string& line)>;
--- /dev/null
+++ b/src/telemetry/LineWriterTests.cpp
@@ -0,0 +1,94 @@
+#include "telemetry/LineWriter.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace parsleypaddle;
+
+namespace {
+
+constexpr size_t maxQueuedBytes = 100'000;
+constexpr Milliseconds patience { 10'000 };
+
+/// A pipe of the usual size, 64 KiB.
+class Pipe {
+public:
+    Pipe() { REQUIRE(::pipe(m_ends.data()) == 0); }
+    ~Pipe()
+    {
+        closeReader();
+        ::close(m_ends[1]);
+    }
+
+    Pipe(const Pipe&) = delete;
+    Pipe& operator=(const Pipe&) = delete;
+
+    int writer() const { return m_ends[1]; }
+
+    void closeReader()
+    {
+        if (m_ends[0] >= 0)
+            ::close(std::exchange(m_ends[0], -1));
+    }
+
+    /// Reads until the text has come, or nothing comes any more.
+    std::string readUntil(const std::string& end)
+    {
+        std::string text;
+        std::array<char, 4096> buf {};
+        while (text.find(end) == std::string::npos) {
+            const ssize_t n = ::read(m_ends[0], buf.data(), buf.size());
+            if (n <= 0)
+                break;
+            text.append(buf.data(), static_cast<size_t>(n));
+        }
+        return text;
+    }
+
+private:
+    std::array<int, 2> m_ends {};
+};
+
+std::string reportLoss(uint64_t lost)
+{
+    return "lost " + std::to_string(lost) + "\n";
+}
+
+}
+
+// Guards against daemons that hang: the event loop waited while nobody read the daemon's log.
+TEST_CASE("lines are written without waiting for a reader, dropped beyond the limit, and the loss is reported", "[telemetry]")
+{
+    Pipe pipe;
+    const auto writer = LineWriter::create(pipe.writer(), maxQueuedBytes, reportLoss);
+    REQUIRE(writer);
+    const std::string line(99, 'x');
+    // The pipe and the queue hold at most 1,700 of these.
+    for (int n = 0; n < 5000; ++n)
+        writer->write(line + "\n");
+    const uint64_t lost = writer->lost();
+    CHECK(lost >= 3000);
+    CHECK_FALSE(writer->flush(Milliseconds(10)));
+    const std::string before = pipe.readUntil("lost");
+    CHECK(before.find_first_not_of("x\nlost 0123456789") == std::string::npos);
+    writer->write("end\n");
+    const std::string text = before + pipe.readUntil("end\n");
+    CHECK(text.find("lost " + std::to_string(lost) + "\n") != std::string::npos);
+    CHECK(writer->flush(patience));
+    CHECK(static_cast<uint64_t>(std::count(text.begin(), text.end(), '\n')) == 5000 - lost + 2);
+}
+
+TEST_CASE("lines to a closed pipe are counted as lost, and do not end the process", "[telemetry]")
+{
+    Pipe pipe;
+    const auto writer = LineWriter::create(pipe.writer(), maxQueuedBytes, reportLoss);
+    REQUIRE(writer);
+    pipe.closeReader();
+    for (int n = 0; n < 10; ++n)
+        writer->write("line\n");
+    CHECK(writer->flush(patience));
+    CHECK(writer->lost() == 10);
+}
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -55,7 +55,7 @@
         { "parsleypaddle_prepared_statements_dropped_total", "Prepared statements dropped on a connection to make room for others" },
     } };
 
-    constexpr std::array<MetricInfo, 11> gaugeInfos { {
+    constexpr std::array<MetricInfo, 12> gaugeInfos { {
         { "parsleypaddle_configuration_version", "Version of the configuration in force here" },
         { "parsleypaddle_requests_in_flight", "Requests of callers without an answer yet" },
         { "parsleypaddle_target_connections", "Open connections to targets" },
@@ -67,6 +67,7 @@
         { "parsleypaddle_configuration_confirmation_age_milliseconds", "Time since the platform answered a request for the configuration of this daemon or its source" },
         { "parsleypaddle_changes_awaiting_logs", "Changes of primary carried out here that wait for logs, without which no target may be promoted" },
         { "parsleypaddle_unlisted_log_holders", "Targets that the platform does not list, and whose logs a change of primary may need" },
+        { "parsleypaddle_log_lines_lost", "Lines of the log that were dropped because standard output could not be written to" },
     } };
 
     const prometheus::Histogram::BucketBoundaries& bucketBoundaries()
--- a/src/telemetry/Metrics.h
+++ b/src/telemetry/Metrics.h
@@ -81,6 +81,7 @@
     ConfigurationConfirmationAge,
     ChangesAwaitingLogs,
     UnlistedLogHolders,
+    LogLinesLost,
 };
 
 /// The maximum numbers of distinct label values; further values are reported as "other".
